--- /dev/null
+++ b/libs/bench/src/azurecleat_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of azurecleat."""
--- /dev/null
+++ b/libs/cli/src/azurecleat_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines of operators and callers."""
--- /dev/null
+++ b/libs/cli/src/azurecleat_cli/_internal/commands/key.py
@@ -0,0 +1,43 @@
+"""Commands on keys."""
+
+from __future__ import annotations
+
+import json
+
+from azurecleat_model import generate_key, to_plain
+from cleo.helpers import argument
+
+from azurecleat_cli._internal.base import EXIT_OK, EXIT_UNKNOWN, ApiCommand
+
+
+class GiveCommand(ApiCommand):
+    """Makes a key and gives it to a team."""
+
+    name = "key give"
+    description = "Makes a key for a team and prints its secret, once."
+    arguments = [argument("team", "Name of the team."), argument("id", "Name of the new key.")]
+
+    def run_command(self) -> int:
+        """Runs the command."""
+        token, key = generate_key(self.argument("id"))
+        path = f"/v1/operator/teams/{self.argument('team')}/keys"
+        value = self.client.call("POST", path, json.dumps(to_plain(key)).encode()).json()
+        self.show({**value, "secret": token})
+        return EXIT_OK
+
+
+class WithdrawCommand(ApiCommand):
+    """Withdraws a key."""
+
+    name = "key withdraw"
+    description = "Withdraws a key everywhere, for good."
+    arguments = [argument("id", "Name of the key.")]
+
+    def run_command(self) -> int:
+        """Runs the command."""
+        path = f"/v1/operator/keys/{self.argument('id')}"
+        value = self.client.call("DELETE", path).json()
+        self.show(value)
+        if value["recorded"] or not value["unsure"]:
+            return EXIT_OK
+        return EXIT_UNKNOWN
--- /dev/null
+++ b/libs/cli/src/azurecleat_cli/_internal/commands/status.py
@@ -0,0 +1,63 @@
+"""Commands that show the state of the fleet."""
+
+from __future__ import annotations
+
+from azurecleat_cli._internal.base import EXIT_OK, ApiCommand
+
+
+class StatusCommand(ApiCommand):
+    """Shows members, owners and the proof of fresh keys."""
+
+    name = "status"
+    description = "Shows members, owners and the state of one instance."
+
+    def run_command(self) -> int:
+        """Runs the command."""
+        value = self.client.call("GET", "/v1/operator/status").json()
+        if not self.option("json"):
+            self.line(f"version {value['version']}, log position {value['log_position']}")
+            self.line(f"keys are proved fresh by: {value['proof']}")
+        rows = [
+            [o["partition"], o["epoch"], o["instance"], "released" if o["released"] else "owned"]
+            for o in value["owners"]
+        ]
+        self.show(value, ["partition", "epoch", "owner", "state"], rows)
+        return EXIT_OK
+
+
+class TeamCommand(ApiCommand):
+    """Shows what teams have running and waiting."""
+
+    name = "team"
+    description = "Shows what teams have running and waiting in partitions owned there."
+
+    def run_command(self) -> int:
+        """Runs the command."""
+        rows = self.client.call("GET", "/v1/operator/status").json()["teams"]
+        shown = [
+            [
+                row["team"],
+                row["partition"],
+                f"{row['tasks_running']}/{row['tasks_waiting']}",
+                f"{row['requests_running']}/{row['requests_waiting']}",
+                row["usage_over_share"],
+            ]
+            for row in rows
+        ]
+        headers = ["team", "partition", "tasks run/wait", "requests run/wait", "usage/share"]
+        self.show(rows, headers, shown)
+        return EXIT_OK
+
+
+class TargetsCommand(ApiCommand):
+    """Shows runners and workers."""
+
+    name = "targets"
+    description = "Shows the runners and workers of partitions owned there."
+
+    def run_command(self) -> int:
+        """Runs the command."""
+        rows = self.client.call("GET", "/v1/operator/targets").json()["targets"]
+        names = ["target", "kind", "partition", "running", "controlled", "leaving", "probation"]
+        self.show(rows, names, [[row[name] for name in names] for row in rows])
+        return EXIT_OK
--- /dev/null
+++ b/libs/cli/src/azurecleat_cli/_internal/commands/why.py
@@ -0,0 +1,21 @@
+"""The command that tells what a job waits for."""
+
+from __future__ import annotations
+
+from cleo.helpers import argument
+
+from azurecleat_cli._internal.base import EXIT_OK, ApiCommand
+
+
+class WhyCommand(ApiCommand):
+    """Tells what a waiting job waits for."""
+
+    name = "why"
+    description = "Tells what a waiting job waits for."
+    arguments = [argument("job", "Id of the job.")]
+
+    def run_command(self) -> int:
+        """Runs the command."""
+        path = f"/v1/operator/jobs/{self.argument('job')}/why"
+        self.show(self.client.call("GET", path).json())
+        return EXIT_OK
--- /dev/null
+++ b/libs/coordination/src/azurecleat_coordination/__init__.py
@@ -0,0 +1,50 @@
+"""Coordination of equal, diskless instances through an append-only log.
+
+See this library's README for what each part promises and for a runnable example.
+"""
+
+from azurecleat_coordination._internal.appender import AppendCounts, Appender
+from azurecleat_coordination._internal.fleet import FleetSection
+from azurecleat_coordination._internal.freshness import Freshness, Knowledge, PeerStatus, Proof
+from azurecleat_coordination._internal.jobs import JobState, to_ranges
+from azurecleat_coordination._internal.lease import CLOCK_RATE_SKEW, ControlLease, has_majority
+from azurecleat_coordination._internal.log import Log, ReadResult
+from azurecleat_coordination._internal.ownership import Owner
+from azurecleat_coordination._internal.rendezvous import rank
+from azurecleat_coordination._internal.replica import Replica
+from azurecleat_coordination._internal.result import Applied
+from azurecleat_coordination._internal.retry import (
+    Backoff,
+    BreakerState,
+    CircuitBreaker,
+    RetryBudget,
+)
+from azurecleat_coordination._internal.roster import Member
+from azurecleat_coordination._internal.snapshots import to_chunks
+
+__all__ = [
+    "CLOCK_RATE_SKEW",
+    "AppendCounts",
+    "Appender",
+    "Applied",
+    "Backoff",
+    "BreakerState",
+    "CircuitBreaker",
+    "ControlLease",
+    "FleetSection",
+    "Freshness",
+    "JobState",
+    "Knowledge",
+    "Log",
+    "Member",
+    "Owner",
+    "PeerStatus",
+    "Proof",
+    "ReadResult",
+    "Replica",
+    "RetryBudget",
+    "has_majority",
+    "rank",
+    "to_chunks",
+    "to_ranges",
+]
--- /dev/null
+++ b/libs/coordination/src/azurecleat_coordination/_internal/configuration.py
@@ -0,0 +1,139 @@
+"""Section of the fleet state: environment document and keys in force."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from azurecleat_model import (
+    Environment,
+    KeyHash,
+    Team,
+    environment_from_value,
+    to_plain,
+    token_matches,
+)
+from azurecleat_model.exceptions import DocumentError
+
+from azurecleat_coordination._internal.records import GiveKey, Promote, WithdrawKey
+from azurecleat_coordination._internal.result import ACCEPTED, Applied, rejected
+
+HISTORY_LENGTH = 20
+
+
+class Configuration:
+    """The document in force, its version, and the keys given and withdrawn beside it.
+
+    Versions count up by one with each promotion. A withdrawn key id stays withdrawn whatever a
+    later document says, so that a racing or stale promotion cannot revive it.
+    """
+
+    def __init__(self) -> None:
+        self._version = 0
+        self._changed_at = 0
+        self._environment = Environment("empty", ())
+        self._given: dict[str, tuple[str, KeyHash]] = {}
+        self._withdrawn: set[str] = set()
+        self._history: list[dict[str, Any]] = []
+        self._keys: dict[str, tuple[str, KeyHash]] = {}
+        self._teams: dict[str, Team] = {}
+
+    @property
+    def version(self) -> int:
+        return self._version
+
+    @property
+    def changed_at(self) -> int:
+        """Offset of the last change, for telling which of two copies is newer."""
+        return self._changed_at
+
+    @property
+    def environment(self) -> Environment:
+        return self._environment
+
+    @property
+    def teams(self) -> dict[str, Team]:
+        return self._teams
+
+    @property
+    def withdrawn(self) -> frozenset[str]:
+        return frozenset(self._withdrawn)
+
+    @property
+    def history(self) -> list[dict[str, Any]]:
+        """The last promotions: version, offset and names of teams."""
+        return list(self._history)
+
+    def promote(self, event: Promote, offset: int) -> Applied:
+        """Puts a document in force, unless another was promoted after its base version."""
+        if event.base != self._version:
+            return rejected(f"version {self._version} is in force, not base {event.base}")
+        try:
+            environment = environment_from_value(event.document)
+        except DocumentError as error:
+            return rejected(str(error))
+        self._environment = environment
+        self._version += 1
+        self._history.append(
+            {"version": self._version, "offset": offset, "teams": len(environment.teams)}
+        )
+        del self._history[:-HISTORY_LENGTH]
+        self._given = {i: g for i, g in self._given.items() if environment.team(g[0])}
+        self._touch(offset)
+        return ACCEPTED
+
+    def give_key(self, event: GiveKey, offset: int) -> Applied:
+        """Adds a key to an existing team."""
+        if event.team not in self._teams:
+            return rejected(f"no team {event.team!r}")
+        if event.key.id in self._withdrawn or event.key.id in self._keys:
+            return rejected(f"key id {event.key.id!r} was used before")
+        self._given[event.key.id] = (event.team, event.key)
+        self._touch(offset)
+        return ACCEPTED
+
+    def withdraw_key(self, event: WithdrawKey, offset: int) -> Applied:
+        """Ends a key for good."""
+        self._withdrawn.add(event.key_id)
+        self._touch(offset)
+        return ACCEPTED
+
+    def authenticate(self, token: str, also_withdrawn: frozenset[str] = frozenset()) -> str | None:
+        """Returns the team of a bearer token, or None.
+
+        :param also_withdrawn: Key ids withdrawn through peers and not yet in the log.
+        """
+        key_id, _, _ = token.partition(":")
+        found = self._keys.get(key_id)
+        if found is None or key_id in also_withdrawn:
+            return None
+        team, key = found
+        return team if token_matches(token, key) else None
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the section as plain JSON values."""
+        return {
+            "version": self._version,
+            "changed_at": self._changed_at,
+            "environment": to_plain(self._environment),
+            "given": {i: [team, to_plain(key)] for i, (team, key) in self._given.items()},
+            "withdrawn": sorted(self._withdrawn),
+            "history": self._history,
+        }
+
+    def load(self, value: dict[str, Any]) -> None:
+        """Replaces the section by a dumped one, unless the dumped one is older."""
+        if value["changed_at"] < self._changed_at:
+            return
+        self._version = value["version"]
+        self._environment = environment_from_value(value["environment"])
+        self._given = {i: (team, KeyHash(**key)) for i, (team, key) in value["given"].items()}
+        self._withdrawn |= set(value["withdrawn"])
+        self._history = value["history"]
+        self._touch(value["changed_at"])
+
+    def _touch(self, offset: int) -> None:
+        self._changed_at = offset
+        self._teams = {team.name: team for team in self._environment.teams}
+        keys = {key.id: (t.name, key) for t in self._environment.teams for key in t.keys}
+        keys.update(self._given)
+        self._keys = {i: found for i, found in keys.items() if i not in self._withdrawn}
--- /dev/null
+++ b/libs/coordination/src/azurecleat_coordination/_internal/intents.py
@@ -0,0 +1,51 @@
+"""Section of the fleet state: requests that are not repeatable and were given their one run."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from azurecleat_coordination._internal.records import Intend, ReleaseIntent
+from azurecleat_coordination._internal.result import ACCEPTED, Applied, rejected
+
+INTENT_LIFETIME_S = 24 * 3600.0
+"""A caller may retry a key for this long; the API refuses to accept older retries as new."""
+
+
+class Intents:
+    """Keys of requests whose single run was reserved, with the wall time of the record."""
+
+    def __init__(self) -> None:
+        self._keys: dict[str, float] = {}
+
+    def __contains__(self, key: str) -> bool:
+        return key in self._keys
+
+    def __len__(self) -> int:
+        return len(self._keys)
+
+    def intend(self, event: Intend) -> Applied:
+        """Reserves the run for the first record of a key."""
+        self._expire(event.at)
+        if event.key in self._keys:
+            return rejected("the request was submitted before")
+        self._keys[event.key] = event.at
+        return ACCEPTED
+
+    def release(self, event: ReleaseIntent) -> Applied:
+        """Forgets a key whose request was not run, so that its caller may retry."""
+        self._keys.pop(event.key, None)
+        return ACCEPTED
+
+    def dump(self) -> list[Any]:
+        """Returns the section as plain JSON values."""
+        return [[key, at] for key, at in self._keys.items()]
+
+    def load(self, value: list[Any]) -> None:
+        """Replaces the section by a dumped one."""
+        self._keys = {key: at for key, at in value}
+
+    def _expire(self, now: float) -> None:
+        # Keys are in order of insertion, so only a prefix can have expired.
+        for key, at in list(self._keys.items())[:2]:
+            if at < now - INTENT_LIFETIME_S:
+                del self._keys[key]
--- /dev/null
+++ b/libs/coordination/src/azurecleat_coordination/_internal/ledger.py
@@ -0,0 +1,144 @@
+"""Section of the fleet state: how each team's limit is divided over the partitions.
+
+Invariant, at every offset: the ceilings of a team add up to at most the largest limit that some
+owner may still believe in force, and units are granted only out of ``limit - sum(ceilings)``.
+So the fleet-wide limit holds without any partition asking another before a start.
+"""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from azurecleat_model import NO_QUOTA, Quota
+
+from azurecleat_coordination._internal.records import AcknowledgeLimits, Transfer
+from azurecleat_coordination._internal.result import ACCEPTED, Applied, rejected
+
+
+class Allotment(NamedTuple):
+    """What one partition may have running of one team.
+
+    ``amount`` is its right; ``ceiling`` is what its owner may still be using because it has not
+    yet acknowledged a reduction (``ceiling >= amount`` in every dimension).
+    """
+
+    amount: Quota = NO_QUOTA
+    ceiling: Quota = NO_QUOTA
+
+
+class Ledger:
+    """Allotments by team and partition."""
+
+    def __init__(self) -> None:
+        self._allotments: dict[str, dict[str, Allotment]] = {}
+        self._limits: dict[str, Quota] = {}
+        self._partitions: tuple[str, ...] = ()
+
+    @property
+    def partitions(self) -> tuple[str, ...]:
+        return self._partitions
+
+    def allotment(self, team: str, partition: str) -> Quota:
+        """Returns what ``partition`` may have running of ``team``."""
+        return self._allotments.get(team, {}).get(partition, Allotment()).amount
+
+    def ceilings(self, team: str) -> Quota:
+        """Returns the sum of what all owners may be using of ``team``."""
+        total = NO_QUOTA
+        for allotment in self._allotments.get(team, {}).values():
+            total = total.plus(allotment.ceiling)
+        return total
+
+    def set_limits(self, limits: dict[str, Quota]) -> None:
+        """Divides changed limits. Reductions are proportional, grants equal."""
+        for team in sorted(set(limits) | set(self._limits)):
+            self._limits[team] = limits.get(team, NO_QUOTA)
+            self._reduce(team)
+            self._grant(team)
+
+    def add_partition(self, partition: str) -> None:
+        """Makes a partition known; it gets what is not granted elsewhere."""
+        if partition in self._partitions:
+            return
+        self._partitions = tuple(sorted((*self._partitions, partition)))
+        for team in sorted(self._limits):
+            self._grant(team)
+
+    def transfer(self, event: Transfer) -> Applied:
+        """Moves an amount from one partition to another."""
+        if event.destination not in self._partitions or event.destination == event.source:
+            return rejected(f"cannot transfer to {event.destination!r}")
+        if min(event.amount) < 0:
+            return rejected("cannot transfer a negative amount")
+        by_partition = self._allotments.get(event.team, {})
+        giver = by_partition.get(event.source, Allotment())
+        if not giver.amount.covers(event.amount):
+            return rejected("the partition does not hold that much")
+        taker = by_partition.get(event.destination, Allotment())
+        by_partition[event.source] = Allotment(
+            giver.amount.minus(event.amount), giver.ceiling.minus(event.amount)
+        )
+        by_partition[event.destination] = Allotment(
+            taker.amount.plus(event.amount), taker.ceiling.plus(event.amount)
+        )
+        return ACCEPTED
+
+    def acknowledge(self, event: AcknowledgeLimits) -> Applied:
+        """Lowers the ceilings of a partition to its amounts, and grants what became free."""
+        for team, by_partition in sorted(self._allotments.items()):
+            held = by_partition.get(event.partition)
+            if held is None or held.amount == held.ceiling:
+                continue
+            by_partition[event.partition] = Allotment(held.amount, held.amount)
+            self._grant(team)
+        return ACCEPTED
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the section as plain JSON values."""
+        return {
+            "partitions": list(self._partitions),
+            "limits": {team: list(limit) for team, limit in self._limits.items()},
+            "allotments": {
+                team: {p: [list(a.amount), list(a.ceiling)] for p, a in by_partition.items()}
+                for team, by_partition in self._allotments.items()
+            },
+        }
+
+    def load(self, value: dict[str, Any]) -> None:
+        """Replaces the section by a dumped one."""
+        self._partitions = tuple(value["partitions"])
+        self._limits = {team: Quota(*limit) for team, limit in value["limits"].items()}
+        self._allotments = {
+            team: {p: Allotment(Quota(*a), Quota(*c)) for p, (a, c) in by_partition.items()}
+            for team, by_partition in value["allotments"].items()
+        }
+
+    def _reduce(self, team: str) -> None:
+        by_partition = self._allotments.setdefault(team, {})
+        limit = self._limits[team]
+        total = NO_QUOTA
+        for held in by_partition.values():
+            total = total.plus(held.amount)
+        for partition, held in by_partition.items():
+            amount = Quota(
+                *(
+                    a if have <= most else a * most // have
+                    for a, have, most in zip(held.amount, total, limit, strict=True)
+                )
+            )
+            by_partition[partition] = Allotment(amount, held.ceiling)
+
+    def _grant(self, team: str) -> None:
+        if not self._partitions:
+            return
+        by_partition = self._allotments.setdefault(team, {})
+        # Counted from the ceilings: what an owner may still be using is not granted again.
+        free = self._limits[team].minus(self.ceilings(team)).clamp()
+        for position, partition in enumerate(self._partitions):
+            part = Quota(*(self._part(amount, position) for amount in free))
+            held = by_partition.get(partition, Allotment())
+            by_partition[partition] = Allotment(held.amount.plus(part), held.ceiling.plus(part))
+
+    def _part(self, amount: int, position: int) -> int:
+        whole, rest = divmod(amount, len(self._partitions))
+        return whole + (1 if position < rest else 0)
--- /dev/null
+++ b/libs/coordination/src/azurecleat_coordination/_internal/ownership.py
@@ -0,0 +1,88 @@
+"""Section of the fleet state: which instance owns each partition, and with which epoch."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from azurecleat_coordination._internal.records import Claim, Release, SetTargets
+from azurecleat_coordination._internal.result import ACCEPTED, Applied, rejected
+
+
+class Owner(NamedTuple):
+    """The latest claim on a partition.
+
+    ``targets`` are the targets whose control leases the owner needs, and ``former_targets``
+    those of the epoch before, which a new owner has to win over first.
+    """
+
+    partition: str
+    epoch: int
+    instance: str
+    incarnation: str
+    targets: tuple[str, ...]
+    former_targets: tuple[str, ...] = ()
+    former_released: bool = True
+    released: bool = False
+
+
+class Ownership:
+    """Owners by partition name. Epochs only grow."""
+
+    def __init__(self) -> None:
+        self._owners: dict[str, Owner] = {}
+
+    @property
+    def owners(self) -> dict[str, Owner]:
+        return dict(self._owners)
+
+    def owner(self, partition: str) -> Owner | None:
+        """Returns the latest claim on a partition, or None if there never was one."""
+        return self._owners.get(partition)
+
+    def holds(self, partition: str, epoch: int) -> bool:
+        """Tells whether ``epoch`` is the latest of the partition and was not released."""
+        owner = self._owners.get(partition)
+        return owner is not None and owner.epoch == epoch and not owner.released
+
+    def claim(self, event: Claim) -> Applied:
+        """Accepts a claim if its epoch is the next one."""
+        former = self._owners.get(event.partition)
+        expected = former.epoch + 1 if former else 1
+        if event.epoch != expected:
+            return rejected(f"next epoch of {event.partition} is {expected}, not {event.epoch}")
+        self._owners[event.partition] = Owner(
+            *event,
+            former_targets=former.targets if former else (),
+            former_released=former.released if former else True,
+        )
+        return ACCEPTED
+
+    def set_targets(self, event: SetTargets) -> Applied:
+        """Changes the arbitrating targets, by the owner only."""
+        if not self.holds(event.partition, event.epoch):
+            return rejected("not the owner")
+        owner = self._owners[event.partition]
+        self._owners[event.partition] = owner._replace(targets=event.targets)
+        return ACCEPTED
+
+    def release(self, event: Release) -> Applied:
+        """Ends an ownership; the next owner need not wait for a lease."""
+        if not self.holds(event.partition, event.epoch):
+            return rejected("not the owner")
+        owner = self._owners[event.partition]
+        self._owners[event.partition] = owner._replace(released=True)
+        return ACCEPTED
+
+    def dump(self) -> list[Any]:
+        """Returns the section as plain JSON values."""
+        return [list(owner) for owner in self._owners.values()]
+
+    def load(self, value: list[Any]) -> None:
+        """Replaces the section by a dumped one."""
+        owners = (Owner(*fields) for fields in value)
+        self._owners = {
+            owner.partition: owner._replace(
+                targets=tuple(owner.targets), former_targets=tuple(owner.former_targets)
+            )
+            for owner in owners
+        }
--- /dev/null
+++ b/libs/coordination/src/azurecleat_coordination/_internal/records.py
@@ -0,0 +1,238 @@
+"""Records that instances agree on through the platform's log, and their encoding.
+
+One log entry is an :class:`Entry`: an operation number that makes appends idempotent, and the
+events that were committed together.
+"""
+
+from __future__ import annotations
+
+import json
+import zlib
+from typing import Any, NamedTuple, get_args
+
+from azurecleat_model import Job, KeyHash, Quota, to_plain
+from azurecleat_model.exceptions import DocumentError
+from pydantic import TypeAdapter, ValidationError
+
+COMPRESS_FROM_BYTES = 512
+_PLAIN = b"J"
+_COMPRESSED = b"Z"
+
+
+class Promote(NamedTuple):
+    """Puts an environment document in force if ``base`` is still the version in force."""
+
+    document: dict[str, Any]
+    base: int
+
+
+class GiveKey(NamedTuple):
+    """Adds a key to a team."""
+
+    team: str
+    key: KeyHash
+
+
+class WithdrawKey(NamedTuple):
+    """Ends a key for good; no later document can bring it back."""
+
+    key_id: str
+
+
+class Join(NamedTuple):
+    """Makes an instance a member of the roster."""
+
+    instance: str
+    incarnation: str
+    address: str
+    zone: str
+
+
+class Leave(NamedTuple):
+    """Removes an instance that stopped gracefully."""
+
+    instance: str
+    incarnation: str
+
+
+class Evict(NamedTuple):
+    """Starts removing a member; the evicting instance stops vouching for it from here on."""
+
+    instance: str
+    incarnation: str
+    by: str
+
+
+class Evicted(NamedTuple):
+    """Ends an eviction after the freshness bound has passed under the same evicting instance."""
+
+    instance: str
+    incarnation: str
+    by: str
+
+
+class Claim(NamedTuple):
+    """Claims a partition with the next epoch; the lowest offset wins."""
+
+    partition: str
+    epoch: int
+    instance: str
+    incarnation: str
+    targets: tuple[str, ...]
+
+
+class SetTargets(NamedTuple):
+    """Changes the targets whose control leases arbitrate a partition."""
+
+    partition: str
+    epoch: int
+    targets: tuple[str, ...]
+
+
+class Release(NamedTuple):
+    """Gives up a partition after a graceful hand-over."""
+
+    partition: str
+    epoch: int
+
+
+class Transfer(NamedTuple):
+    """Moves part of a team's limit allotment; only the owner of ``source`` may do so."""
+
+    team: str
+    source: str
+    epoch: int
+    destination: str
+    amount: Quota
+
+
+class AcknowledgeLimits(NamedTuple):
+    """The owner of a partition uses no more than its allotments as of ``version``."""
+
+    partition: str
+    epoch: int
+    version: int
+
+
+class Intend(NamedTuple):
+    """Reserves the single run of a request that is not repeatable; the lowest offset wins."""
+
+    key: str
+    at: float
+
+
+class ReleaseIntent(NamedTuple):
+    """Gives back the single run of a request that certainly was not run."""
+
+    key: str
+
+
+class AcceptJob(NamedTuple):
+    """Accepts a job into a partition's queue."""
+
+    partition: str
+    job: Job
+
+
+class CancelJob(NamedTuple):
+    """Cancels a job; tasks that have not started never start."""
+
+    partition: str
+    job_id: str
+
+
+class BeginTask(NamedTuple):
+    """Reserves the single run of a task that is not repeatable, before it is started."""
+
+    partition: str
+    epoch: int
+    job_id: str
+    index: int
+
+
+class EndTasks(NamedTuple):
+    """Records final results of tasks, as ``[first, last]`` index ranges per result."""
+
+    partition: str
+    epoch: int
+    job_id: str
+    done: tuple[tuple[int, int], ...] = ()
+    failed: tuple[tuple[int, int], ...] = ()
+    unknown: tuple[tuple[int, int], ...] = ()
+    expired: tuple[tuple[int, int], ...] = ()
+
+
+class SnapshotChunk(NamedTuple):
+    """One part of a section's state as of offset ``covers``."""
+
+    section: str
+    snapshot: str
+    covers: int
+    index: int
+    count: int
+    data: str
+
+
+RecordEvent = (
+    Promote
+    | GiveKey
+    | WithdrawKey
+    | Join
+    | Leave
+    | Evict
+    | Evicted
+    | Claim
+    | SetTargets
+    | Release
+    | Transfer
+    | AcknowledgeLimits
+    | Intend
+    | ReleaseIntent
+    | AcceptJob
+    | CancelJob
+    | BeginTask
+    | EndTasks
+    | SnapshotChunk
+)
+
+_ADAPTERS = {kind.__name__: TypeAdapter(kind) for kind in get_args(RecordEvent)}
+
+
+class Entry(NamedTuple):
+    """One entry of the log.
+
+    ``writer`` is the incarnation of the appending instance and ``sequence`` counts its entries;
+    a reader ignores an entry whose sequence it has already seen from that writer.
+    """
+
+    writer: str
+    sequence: int
+    events: tuple[RecordEvent, ...]
+
+
+def encode_entry(entry: Entry) -> bytes:
+    """Encodes an entry as JSON, compressed if that is worth while."""
+    events = [{"k": type(event).__name__, **to_plain(event)} for event in entry.events]
+    text = json.dumps([entry.writer, entry.sequence, events], separators=(",", ":")).encode()
+    if len(text) < COMPRESS_FROM_BYTES:
+        return _PLAIN + text
+    return _COMPRESSED + zlib.compress(text)
+
+
+def decode_entry(data: bytes) -> Entry:
+    """Decodes an entry.
+
+    :raises DocumentError: The bytes are not an entry of a known version.
+    """
+    try:
+        text = zlib.decompress(data[1:]) if data[:1] == _COMPRESSED else data[1:]
+        writer, sequence, events = json.loads(text)
+        decoded = tuple(_decode_event(event) for event in events)
+    except (ValueError, KeyError, TypeError, zlib.error, ValidationError) as error:
+        raise DocumentError(f"log entry cannot be decoded: {error}", step="log.decode") from None
+    return Entry(writer, sequence, decoded)
+
+
+def _decode_event(value: dict[str, Any]) -> RecordEvent:
+    kind = value.pop("k")
+    return _ADAPTERS[kind].validate_python(value)
--- /dev/null
+++ b/libs/coordination/src/azurecleat_coordination/_internal/replica.py
@@ -0,0 +1,254 @@
+"""Replica of the fleet state, kept up to date by reading the log."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from azurecleat_model import Clock
+from azurecleat_model.events import LOG_GAP, log_event
+from azurecleat_model.exceptions import DocumentError, OffsetForgottenError
+
+from azurecleat_coordination._internal.fleet import (
+    FLEET_SECTION,
+    JOBS_PREFIX,
+    FleetSection,
+    JobsSection,
+    Section,
+    merge,
+    new_section,
+    sections_of,
+)
+from azurecleat_coordination._internal.jobs import Jobs
+from azurecleat_coordination._internal.log import Log
+from azurecleat_coordination._internal.records import (
+    Entry,
+    RecordEvent,
+    SnapshotChunk,
+    decode_entry,
+)
+from azurecleat_coordination._internal.result import ACCEPTED, Applied, rejected
+from azurecleat_coordination._internal.snapshots import SnapshotAssembler
+
+READ_LIMIT = 500
+
+CommitListener = Callable[[str, int, list[Applied]], None]
+"""Called with writer, sequence and the result of each event after an entry was applied."""
+
+
+class _Loading(NamedTuple):
+    """A section that waits for a snapshot, with the entries read in the meantime."""
+
+    entries: list[tuple[int, Entry]]
+
+
+class Replica:
+    """Applies the log in order, each operation once.
+
+    All methods may be called from any thread. Read the state under :attr:`lock`.
+
+    :param log: The platform's log.
+    :param clock: Source of the send times that freshness is counted from.
+    :param partitions: Partitions whose jobs are kept; None keeps all.
+    """
+
+    def __init__(self, log: Log, clock: Clock, partitions: frozenset[str] | None = None) -> None:
+        self._log = log
+        self._clock = clock
+        self._kept = partitions
+        self._lock = threading.RLock()
+        self._poll_lock = threading.Lock()
+        self._sections: dict[str, Section] = {}
+        self._loading: dict[str, _Loading] = {}
+        self._starts_at = 0
+        self._position = 0
+        self._assembler = SnapshotAssembler()
+        self._snapshot_covers: dict[str, int] = {}
+        self._reached_tail_at: float | None = None
+        self._listeners: list[CommitListener] = []
+        self._undecodable = 0
+        self._section(FLEET_SECTION)
+
+    @property
+    def lock(self) -> threading.RLock:
+        return self._lock
+
+    @property
+    def position(self) -> int:
+        """Offset of the next entry to read."""
+        return self._position
+
+    @property
+    def reached_tail_at(self) -> float | None:
+        """Send time of the last read that reached the tail, on the monotonic clock."""
+        return self._reached_tail_at
+
+    @property
+    def undecodable(self) -> int:
+        """Number of entries skipped because they could not be decoded."""
+        return self._undecodable
+
+    @property
+    def is_ready(self) -> bool:
+        """Tells whether the tail was reached once with a whole fleet section."""
+        return self._reached_tail_at is not None and FLEET_SECTION not in self._loading
+
+    @property
+    def fleet(self) -> FleetSection:
+        section = self._sections[FLEET_SECTION]
+        assert isinstance(section, FleetSection)
+        return section
+
+    @property
+    def snapshot_covers(self) -> dict[str, int]:
+        """Offset covered by the last whole snapshot seen, by section."""
+        return dict(self._snapshot_covers)
+
+    def jobs(self, partition: str) -> Jobs | None:
+        """Returns the jobs of a partition, or None while its snapshot is missing."""
+        name = JOBS_PREFIX + partition
+        with self._lock:
+            section = self._section(name)
+            if name in self._loading:
+                return None
+            assert isinstance(section, JobsSection)
+            return section.jobs
+
+    def whole_sections(self) -> list[str]:
+        """Returns the names of the sections that are complete."""
+        with self._lock:
+            return [name for name in self._sections if name not in self._loading]
+
+    def dump(self, section: str) -> tuple[int, Any]:
+        """Returns the last applied offset and the section's state as of it."""
+        with self._lock:
+            return self._position - 1, self._sections[section].dump()
+
+    def add_listener(self, listener: CommitListener) -> None:
+        """Registers a listener for applied entries."""
+        self._listeners.append(listener)
+
+    def poll(self) -> int:
+        """Reads once and applies what came.
+
+        :return: The number of entries read; 0 when the tail was reached.
+        :raises LogUnavailableError: The log was not reached.
+        """
+        with self._poll_lock:
+            sent_at = self._clock.monotonic()
+            try:
+                result = self._log.read(self._position, READ_LIMIT)
+            except OffsetForgottenError:
+                self._restart()
+                return 1
+            for offset, data in result.entries:
+                self._apply_data(offset, data)
+            # A lagging replica of the log may answer with a tail behind our position: that
+            # proves nothing about what was appended since.
+            if self._position == result.tail:
+                self._reached_tail_at = sent_at
+            return len(result.entries)
+
+    def catch_up(self) -> None:
+        """Reads until the tail is reached.
+
+        :raises LogUnavailableError: The log was not reached.
+        """
+        while self.poll():
+            pass
+
+    def adopt_configuration(self, dumped: dict[str, Any]) -> None:
+        """Takes over a newer configuration from a peer; an older one changes nothing."""
+        with self._lock:
+            self.fleet.configuration.load(dumped)
+
+    def _restart(self) -> None:
+        first = self._log.first_offset()
+        log_event(LOG_GAP, offset=self._position)
+        with self._lock:
+            self._starts_at = first
+            self._position = first
+            names = list(self._sections)
+            self._loading = {name: _Loading([]) for name in names}
+
+    def _section(self, name: str) -> Section:
+        section = self._sections.get(name)
+        if section is None:
+            section = self._sections[name] = new_section(name)
+            if self._starts_at > 0:
+                self._loading[name] = _Loading([])
+        return section
+
+    def _apply_data(self, offset: int, data: bytes) -> None:
+        try:
+            entry = decode_entry(data)
+        except DocumentError:
+            self._undecodable += 1
+            self._position = offset + 1
+            return
+        with self._lock:
+            results = self._apply_entry(offset, entry)
+            self._position = offset + 1
+        if results is not None:
+            for listener in self._listeners:
+                listener(entry.writer, entry.sequence, results)
+
+    def _apply_entry(self, offset: int, entry: Entry) -> list[Applied] | None:
+        for name in {name for event in entry.events for name in sections_of(event)}:
+            if self._keeps(name):
+                self._section(name)
+        for loading in self._loading.values():
+            loading.entries.append((offset, entry))
+        if FLEET_SECTION not in self._loading and not self.fleet.admit(entry):
+            return None
+        return [self._apply_event(offset, event) for event in entry.events]
+
+    def _apply_event(self, offset: int, event: RecordEvent) -> Applied:
+        if isinstance(event, SnapshotChunk):
+            self._add_chunk(event)
+            return ACCEPTED
+        results = []
+        for name in sections_of(event):
+            if not self._keeps(name):
+                continue
+            if name in self._loading:
+                results.append(rejected("the section is being loaded"))
+                continue
+            results.append(self._sections[name].apply(event, offset))
+        return merge(results)
+
+    def _add_chunk(self, chunk: SnapshotChunk) -> None:
+        if not self._keeps(chunk.section):
+            return
+        state = self._assembler.add(chunk)
+        if state is None:
+            return
+        self._snapshot_covers[chunk.section] = chunk.covers
+        section = self._section(chunk.section)
+        loading = self._loading.get(chunk.section)
+        if loading is None or chunk.covers < self._starts_at - 1:
+            return
+        fresh = new_section(chunk.section)
+        fresh.load(state)
+        for offset, entry in loading.entries:
+            if offset > chunk.covers:
+                _replay(fresh, chunk.section, offset, entry)
+        if isinstance(section, FleetSection):
+            # A configuration adopted from a peer may be newer than the snapshot's.
+            fresh.configuration.load(section.configuration.dump())
+        self._sections[chunk.section] = fresh
+        del self._loading[chunk.section]
+
+    def _keeps(self, section: str) -> bool:
+        if self._kept is None or not section.startswith(JOBS_PREFIX):
+            return True
+        return section.removeprefix(JOBS_PREFIX) in self._kept
+
+
+def _replay(section: Section, name: str, offset: int, entry: Entry) -> None:
+    if not section.admit(entry):
+        return
+    for event in entry.events:
+        if name in sections_of(event):
+            section.apply(event, offset)
--- /dev/null
+++ b/libs/daemon/src/azurecleat_daemon/__init__.py
@@ -0,0 +1,23 @@
+"""The daemon of an entry instance."""
+
+from azurecleat_daemon._internal.application import Application, Parts
+from azurecleat_daemon._internal.composition import build_application, wire
+from azurecleat_daemon._internal.settings import (
+    Bounds,
+    EntrySettings,
+    Timing,
+    load_settings,
+    parse_settings,
+)
+
+__all__ = [
+    "Application",
+    "Bounds",
+    "EntrySettings",
+    "Parts",
+    "Timing",
+    "build_application",
+    "load_settings",
+    "parse_settings",
+    "wire",
+]
--- /dev/null
+++ b/libs/daemon/src/azurecleat_daemon/_internal/application.py
@@ -0,0 +1,184 @@
+"""An entry instance: owns all its parts, starts them in order and stops them in reverse."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+import waitress
+from azurecleat_coordination import Appender, Replica
+from azurecleat_model.events import (
+    INSTANCE_STARTED,
+    INSTANCE_STOPPED,
+    INSTANCE_STOPPING,
+    LOG_REACHED,
+    LOG_UNREACHABLE,
+    log_event,
+)
+from azurecleat_model.exceptions import LogUnavailableError
+from azurecleat_peers import PeerServer, TcpPeerNetwork
+from azurecleat_platform import InstanceList
+
+from azurecleat_daemon._internal.housekeeping import SnapshotWriter
+from azurecleat_daemon._internal.http_api import HttpApi
+from azurecleat_daemon._internal.lifecycle import Periodic
+from azurecleat_daemon._internal.membership import Membership
+from azurecleat_daemon._internal.operators import Operators
+from azurecleat_daemon._internal.partitions import PartitionManager
+from azurecleat_daemon._internal.router import Router
+from azurecleat_daemon._internal.settings import EntrySettings
+
+SPARE_THREADS = 8
+"""Threads beyond the caller slots, so that health and refusals are answered when all wait."""
+
+OVERSIZE_READ_BYTES = 1 << 20
+"""A body this much too large is still read, so that its refusal is a problem document."""
+
+PARTITION_STEP_S = 0.2
+LIMIT_STEP_S = 0.5
+SNAPSHOT_STEP_S = 5.0
+DRAIN_GRACE_S = 5.0
+
+
+class Parts(NamedTuple):
+    """The wired parts of an instance."""
+
+    replica: Replica
+    appender: Appender
+    membership: Membership
+    partitions: PartitionManager
+    router: Router
+    operators: Operators
+    snapshots: SnapshotWriter
+    api: HttpApi
+    peer_server: PeerServer
+    network: TcpPeerNetwork
+    instances: InstanceList
+    on_stop: tuple[Callable[[], None], ...] = ()
+
+
+class Application:
+    """Life-cycle of one entry instance.
+
+    :param settings: Settings of the instance.
+    :param parts: Its parts, wired by the composition root.
+    """
+
+    def __init__(self, settings: EntrySettings, parts: Parts) -> None:
+        self._settings = settings
+        self._parts = parts
+        timing = settings.timing
+        self._log_is_reached = True
+        self._periodics = [
+            Periodic("log-tail", timing.poll_s, self._poll),
+            Periodic("instance-list", timing.list_s, self._list),
+            Periodic("membership", min(timing.status_s, 1.0) / 2, parts.membership.step),
+            Periodic("partitions", PARTITION_STEP_S, parts.partitions.step),
+            Periodic("limits", LIMIT_STEP_S, parts.router.borrow_limits),
+            Periodic("snapshots", SNAPSHOT_STEP_S, parts.snapshots.step),
+        ]
+        host, _, port = settings.callers.rpartition(":")
+        self._http = waitress.create_server(
+            parts.api,
+            host=host,
+            port=int(port),
+            threads=settings.bounds.callers + SPARE_THREADS,
+            ident=None,
+            max_request_body_size=settings.bounds.body_bytes + OVERSIZE_READ_BYTES,
+            channel_timeout=30,
+            connection_limit=1000,
+            backlog=256,
+            clear_untrusted_proxy_headers=True,
+        )
+        self._http_thread = threading.Thread(target=self._serve_http, name="http", daemon=True)
+        self._stopped = threading.Event()
+        self._stop_lock = threading.Lock()
+
+    @property
+    def parts(self) -> Parts:
+        return self._parts
+
+    @property
+    def callers_address(self) -> str:
+        return f"{self._http.effective_host}:{self._http.effective_port}"
+
+    def start(self) -> None:
+        """Starts all parts."""
+        self._parts.membership.set_address(self._parts.peer_server.address)
+        self._parts.peer_server.start()
+        self._parts.appender.start()
+        for periodic in self._periodics:
+            periodic.start()
+        self._http_thread.start()
+        log_event(
+            INSTANCE_STARTED,
+            instance=self._settings.instance,
+            zone=self._settings.zone,
+            port=self._http.effective_port,
+        )
+
+    def stop(self) -> None:
+        """Stops gracefully: refuses new work, finishes what is in progress, hands over."""
+        with self._stop_lock:
+            if self._stopped.is_set():
+                return
+            log_event(INSTANCE_STOPPING, instance=self._settings.instance)
+            self._parts.api.drain()
+            longest_s = self._longest_deadline_s()
+            self._parts.api.wait_until_idle(longest_s)
+            self._parts.partitions.release_all(longest_s)
+            self._parts.membership.leave()
+            self._close()
+            self._stopped.set()
+            log_event(INSTANCE_STOPPED, instance=self._settings.instance)
+
+    def kill(self) -> None:
+        """Stops at once without handing over, as a crash would; for tests."""
+        self._parts.api.drain()
+        for engine in self._parts.partitions.engines.values():
+            engine.stop()
+        self._close()
+        self._stopped.set()
+
+    def _close(self) -> None:
+        for periodic in self._periodics:
+            periodic.stop()
+        self._parts.peer_server.stop()
+        self._parts.network.close()
+        self._parts.appender.stop()
+        self._http.close()
+        self._http_thread.join(DRAIN_GRACE_S)
+        for hook in self._parts.on_stop:
+            hook()
+
+    def _longest_deadline_s(self) -> float:
+        # Each request ends by its own deadline, which callers may set up to an hour.
+        return 3600.0 + DRAIN_GRACE_S
+
+    def _serve_http(self) -> None:
+        try:
+            self._http.run()
+        except OSError:
+            # Closing the listener under the loop is how waitress is stopped.
+            return
+
+    def _poll(self) -> None:
+        try:
+            self._parts.replica.catch_up()
+        except LogUnavailableError as error:
+            if self._log_is_reached:
+                log_event(LOG_UNREACHABLE, error=error)
+            self._log_is_reached = False
+            return
+        if not self._log_is_reached:
+            log_event(LOG_REACHED, offset=self._parts.replica.position)
+        self._log_is_reached = True
+
+    def _list(self) -> None:
+        try:
+            targets = self._parts.instances.targets()
+        except LogUnavailableError:
+            # The list only suggests; targets already known stay.
+            return
+        self._parts.partitions.set_targets(targets)
--- /dev/null
+++ b/libs/daemon/src/azurecleat_daemon/_internal/housekeeping.py
@@ -0,0 +1,62 @@
+"""Snapshots, written before the log forgets what they replace."""
+
+from __future__ import annotations
+
+from azurecleat_coordination import Appender, Replica, rank, to_chunks
+from azurecleat_model.events import SNAPSHOT_WRITTEN, log_event
+from azurecleat_model.exceptions import LogError
+
+from azurecleat_daemon._internal.membership import Membership
+
+
+class SnapshotWriter:
+    """Appends a snapshot of each section after so many entries.
+
+    The state is the same at every instance, so any may write. The one that ranks first for a
+    section does so at the threshold; the others follow one threshold later each, in case it
+    cannot.
+
+    :param every: Number of log entries between snapshots of a section.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        replica: Replica,
+        appender: Appender,
+        membership: Membership,
+        every: int,
+    ) -> None:
+        self._instance = instance
+        self._replica = replica
+        self._appender = appender
+        self._membership = membership
+        self._every = every
+
+    def step(self) -> None:
+        """Writes the snapshots that are due."""
+        if not self._replica.is_ready:
+            return
+        covers = self._replica.snapshot_covers
+        for section in self._replica.whole_sections():
+            entries = self._replica.position - 1 - covers.get(section, 0)
+            if entries >= self._every * (1 + self._rank(section)):
+                self.write(section)
+
+    def write(self, section: str) -> None:
+        """Writes one snapshot now."""
+        position, state = self._replica.dump(section)
+        chunks = to_chunks(section, position, state)
+        futures = [self._appender.submit(chunk) for chunk in chunks]
+        try:
+            for future in futures:
+                future.result()
+        except LogError:
+            return
+        size = sum(len(chunk.data) for chunk in chunks)
+        log_event(SNAPSHOT_WRITTEN, section=section, offset=position, size=size)
+
+    def _rank(self, section: str) -> int:
+        members = self._membership.members()
+        order = rank(section, members)
+        return order.index(self._instance) if self._instance in order else len(order)
--- /dev/null
+++ b/libs/daemon/src/azurecleat_daemon/_internal/link.py
@@ -0,0 +1,252 @@
+"""Control link of an owner to one target: lease renewal, commands and reports in one exchange."""
+
+from __future__ import annotations
+
+import threading
+from typing import NamedTuple, Protocol
+
+from azurecleat_coordination import CLOCK_RATE_SKEW, ControlLease
+from azurecleat_model import Clock
+from azurecleat_model.events import TARGET_BACK, TARGET_FAILED, log_event
+from azurecleat_model.exceptions import FencedError, NotRunError, OutcomeUnknownError
+from azurecleat_platform import (
+    ControlReply,
+    ControlRequest,
+    EndedTask,
+    RunningTask,
+    Target,
+    TargetClient,
+    TaskStart,
+    TaskStop,
+)
+
+RENEWALS_PER_LEASE = 3
+RETRY_S = 0.2
+QUIET_AFTER_LEASES = 0.5
+"""Fraction of a lease without an answer after which the link stops renewing."""
+
+
+class LinkListener(Protocol):
+    """Receives what targets report. Called on the link's thread, without its lock."""
+
+    def on_granted(self, link: TargetLink) -> None:
+        """The target obeys this owner (again)."""
+
+    def on_running(
+        self, link: TargetLink, running: tuple[RunningTask, ...], sent_at: float
+    ) -> None:
+        """What the target ran when it answered an exchange sent at ``sent_at``."""
+
+    def on_ended(self, link: TargetLink, ended: tuple[EndedTask, ...]) -> None:
+        """Attempts that ended and were not acknowledged yet."""
+
+    def on_refused(self, link: TargetLink, tasks: tuple[str, ...]) -> None:
+        """Starts that the target refused; they were not run."""
+
+    def on_lost(self, link: TargetLink) -> None:
+        """The target's lease has lapsed for certain, and with it all that it ran."""
+
+
+class LinkSettings(NamedTuple):
+    """Identity of the owner and length of its leases."""
+
+    partition: str
+    epoch: int
+    owner: str
+    lease_s: float
+
+
+class TargetLink:
+    """Exchanges with one target.
+
+    Commands stay queued until an answer confirms them, so a lost answer repeats them; targets
+    treat them as idempotent. A target that does not answer gets no further renewals, so that its
+    lease is known to lapse; only then is what it ran counted as gone.
+    """
+
+    def __init__(
+        self,
+        target: Target,
+        client: TargetClient,
+        settings: LinkSettings,
+        lease: ControlLease,
+        clock: Clock,
+        listener: LinkListener,
+    ) -> None:
+        self._target = target
+        self._client = client
+        self._settings = settings
+        self._lease = lease
+        self._clock = clock
+        self._listener = listener
+        self._lock = threading.Lock()
+        self._starts: dict[str, TaskStart] = {}
+        self._carried: set[str] = set()
+        self._stops: dict[str, TaskStop] = {}
+        self._acknowledge: dict[str, None] = {}
+        self._since = -1
+        self._granted = False
+        self._lost = False
+        self._last_sent_at: float | None = None
+        self._last_answer_at = clock.monotonic()
+        self._created_at = clock.monotonic()
+
+    @property
+    def target(self) -> Target:
+        return self._target
+
+    @property
+    def client(self) -> TargetClient:
+        return self._client
+
+    @property
+    def is_granted(self) -> bool:
+        """Tells whether the target obeys this owner, as far as known."""
+        return self._granted
+
+    @property
+    def has_commands(self) -> bool:
+        return bool(self._starts or self._stops or self._acknowledge)
+
+    def update_target(self, target: Target) -> None:
+        """Takes over what the instance list says now."""
+        self._target = target
+
+    def start_task(self, start: TaskStart) -> None:
+        """Queues a start."""
+        with self._lock:
+            self._starts[start.task] = start
+
+    def withdraw_start(self, task: str) -> None:
+        """Drops a queued start; one that was carried already needs a stop as well."""
+        with self._lock:
+            self._starts.pop(task, None)
+
+    def take_unsent(self) -> list[str]:
+        """Removes and returns the queued starts that no exchange has carried yet."""
+        with self._lock:
+            unsent = [task for task in self._starts if task not in self._carried]
+            for task in unsent:
+                del self._starts[task]
+            return unsent
+
+    def stop_task(self, stop: TaskStop) -> None:
+        """Queues a stop."""
+        with self._lock:
+            self._stops[stop.task] = stop
+
+    def acknowledge(self, task: str) -> None:
+        """Queues the acknowledgement of an ended task."""
+        with self._lock:
+            self._acknowledge[task] = None
+
+    def wait_s(self) -> float:
+        """Returns the seconds until the next exchange is due."""
+        if not self._granted:
+            return RETRY_S
+        if self.has_commands:
+            return 0.0
+        return self._settings.lease_s / RENEWALS_PER_LEASE
+
+    def exchange(self) -> None:
+        """Makes one exchange, or lets the lease lapse while the target does not answer."""
+        now = self._clock.monotonic()
+        if self._lease.is_revoked:
+            return
+        if self._is_quiet(now):
+            self._check_lapse(now)
+            return
+        request = self._request()
+        sent_at = self._last_sent_at = self._clock.monotonic()
+        try:
+            reply = self._client.control(request)
+        except FencedError as error:
+            self._on_fenced(error)
+        except (NotRunError, OutcomeUnknownError) as error:
+            self._on_failure(error)
+        else:
+            self._on_reply(request, reply, sent_at)
+
+    def release(self) -> None:
+        """Tells the target that the next epoch may take control at once."""
+        try:
+            self._client.control(self._request()._replace(release=True, start=()))
+        except (NotRunError, OutcomeUnknownError):
+            # The lease then lapses by itself.
+            return
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._client.close()
+
+    def _request(self) -> ControlRequest:
+        with self._lock:
+            # Commands need the majority; a renewal alone needs nothing, the target decides.
+            may_act = self._lease.is_valid()
+            starts = tuple(self._starts.values()) if may_act and self._granted else ()
+            self._carried.update(start.task for start in starts)
+            return ControlRequest(
+                *self._settings,
+                start=starts,
+                stop=tuple(self._stops.values()) if may_act else (),
+                acknowledge=tuple(self._acknowledge) if may_act else (),
+                since=self._since,
+            )
+
+    def _on_reply(self, request: ControlRequest, reply: ControlReply, sent_at: float) -> None:
+        self._lease.renew(self._target.name, sent_at)
+        self._last_answer_at = self._clock.monotonic()
+        self._since = reply.version
+        with self._lock:
+            for start in request.start:
+                self._starts.pop(start.task, None)
+                self._carried.discard(start.task)
+            for stop in request.stop:
+                if self._stops.get(stop.task) == stop:
+                    del self._stops[stop.task]
+            for task in request.acknowledge:
+                self._acknowledge.pop(task, None)
+        if not self._granted:
+            self._granted = True
+            if self._lost:
+                log_event(TARGET_BACK, target=self._target.name)
+            self._lost = False
+            self._listener.on_granted(self)
+        if reply.refused:
+            self._listener.on_refused(self, reply.refused)
+        ended = tuple(end for end in reply.ended if end.task not in request.acknowledge)
+        if ended:
+            self._listener.on_ended(self, ended)
+        if reply.running is not None:
+            self._listener.on_running(self, reply.running, sent_at)
+
+    def _on_fenced(self, error: FencedError) -> None:
+        self._last_answer_at = self._clock.monotonic()
+        self._lease.drop(self._target.name)
+        if error.epoch > self._settings.epoch:
+            self._lease.revoke()
+        self._granted = False
+
+    def _on_failure(self, error: Exception) -> None:
+        if self._granted and self._is_quiet(self._clock.monotonic()):
+            step = getattr(error, "step", "")
+            log_event(TARGET_FAILED, target=self._target.name, step=step, error=error)
+
+    def _is_quiet(self, now: float) -> bool:
+        if self._lost or self._last_sent_at is None:
+            return False
+        return now - self._last_answer_at > QUIET_AFTER_LEASES * self._settings.lease_s
+
+    def _check_lapse(self, now: float) -> None:
+        assert self._last_sent_at is not None
+        if now < self._last_sent_at + self._settings.lease_s * (1 + CLOCK_RATE_SKEW):
+            return
+        with self._lock:
+            self._starts.clear()
+            self._carried.clear()
+            self._stops.clear()
+            self._acknowledge.clear()
+        self._lost = True
+        self._granted = False
+        self._since = -1
+        self._listener.on_lost(self)
--- /dev/null
+++ b/libs/daemon/src/azurecleat_daemon/_internal/membership.py
@@ -0,0 +1,383 @@
+"""Members of the fleet: joining, heartbeats, evictions, and the proof of fresh keys."""
+
+from __future__ import annotations
+
+import json
+import random
+import threading
+from typing import NamedTuple
+
+from azurecleat_coordination import (
+    Appender,
+    Freshness,
+    Knowledge,
+    Member,
+    PeerStatus,
+    Proof,
+    Replica,
+)
+from azurecleat_coordination.records import Evict, Evicted, Join, Leave, WithdrawKey
+from azurecleat_model import Clock
+from azurecleat_model.events import (
+    ADMISSION_RESUMED,
+    ADMISSION_SUSPENDED,
+    KEY_WITHDRAWN,
+    log_event,
+)
+from azurecleat_model.exceptions import LogError, PeerError
+from azurecleat_peers import ConnectionRefusedByHostError, PeerNetwork
+from azurecleat_peers.messages import (
+    Acknowledged,
+    ConfigurationAnswer,
+    FetchConfiguration,
+    Goodbye,
+    Message,
+    Status,
+    StatusAnswer,
+    Withdraw,
+)
+
+from azurecleat_daemon._internal.metrics import Metrics
+from azurecleat_daemon._internal.settings import EntrySettings
+
+CALL_TIMEOUT_S = 1.0
+EVICT_AFTER_S = 60.0
+RECORD_RETRY_S = 5.0
+JOIN_DEADLINE_S = 30.0
+
+
+class _Eviction(NamedTuple):
+    """An eviction begun by this instance; completed after the bound has passed."""
+
+    member: Member
+    began_at: float
+
+
+class Withdrawal(NamedTuple):
+    """How far a withdrawal got. ``unsure`` instances stop by themselves within the bound."""
+
+    key_id: str
+    recorded: bool
+    confirmed: tuple[str, ...]
+    unsure: tuple[str, ...]
+
+
+class Membership:
+    """This instance among its peers.
+
+    :param settings: Settings of this instance.
+    :param incarnation: Unique name of this run of the instance.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        incarnation: str,
+        replica: Replica,
+        appender: Appender,
+        network: PeerNetwork,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._replica = replica
+        self._appender = appender
+        self._network = network
+        self._clock = clock
+        self._metrics = metrics
+        timing = settings.timing
+        self._freshness = Freshness(
+            settings.instance, clock, timing.key_bound_s, timing.log_read_lag_s
+        )
+        self._lock = threading.RLock()
+        self._heard_at: dict[str, float] = {}
+        self._asked_at: dict[str, float] = {}
+        self._first_seen: dict[str, float] = {}
+        self._pending: dict[str, float] = {}
+        self._evictions: dict[str, _Eviction] = {}
+        self._said_goodbye: dict[str, str] = {}
+        self._peer_address = ""
+        self._joined = False
+        self._joining = False
+        self._proof = Proof.NONE
+
+    @property
+    def incarnation(self) -> str:
+        return self._incarnation
+
+    @property
+    def pending(self) -> frozenset[str]:
+        """Ids of keys withdrawn through peers that are not in the log yet."""
+        with self._lock:
+            return frozenset(self._pending)
+
+    @property
+    def present_proof(self) -> Proof:
+        return self._proof
+
+    def set_address(self, address: str) -> None:
+        """Sets the address that peers reach this instance at."""
+        self._peer_address = address
+
+    def members(self) -> dict[str, Member]:
+        """Returns the roster, as far as the log was read."""
+        with self._replica.lock:
+            return self._replica.fleet.roster.members
+
+    def is_alive(self, instance: str) -> bool:
+        """Tells whether an instance was heard from within a lease."""
+        if instance == self._settings.instance:
+            return True
+        heard_at = self._heard_at.get(instance)
+        if heard_at is None:
+            first = self._first_seen.setdefault(instance, self._clock.monotonic())
+            heard_at = first
+        silence_s = self._clock.monotonic() - heard_at
+        return silence_s < self._settings.timing.lease_s and instance not in self._said_goodbye
+
+    def proof(self) -> Proof:
+        """Returns what proves that the keys known here are fresh, if anything does."""
+        proof = self._freshness.proof(self._knowledge())
+        if proof is not self._proof:
+            self._on_proof_changed(proof)
+        return proof
+
+    def step(self) -> None:
+        """Joins, asks peers that are due, follows up evictions and unrecorded withdrawals."""
+        self._join()
+        members = self.members()
+        for member in members.values():
+            if member.instance != self._settings.instance and self._is_due(member):
+                self._ask(member)
+        self._evict_dead(members)
+        self._record_pending()
+        self.proof()
+
+    def handle(self, message: Message) -> Message | None:
+        """Answers messages of membership; None if the message is of another kind."""
+        match message:
+            case Status():
+                self._said_goodbye.pop(message.instance, None)
+                return StatusAnswer(self._status(message))
+            case Withdraw():
+                self._note_withdrawn(message.key_id)
+                return Acknowledged()
+            case FetchConfiguration():
+                with self._replica.lock:
+                    dumped = self._replica.fleet.configuration.dump()
+                return ConfigurationAnswer(json.dumps(dumped).encode())
+            case Goodbye():
+                self._on_goodbye(message)
+                return Acknowledged()
+            case _:
+                return None
+
+    def withdraw(self, key_id: str) -> Withdrawal:
+        """Withdraws a key: spreads it to all members at once, and records it in the log.
+
+        A member that does not confirm loses its proof of freshness within the bound, because
+        this instance then knows of a withdrawal that the member does not.
+        """
+        self._note_withdrawn(key_id)
+        confirmed, unsure = [], []
+        for member in self.members().values():
+            if member.instance == self._settings.instance:
+                continue
+            if self._tell(member, Withdraw(key_id)):
+                confirmed.append(member.instance)
+            else:
+                unsure.append(member.instance)
+        recorded = self._record(key_id)
+        log_event(KEY_WITHDRAWN, key=key_id, recorded=recorded)
+        return Withdrawal(key_id, recorded, tuple(confirmed), tuple(unsure))
+
+    def leave(self) -> None:
+        """Says goodbye to all peers and leaves the roster."""
+        goodbye = Goodbye(self._settings.instance, self._incarnation)
+        for member in self.members().values():
+            if member.instance != self._settings.instance:
+                self._tell(member, goodbye)
+        try:
+            self._appender.commit(Leave(self._settings.instance, self._incarnation), 1.0)
+        except LogError:
+            # Peers have the goodbye; the roster keeps the name until a peer evicts it.
+            return
+
+    # Asking peers.
+
+    def _is_due(self, member: Member) -> bool:
+        asked_at = self._asked_at.get(member.instance)
+        if asked_at is None:
+            return True
+        return self._clock.monotonic() - asked_at >= self._period_s(member)
+
+    def _period_s(self, member: Member) -> float:
+        timing = self._settings.timing
+        # Peers of other zones matter only for the proof of fresh keys while the log is away.
+        if member.zone == self._settings.zone or self._proof is not Proof.LOG:
+            return timing.status_s
+        return timing.remote_status_s
+
+    def _ask(self, member: Member) -> None:
+        sent_at = self._clock.monotonic()
+        self._asked_at[member.instance] = sent_at
+        question = Status(self._settings.instance, self._incarnation)
+        try:
+            answer = self._network.call(member.address, question, CALL_TIMEOUT_S)
+        except ConnectionRefusedByHostError:
+            self._metrics.retries.labels("peer.status", "refused").inc()
+            self._freshness.on_gone(member.instance, sent_at)
+            return
+        except PeerError:
+            self._metrics.retries.labels("peer.status", "no-answer").inc()
+            return
+        if not isinstance(answer, StatusAnswer) or answer.status.instance != member.instance:
+            return
+        self._heard_at[member.instance] = self._clock.monotonic()
+        if answer.status.incarnation == member.incarnation:
+            self._take(member, answer.status, sent_at)
+
+    def _take(self, member: Member, status: PeerStatus, sent_at: float) -> None:
+        for key_id in status.pending:
+            self._note_withdrawn(key_id)
+        with self._replica.lock:
+            known_at = self._replica.fleet.configuration.changed_at
+        if status.configuration_at > known_at:
+            self._fetch_configuration(member)
+        self._freshness.on_answer(sent_at, status)
+
+    def _fetch_configuration(self, member: Member) -> None:
+        try:
+            answer = self._network.call(member.address, FetchConfiguration(), CALL_TIMEOUT_S)
+        except PeerError:
+            return
+        if isinstance(answer, ConfigurationAnswer):
+            self._replica.adopt_configuration(json.loads(answer.data))
+
+    def _tell(self, member: Member, message: Message) -> bool:
+        try:
+            answer = self._network.call(member.address, message, CALL_TIMEOUT_S)
+        except PeerError:
+            return False
+        return isinstance(answer, Acknowledged)
+
+    def _status(self, question: Status) -> PeerStatus:
+        with self._replica.lock:
+            fleet = self._replica.fleet
+            known = fleet.roster.members.get(question.instance)
+            configuration_at = fleet.configuration.changed_at
+            roster_at = fleet.roster.changed_at
+        reached_at = self._replica.reached_tail_at
+        age_s = -1.0 if reached_at is None else self._clock.monotonic() - reached_at
+        is_known = known is not None and known.incarnation == question.incarnation
+        return PeerStatus(
+            self._settings.instance,
+            self._incarnation,
+            age_s,
+            configuration_at,
+            roster_at,
+            tuple(sorted(self.pending)),
+            is_known and not known.evicted_by and question.instance not in self._evictions,
+        )
+
+    def _knowledge(self) -> Knowledge:
+        with self._replica.lock:
+            fleet = self._replica.fleet
+            return Knowledge(
+                frozenset(fleet.roster.members),
+                fleet.configuration.changed_at,
+                fleet.roster.changed_at,
+                self.pending,
+                self._replica.reached_tail_at,
+            )
+
+    def _on_proof_changed(self, proof: Proof) -> None:
+        former, self._proof = self._proof, proof
+        self._metrics.proof.labels(former.value).set(0)
+        self._metrics.proof.labels(proof.value).set(1)
+        if proof is Proof.NONE:
+            log_event(ADMISSION_SUSPENDED, reason="no proof of fresh keys")
+        elif former is Proof.NONE:
+            log_event(ADMISSION_RESUMED)
+
+    # Joining and evicting.
+
+    def _join(self) -> None:
+        if self._joined or self._joining or not self._replica.is_ready:
+            return
+        self._joining = True
+        event = Join(
+            self._settings.instance, self._incarnation, self._peer_address, self._settings.zone
+        )
+        future = self._appender.submit(event, JOIN_DEADLINE_S)
+        future.add_done_callback(self._on_joined)
+
+    def _on_joined(self, future) -> None:
+        self._joining = False
+        self._joined = future.exception() is None
+
+    def _on_goodbye(self, message: Goodbye) -> None:
+        member = self.members().get(message.instance)
+        if member is not None and member.incarnation == message.incarnation:
+            self._said_goodbye[message.instance] = message.incarnation
+
+    def _evict_dead(self, members: dict[str, Member]) -> None:
+        if self._proof is not Proof.LOG:
+            return
+        now = self._clock.monotonic()
+        for member in members.values():
+            if member.instance == self._settings.instance:
+                continue
+            begun = self._evictions.get(member.instance)
+            if begun is not None and begun.member.incarnation == member.incarnation:
+                if now - begun.began_at > self._settings.timing.key_bound_s * 2:
+                    self._finish_eviction(begun)
+            elif not member.evicted_by and self._is_long_dead(member.instance, now):
+                self._evictions[member.instance] = _Eviction(member, now)
+                event = Evict(member.instance, member.incarnation, self._settings.instance)
+                self._appender.submit(event)
+        for instance in set(self._evictions) - set(members):
+            del self._evictions[instance]
+
+    def _finish_eviction(self, begun: _Eviction) -> None:
+        member = begun.member
+        event = Evicted(member.instance, member.incarnation, self._settings.instance)
+        self._appender.submit(event)
+        self._evictions[member.instance] = begun._replace(began_at=self._clock.monotonic())
+        self._network.forget(member.address)
+
+    def _is_long_dead(self, instance: str, now: float) -> bool:
+        if self.is_alive(instance):
+            return False
+        heard_at = self._heard_at.get(instance, self._first_seen.get(instance, now))
+        return now - heard_at > EVICT_AFTER_S * random.Random(instance).uniform(1.0, 1.5)
+
+    # Withdrawals.
+
+    def _note_withdrawn(self, key_id: str) -> None:
+        with self._replica.lock:
+            if key_id in self._replica.fleet.configuration.withdrawn:
+                return
+        with self._lock:
+            self._pending.setdefault(key_id, self._clock.monotonic())
+
+    def _record_pending(self) -> None:
+        with self._replica.lock:
+            recorded = self._replica.fleet.configuration.withdrawn
+        now = self._clock.monotonic()
+        with self._lock:
+            for key_id in set(self._pending) & recorded:
+                del self._pending[key_id]
+            due = [k for k, at in self._pending.items() if now - at > RECORD_RETRY_S]
+            for key_id in due:
+                self._pending[key_id] = now
+        if self._proof is Proof.LOG:
+            for key_id in due:
+                self._appender.submit(WithdrawKey(key_id))
+
+    def _record(self, key_id: str) -> bool:
+        try:
+            return self._appender.commit(WithdrawKey(key_id), 2.0).accepted
+        except LogError:
+            return False
--- /dev/null
+++ b/libs/daemon/src/azurecleat_daemon/_internal/operators.py
@@ -0,0 +1,211 @@
+"""Operations of operators on the environment document, keys and the instance."""
+
+from __future__ import annotations
+
+import threading
+from typing import Any
+
+from azurecleat_coordination import Appender, Applied, Replica
+from azurecleat_coordination.records import GiveKey, Promote, RecordEvent
+from azurecleat_model import (
+    Environment,
+    KeyHash,
+    Ran,
+    Team,
+    environment_from_value,
+    parse_jsonc,
+    to_plain,
+)
+from azurecleat_model.exceptions import AppendUnknownError, DocumentError, LogError
+
+from azurecleat_daemon._internal.membership import Membership
+from azurecleat_daemon._internal.partitions import PartitionManager
+from azurecleat_daemon._internal.refusal import RefusalError, status_for
+
+COMMIT_DEADLINE_S = 5.0
+
+
+class Operators:
+    """What the operators' API does."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        appender: Appender,
+        membership: Membership,
+        partitions: PartitionManager,
+    ) -> None:
+        self._replica = replica
+        self._appender = appender
+        self._membership = membership
+        self._partitions = partitions
+        self._stop_requested = threading.Event()
+
+    @property
+    def stop_requested(self) -> threading.Event:
+        """Set when an operator asked this instance to drain and stop."""
+        return self._stop_requested
+
+    def drain(self) -> dict[str, Any]:
+        """Asks this instance to finish its work, hand over and stop."""
+        self._stop_requested.set()
+        return {"draining": True}
+
+    def show(self) -> dict[str, Any]:
+        """Returns the document in force and its version."""
+        with self._replica.lock:
+            configuration = self._replica.fleet.configuration
+            return {
+                "version": configuration.version,
+                "withdrawn": sorted(configuration.withdrawn | self._membership.pending),
+                "document": to_plain(configuration.environment),
+            }
+
+    def history(self) -> dict[str, Any]:
+        """Returns the last promotions."""
+        with self._replica.lock:
+            return {"history": self._replica.fleet.configuration.history}
+
+    def check(self, text: str) -> dict[str, Any]:
+        """Checks a document without state.
+
+        :raises RefusalError: The document is not valid.
+        """
+        environment = _parse(text)
+        return {"valid": True, "teams": len(environment.teams)}
+
+    def trial(self, text: str) -> dict[str, Any]:
+        """Shows what a document would change against the live state."""
+        wanted = _parse(text)
+        with self._replica.lock:
+            configuration = self._replica.fleet.configuration
+            present, version = configuration.environment, configuration.version
+        return {
+            "base": version,
+            "teams": _team_changes(present, wanted),
+            "scheduling": _field_changes(present.scheduling, wanted.scheduling),
+            "impossible": self._newly_impossible(wanted),
+        }
+
+    def promote(self, text: str, base: int) -> dict[str, Any]:
+        """Puts a document in force if ``base`` is still the version in force.
+
+        :raises RefusalError: ``conflict`` when another version was promoted meanwhile.
+        """
+        environment = _parse(text)
+        applied = self._commit(Promote(to_plain(environment), base), "config.promote")
+        if not applied.accepted:
+            raise RefusalError("conflict", applied.reason, status=409, step="config.promote")
+        with self._replica.lock:
+            return {"version": self._replica.fleet.configuration.version}
+
+    def give_key(self, team: str, key: KeyHash) -> dict[str, Any]:
+        """Adds a key to a team."""
+        applied = self._commit(GiveKey(team, key), "key.give")
+        if not applied.accepted:
+            raise RefusalError("conflict", applied.reason, status=409, step="key.give")
+        return {"team": team, "key": key.id}
+
+    def withdraw_key(self, key_id: str) -> dict[str, Any]:
+        """Withdraws a key everywhere."""
+        return to_plain(self._membership.withdraw(key_id))
+
+    def status(self) -> dict[str, Any]:
+        """Returns what this instance knows of the fleet."""
+        with self._replica.lock:
+            fleet = self._replica.fleet
+            owners = [to_plain(owner) for owner in fleet.ownership.owners.values()]
+            version = fleet.configuration.version
+        return {
+            "version": version,
+            "log_position": self._replica.position,
+            "proof": self._membership.present_proof.value,
+            "members": [to_plain(m) for m in self._membership.members().values()],
+            "owners": owners,
+            "serving": sorted(
+                p for p in self._partitions.engines if self._partitions.engine(p) is not None
+            ),
+            "teams": self._team_usage(),
+            "log": to_plain(self._appender.counts),
+        }
+
+    def targets(self) -> dict[str, Any]:
+        """Returns the targets of the partitions served here."""
+        rows = []
+        for partition, engine in self._partitions.engines.items():
+            for link in engine.links.values():
+                rows.append(
+                    {
+                        "target": link.target.name,
+                        "kind": link.target.kind.value,
+                        "partition": partition,
+                        "leaving": link.target.leaving,
+                        "controlled": engine.lease.controls(link.target.name),
+                        "running": engine.running_on(link.target),
+                        "probation": engine.on_probation(link.target),
+                    }
+                )
+        return {"targets": sorted(rows, key=lambda row: row["target"])}
+
+    def _team_usage(self) -> list[dict[str, Any]]:
+        engines = self._partitions.engines.values()
+        return [to_plain(row) for engine in engines for row in engine.team_rows()]
+
+    def _newly_impossible(self, wanted: Environment) -> list[dict[str, Any]]:
+        found = []
+        for engine in self._partitions.engines.values():
+            for job, refused in engine.tasks.impossible_under(wanted):
+                found.append({"job": job, "code": refused.code, "detail": refused.detail})
+        return found
+
+    def _commit(self, event: RecordEvent, step: str) -> Applied:
+        try:
+            return self._appender.commit(event, COMMIT_DEADLINE_S)
+        except AppendUnknownError as error:
+            raise RefusalError(
+                "outcome-unknown",
+                "the log's answer was lost; look at the history before trying again",
+                ran=Ran.UNKNOWN,
+                status=status_for("outcome-unknown"),
+                step=step,
+            ) from error
+        except LogError as error:
+            raise RefusalError(
+                "log-unavailable", str(error), retry_after_s=5.0, step=step
+            ) from error
+
+
+def _parse(text: str) -> Environment:
+    try:
+        return environment_from_value(parse_jsonc(text, "environment document"))
+    except DocumentError as error:
+        raise RefusalError("bad-request", str(error), status=400, step="config.check") from None
+
+
+def _team_changes(present: Environment, wanted: Environment) -> list[dict[str, Any]]:
+    before = {team.name: team for team in present.teams}
+    after = {team.name: team for team in wanted.teams}
+    changes = []
+    for name in sorted(before.keys() | after.keys()):
+        old, new = before.get(name), after.get(name)
+        if old is None or new is None:
+            changes.append({"team": name, "change": "added" if old is None else "removed"})
+            continue
+        fields = _field_changes(old, new)
+        share = _entitled(new, wanted) - _entitled(old, present)
+        if fields or abs(share) > 1e-9:
+            row = {"team": name, "change": "changed", "fields": fields}
+            changes.append({**row, "entitled_share_change": round(share, 4)})
+    return changes
+
+
+def _entitled(team: Team, environment: Environment) -> float:
+    return team.share / sum(other.share for other in environment.teams)
+
+
+def _field_changes(old: Any, new: Any) -> dict[str, Any]:
+    return {
+        field: [to_plain(getattr(old, field)), to_plain(getattr(new, field))]
+        for field in old._fields
+        if getattr(old, field) != getattr(new, field)
+    }
--- /dev/null
+++ b/libs/daemon/src/azurecleat_daemon/_internal/partitions.py
@@ -0,0 +1,187 @@
+"""Which partitions this instance owns: claiming, taking over, stepping down, releasing."""
+
+from __future__ import annotations
+
+import threading
+
+from azurecleat_coordination import Owner, Replica, rank
+from azurecleat_coordination.records import Claim, Release
+from azurecleat_model.events import (
+    PARTITION_CLAIMED,
+    PARTITION_LOST,
+    PARTITION_RELEASED,
+    PARTITION_SERVING,
+    log_event,
+)
+from azurecleat_model.exceptions import LogError
+from azurecleat_platform import Target
+
+from azurecleat_daemon._internal.engine import Engine, Phase, Services
+from azurecleat_daemon._internal.membership import Membership
+from azurecleat_daemon._internal.settings import EntrySettings
+
+CLAIM_DEADLINE_S = 3.0
+RELEASE_DEADLINE_S = 2.0
+
+
+class PartitionManager:
+    """Keeps the partitions of the availability zone owned by live instances.
+
+    :param settings: Settings of this instance.
+    :param services: Parts that engines need.
+    """
+
+    def __init__(self, settings: EntrySettings, services: Services, membership: Membership) -> None:
+        self._settings = settings
+        self._services = services
+        self._membership = membership
+        self._replica: Replica = services.replica
+        self._clock = services.clock
+        self._engines: dict[str, Engine] = {}
+        self._targets: list[Target] = []
+        self._lock = threading.RLock()
+        self._is_leaving = False
+
+    @property
+    def engines(self) -> dict[str, Engine]:
+        """Engines by partition, in any phase."""
+        with self._lock:
+            return dict(self._engines)
+
+    def engine(self, partition: str) -> Engine | None:
+        """Returns the engine that serves a partition here, or None."""
+        engine = self._engines.get(partition)
+        return engine if engine is not None and engine.phase is Phase.SERVING else None
+
+    def set_targets(self, targets: list[Target]) -> None:
+        """Takes over the instance list."""
+        self._targets = targets
+        for partition, engine in self.engines.items():
+            engine.set_targets(self._targets_of(partition))
+
+    def step(self) -> None:
+        """Claims what nobody serves, and gives up what another instance claimed."""
+        for partition in self._settings.partitions:
+            engine = self._engines.get(partition)
+            if engine is not None:
+                self._check(partition, engine)
+            elif not self._is_leaving and self._should_claim(partition):
+                self._claim(partition)
+
+    def release_all(self, drain_s: float) -> None:
+        """Hands over all partitions after requests in progress have ended.
+
+        :param drain_s: Longest time to wait for requests in progress.
+        """
+        self._is_leaving = True
+        for partition, engine in self.engines.items():
+            engine.requests.close()
+            engine.requests.wait_until_idle(drain_s)
+            self._release(partition, engine)
+
+    def _check(self, partition: str, engine: Engine) -> None:
+        with self._replica.lock:
+            owner = self._replica.fleet.ownership.owner(partition)
+        if owner is not None and owner.epoch > engine.epoch:
+            # The log names another owner: let the targets go, so that it need not wait.
+            engine.release_targets()
+            self._drop(partition, engine, f"epoch {owner.epoch} was claimed")
+        elif engine.phase is Phase.LOST:
+            self._drop(partition, engine, "a target obeys a higher epoch")
+
+    def _should_claim(self, partition: str) -> bool:
+        if not self._replica.is_ready or self._replica.jobs(partition) is None:
+            return False
+        if not self._targets_of(partition):
+            return False
+        with self._replica.lock:
+            owner = self._replica.fleet.ownership.owner(partition)
+        if owner is not None and not self._is_vacant(owner):
+            return False
+        zone = self._settings.zone
+        members = self._membership.members().values()
+        candidates = [m.instance for m in members if m.zone == zone]
+        alive = [name for name in candidates if self._membership.is_alive(name)]
+        return rank(partition, alive)[:1] == [self._settings.instance]
+
+    def _is_vacant(self, owner: Owner) -> bool:
+        if owner.released:
+            return True
+        if owner.instance == self._settings.instance:
+            # An earlier incarnation of this instance: its process is gone.
+            return owner.incarnation != self._membership.incarnation
+        member = self._membership.members().get(owner.instance)
+        if member is not None and member.incarnation != owner.incarnation:
+            return True
+        return not self._membership.is_alive(owner.instance)
+
+    def _claim(self, partition: str) -> None:
+        try:
+            self._replica.catch_up()
+            with self._replica.lock:
+                owner = self._replica.fleet.ownership.owner(partition)
+            if owner is not None and not self._is_vacant(owner):
+                return
+            epoch = owner.epoch + 1 if owner else 1
+            targets = tuple(sorted(target.name for target in self._targets_of(partition)))
+            event = Claim(
+                partition,
+                epoch,
+                self._settings.instance,
+                self._membership.incarnation,
+                targets,
+            )
+            applied = self._services.appender.commit(event, CLAIM_DEADLINE_S)
+        except LogError as error:
+            reason = type(error).__name__
+            self._services.metrics.retries.labels("partition.claim", reason).inc()
+            return
+        if applied.accepted:
+            self._begin(partition, epoch)
+
+    def _begin(self, partition: str, epoch: int) -> None:
+        log_event(PARTITION_CLAIMED, partition=partition, epoch=epoch)
+        with self._replica.lock:
+            owner = self._replica.fleet.ownership.owner(partition)
+        if owner is None or owner.epoch != epoch:
+            return
+        former = () if owner.former_released else owner.former_targets
+        engine = Engine(self._services, partition, epoch, owner.targets, former)
+        engine.set_targets(self._targets_of(partition))
+        with self._lock:
+            self._engines[partition] = engine
+        engine.start()
+        log_event(PARTITION_SERVING, partition=partition, epoch=epoch)
+
+    def _drop(self, partition: str, engine: Engine, reason: str) -> None:
+        with self._lock:
+            if self._engines.get(partition) is engine:
+                del self._engines[partition]
+        log_event(PARTITION_LOST, partition=partition, epoch=engine.epoch, reason=reason)
+        engine.stop()
+
+    def _release(self, partition: str, engine: Engine) -> None:
+        for future in engine.tasks.flush():
+            if future.exception(RELEASE_DEADLINE_S) is not None:
+                break
+        engine.release_targets()
+        with self._lock:
+            self._engines.pop(partition, None)
+        engine.stop()
+        try:
+            event = Release(partition, engine.epoch)
+            self._services.appender.commit(event, RELEASE_DEADLINE_S)
+            log_event(PARTITION_RELEASED, partition=partition, epoch=engine.epoch)
+        except LogError as error:
+            # Without the record the next owner waits the lease out; nothing is lost.
+            log_event(PARTITION_LOST, partition=partition, epoch=engine.epoch, reason=error)
+
+    def _targets_of(self, partition: str) -> list[Target]:
+        """Returns the targets of a partition: the zone's, spread over its partitions."""
+        partitions = list(self._settings.partitions)
+        zone = self._settings.zone
+        return [
+            target
+            for target in self._targets
+            if target.zone == zone and rank(target.rack or target.name, partitions)[0] == partition
+        ]
--- /dev/null
+++ b/libs/daemon/src/azurecleat_daemon/_internal/request_desk.py
@@ -0,0 +1,483 @@
+"""Requests of a partition: admission, fair order, dispatch to runners, and honest outcomes.
+
+Each dispatch ends as done (the whole answer came), not run (proved) or unknown (a byte was sent
+and no whole answer came). Work that is not repeatable reserves its single run in the log first.
+"""
+
+from __future__ import annotations
+
+import threading
+import uuid
+from concurrent.futures import Future, InvalidStateError
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from typing import NamedTuple
+
+from azurecleat_coordination import (
+    Appender,
+    Backoff,
+    CircuitBreaker,
+    ControlLease,
+    RetryBudget,
+)
+from azurecleat_coordination.records import Intend, ReleaseIntent
+from azurecleat_model import (
+    Clock,
+    Environment,
+    Job,
+    JobKind,
+    JobSpec,
+    Quota,
+    Ran,
+    RequestSpec,
+    Resources,
+    TaskSize,
+    Team,
+)
+from azurecleat_model.exceptions import LogError, NotRunError, OutcomeUnknownError
+from azurecleat_platform import EndedTask, RunningTask
+from azurecleat_policy import (
+    Adopted,
+    Expire,
+    Scheduler,
+    Start,
+    TaskResult,
+    TeamPolicy,
+    WorkerPolicy,
+)
+
+from azurecleat_daemon._internal.link import TargetLink
+from azurecleat_daemon._internal.metrics import Metrics
+from azurecleat_daemon._internal.refusal import RefusalError, status_for
+
+SLOT = TaskSize(1, 1, 0)
+NOMINAL_RUN_S = 1.0
+INTENT_DEADLINE_S = 2.0
+MAX_TRIES = 4
+SMOOTHING = 0.1
+"""Weight of a new service time in the running mean."""
+
+
+class _Grant(NamedTuple):
+    """A runner's slot given to a waiting request."""
+
+    link: TargetLink
+
+
+class _Dispatched(NamedTuple):
+    """A request whose answer was lost; its slot is free once the runner no longer shows it."""
+
+    team: str
+    lost_at: float
+
+
+class RequestDesk:
+    """Serves requests on the runners of a partition while this instance owns it.
+
+    A runner's slots are scheduled like a worker's capacity, one unit per request, so that
+    fairness, limits, queue bounds and deadlines are the same as those of tasks.
+
+    :param appender: Records intents of requests that are not repeatable.
+    :param lease: Checked immediately before each dispatch.
+    """
+
+    def __init__(
+        self,
+        partition: str,
+        epoch: int,
+        environment: Environment,
+        appender: Appender,
+        lease: ControlLease,
+        clock: Clock,
+        metrics: Metrics,
+        backoff: Backoff,
+    ) -> None:
+        self._partition = partition
+        self._epoch = epoch
+        self._appender = appender
+        self._lease = lease
+        self._clock = clock
+        self._metrics = metrics
+        self._backoff = backoff
+        self._lock = threading.RLock()
+        self._scheduler = Scheduler(environment.scheduling)
+        self._links: dict[str, TargetLink] = {}
+        self._breakers: dict[str, CircuitBreaker] = {}
+        self._grants: dict[str, Future[_Grant]] = {}
+        self._lingering: dict[str, _Dispatched] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._service_s = 0.0
+        self._in_progress = 0
+        self._is_open = False
+        self._idle = threading.Condition(self._lock)
+
+    @property
+    def scheduler(self) -> Scheduler:
+        return self._scheduler
+
+    @property
+    def in_progress(self) -> int:
+        return self._in_progress
+
+    def open(self) -> None:
+        """Begins to serve."""
+        with self._lock:
+            self._is_open = True
+            self._pump()
+
+    def close(self) -> None:
+        """Refuses all that waits; what was dispatched goes on to its end."""
+        with self._lock:
+            self._is_open = False
+            waiting, self._grants = self._grants, {}
+        for future in waiting.values():
+            _fail(future, self._refusal("not-owner", "the partition was handed over", 0.5))
+
+    def wait_until_idle(self, timeout_s: float) -> bool:
+        """Waits until no request is in progress here."""
+        with self._idle:
+            return self._idle.wait_for(lambda: self._in_progress == 0, timeout_s)
+
+    def set_team(self, team: Team, allotted: Quota) -> None:
+        """Takes over a team's share and the limit allotted to this partition."""
+        policy = TeamPolicy(
+            team.name,
+            team.share,
+            Quota(tasks=allotted.requests),
+            team.queue_limit,
+            Quota(tasks=team.limit.requests),
+        )
+        with self._lock:
+            self._scheduler.set_team(policy)
+            self._pump()
+
+    def remove_teams_except(self, names: set[str]) -> None:
+        """Stops serving teams that left the configuration."""
+        with self._lock:
+            for name in set(self._scheduler.teams) - names:
+                self._scheduler.remove_team(name)
+
+    def team_usage(self, name: str) -> int:
+        """Returns the requests of a team in progress here."""
+        with self._lock:
+            team = self._scheduler.teams.get(name)
+            return team.used.tasks if team else 0
+
+    def blocked_by_limit(self) -> dict[str, int]:
+        """Returns the teams whose next request waits for limit only, with how many wait."""
+        with self._lock:
+            teams = self._scheduler.teams
+            return {name: teams[name].waiting for name in self._scheduler.blocked_by_limit()}
+
+    def serve(self, spec: RequestSpec) -> bytes:
+        """Serves one request and returns the runner's whole answer.
+
+        Blocks the calling thread until the answer, the deadline, or a refusal.
+
+        :raises RefusalError: With what is known about whether the request ran.
+        """
+        ends_at = self._clock.monotonic() + spec.deadline_s
+        with self._lock:
+            if not self._is_open:
+                raise self._refusal("not-owner", "the partition is being taken over", 0.5)
+            self._in_progress += 1
+        try:
+            if spec.repeatable:
+                return self._serve_until(spec, ends_at)
+            return self._serve_once(spec, ends_at)
+        finally:
+            with self._idle:
+                self._in_progress -= 1
+                self._idle.notify_all()
+
+    # What links report.
+
+    def on_granted(self, link: TargetLink) -> None:
+        """Adds a runner that obeys this owner."""
+        with self._lock:
+            target = link.target
+            self._links[target.name] = link
+            self._breakers.setdefault(target.name, CircuitBreaker(self._clock))
+            capacity = Resources(target.slots, target.slots, 0)
+            self._scheduler.add_worker(WorkerPolicy(target.name, target.rack, capacity))
+            self._scheduler.set_draining(target.name, target.leaving)
+            self._pump()
+
+    def on_target_listed(self, link: TargetLink) -> None:
+        """Follows the instance list: a leaving runner gets nothing new."""
+        with self._lock:
+            if link.target.name in self._scheduler.workers:
+                self._scheduler.set_draining(link.target.name, link.target.leaving)
+
+    def on_running(
+        self, link: TargetLink, running: tuple[RunningTask, ...], sent_at: float
+    ) -> None:
+        """Counts requests of a former owner, and frees slots whose request is over."""
+        names = {task.task for task in running}
+        with self._lock:
+            for request_id in names:
+                self._adopt(request_id, link.target.name, sent_at)
+            for request_id, dispatched in list(self._lingering.items()):
+                job = self._scheduler.jobs.get(request_id)
+                on_link = job is not None and any(
+                    self._scheduler.worker_name(task) == link.target.name
+                    for task in job.running.values()
+                )
+                if on_link and request_id not in names and sent_at > dispatched.lost_at:
+                    self._end(request_id, TaskResult.LOST)
+
+    def on_ended(self, link: TargetLink, ended: tuple[EndedTask, ...]) -> None:
+        """Runners report no ended attempts."""
+
+    def on_refused(self, link: TargetLink, tasks: tuple[str, ...]) -> None:
+        """Runners get no starts through the control link."""
+
+    def on_lost(self, link: TargetLink) -> None:
+        """Removes a runner whose lease lapsed."""
+        with self._lock:
+            self._links.pop(link.target.name, None)
+            self._scheduler.remove_worker(link.target.name, self._clock.monotonic())
+            for request_id in list(self._lingering):
+                if request_id not in self._scheduler.jobs:
+                    del self._lingering[request_id]
+            self._pump()
+
+    def needs_control(self, link: TargetLink) -> bool:
+        """Tells whether a fresh answer of the runner would free a slot."""
+        return bool(self._lingering)
+
+    # Serving.
+
+    def _serve_once(self, spec: RequestSpec, ends_at: float) -> bytes:
+        key = f"{spec.team}/{spec.idempotency_key}"
+        self._reserve(key)
+        try:
+            return self._try_once(spec, ends_at)
+        except RefusalError as refusal:
+            if refusal.ran is Ran.NOT_RUN:
+                # The caller may come again with the same key: nothing was run under it.
+                self._appender.submit(ReleaseIntent(key), INTENT_DEADLINE_S * 2)
+            raise
+
+    def _reserve(self, key: str) -> None:
+        event = Intend(key, self._clock.wall())
+        try:
+            applied = self._appender.commit(event, INTENT_DEADLINE_S)
+        except LogError as error:
+            detail = f"the single run could not be reserved: {error}"
+            raise self._refusal("intent-unavailable", detail, 5.0) from error
+        if not applied.accepted:
+            raise RefusalError(
+                "duplicate",
+                f"a request with this idempotency key was submitted before: {applied.reason}",
+                ran=Ran.UNKNOWN,
+                status=status_for("duplicate"),
+                step="request.reserve",
+            )
+
+    def _serve_until(self, spec: RequestSpec, ends_at: float) -> bytes:
+        """Tries a repeatable request, again if budget and deadline allow."""
+        budget = self._budgets.setdefault(spec.team, RetryBudget())
+        budget.on_first_try()
+        tries = 0
+        while True:
+            tries += 1
+            try:
+                return self._try_once(spec, ends_at)
+            except RefusalError as refusal:
+                if not self._may_retry(refusal, budget, tries, ends_at):
+                    raise
+                self._metrics.retries.labels("request", refusal.code).inc()
+
+    def _may_retry(
+        self, refusal: RefusalError, budget: RetryBudget, tries: int, ends_at: float
+    ) -> bool:
+        if refusal.code not in ("runner-refused", "outcome-unknown") or tries >= MAX_TRIES:
+            return False
+        delay_s = self._backoff.delay_s(tries)
+        if self._clock.monotonic() + delay_s >= ends_at or not budget.take():
+            return False
+        threading.Event().wait(delay_s)
+        return True
+
+    def _try_once(self, spec: RequestSpec, ends_at: float) -> bytes:
+        request_id = f"{spec.team}/{uuid.uuid4().hex}"
+        queued_at = self._clock.monotonic()
+        grant = self._wait_for_slot(request_id, spec, ends_at)
+        self._metrics.waiting.labels("request").observe(self._clock.monotonic() - queued_at)
+        return self._dispatch(request_id, grant.link, spec, ends_at)
+
+    def _wait_for_slot(self, request_id: str, spec: RequestSpec, ends_at: float) -> _Grant:
+        future: Future[_Grant] = Future()
+        with self._lock:
+            if not self._is_open:
+                raise self._refusal("not-owner", "the partition was handed over", 0.5)
+            job = self._job(request_id, spec.team)
+            self._check(job, ends_at)
+            self._grants[request_id] = future
+            self._scheduler.submit(job)
+            self._pump()
+        try:
+            return future.result(max(0.0, ends_at - self._clock.monotonic()))
+        except FutureTimeoutError:
+            return self._give_up(request_id, future)
+
+    def _give_up(self, request_id: str, future: Future[_Grant]) -> _Grant:
+        with self._lock:
+            if future.done():
+                return future.result()
+            self._grants.pop(request_id, None)
+            self._scheduler.cancel(request_id)
+        raise RefusalError(
+            "deadline",
+            "no slot was free before the deadline",
+            status=status_for("deadline"),
+            step="request.wait",
+        )
+
+    def _check(self, job: Job, ends_at: float) -> None:
+        refused = self._scheduler.check(job)
+        if refused is not None:
+            raise self._refusal(refused.code, refused.detail, refused.retry_after_s)
+        expected_s = self._expected_wait_s(job.team)
+        if self._clock.monotonic() + expected_s > ends_at:
+            detail = f"the expected wait of {expected_s:.1f} s exceeds the deadline"
+            raise self._refusal("overloaded", detail, max(1.0, expected_s / 2))
+
+    def _expected_wait_s(self, team: str) -> float:
+        """Returns the wait of a new request if the team gets no more than its share."""
+        state = self._scheduler.teams[team]
+        slots = sum(link.target.slots for link in self._links.values())
+        if not slots or not state.waiting:
+            return 0.0
+        own_slots = max(1.0, slots * state.entitled)
+        return state.waiting * self._service_s / own_slots
+
+    def _dispatch(
+        self, request_id: str, link: TargetLink, spec: RequestSpec, ends_at: float
+    ) -> bytes:
+        name = link.target.name
+        began_at = self._clock.monotonic()
+        left_s = ends_at - began_at
+        # Last check before the bytes go out; the epoch at the runner closes the gap after it.
+        if left_s <= 0 or not self._lease.is_valid() or not self._lease.controls(name):
+            self._end(request_id, TaskResult.NOT_STARTED)
+            code = "deadline" if left_s <= 0 else "lease-lapsed"
+            raise self._refusal(code, "the right to dispatch ran out", 0.5)
+        try:
+            answer = link.client.run(request_id, self._epoch, spec.body, left_s)
+        except NotRunError as error:
+            self._after(name, False)
+            self._end(request_id, TaskResult.NOT_STARTED)
+            raise self._refusal("runner-refused", str(error), 0.5) from error
+        except OutcomeUnknownError as error:
+            self._after(name, False)
+            self._linger(request_id, spec.team)
+            self._count(Ran.UNKNOWN)
+            raise RefusalError(
+                "outcome-unknown",
+                str(error),
+                ran=Ran.UNKNOWN,
+                status=status_for("outcome-unknown"),
+                step=error.step,
+                peer=error.peer,
+            ) from error
+        self._after(name, True)
+        self._observe_service(self._clock.monotonic() - began_at)
+        self._end(request_id, TaskResult.DONE)
+        self._count(Ran.DONE)
+        return answer
+
+    def _after(self, runner: str, succeeded: bool) -> None:
+        with self._lock:
+            breaker = self._breakers.get(runner)
+            if breaker is None:
+                return
+            if succeeded:
+                breaker.on_success()
+            else:
+                breaker.on_failure()
+
+    def _observe_service(self, seconds: float) -> None:
+        self._service_s += SMOOTHING * (seconds - self._service_s)
+
+    def _linger(self, request_id: str, team: str) -> None:
+        with self._lock:
+            lost_at = self._clock.monotonic()
+            if request_id in self._scheduler.jobs:
+                self._lingering[request_id] = _Dispatched(team, lost_at)
+
+    def _end(self, request_id: str, result: TaskResult) -> None:
+        with self._lock:
+            self._lingering.pop(request_id, None)
+            job = self._scheduler.jobs.get(request_id)
+            if job is not None:
+                job.live = False
+                self._scheduler.finish(request_id, 0, result, self._clock.monotonic())
+                self._scheduler.cancel(request_id)
+            self._pump()
+
+    def _pump(self) -> None:
+        """Gives free slots to waiting requests in fair order."""
+        if not self._is_open:
+            return
+        self._follow_breakers()
+        with self._metrics.decision.labels("request").time():
+            decisions = self._scheduler.decide(self._clock.monotonic())
+        for decision in decisions:
+            match decision:
+                case Start():
+                    self._grant(decision)
+                case Expire():
+                    self._grants.pop(decision.job_id, None)
+
+    def _grant(self, decision: Start) -> None:
+        future = self._grants.pop(decision.job_id, None)
+        link = self._links.get(decision.worker)
+        if future is None or link is None:
+            self._scheduler.finish(
+                decision.job_id, 0, TaskResult.NOT_STARTED, self._clock.monotonic()
+            )
+            self._scheduler.cancel(decision.job_id)
+            return
+        future.set_result(_Grant(link))
+
+    def _follow_breakers(self) -> None:
+        for name, breaker in self._breakers.items():
+            link = self._links.get(name)
+            if link is not None and name in self._scheduler.workers:
+                closed = breaker.state.value == "open"
+                self._scheduler.set_draining(name, link.target.leaving or closed)
+
+    def _adopt(self, request_id: str, runner: str, now: float) -> None:
+        """Counts a request that a former owner dispatched."""
+        team = request_id.partition("/")[0]
+        known = request_id in self._scheduler.jobs
+        if known or team not in self._scheduler.teams or runner not in self._links:
+            return
+        self._scheduler.submit(self._job(request_id, team))
+        self._scheduler.adopt(request_id, [Adopted(0, runner)], now)
+        self._lingering[request_id] = _Dispatched(team, now)
+
+    def _job(self, request_id: str, team: str) -> Job:
+        spec = JobSpec("request", JobKind.BATCH, SLOT, run_s=NOMINAL_RUN_S, preemptible=False)
+        return Job(request_id, team, spec, self._clock.monotonic())
+
+    def _count(self, ran: Ran) -> None:
+        self._metrics.outcomes.labels("request", ran.value).inc()
+
+    def _refusal(self, code: str, detail: str, retry_after_s: float | None) -> RefusalError:
+        return RefusalError(
+            code,
+            detail,
+            status=status_for(code),
+            retry_after_s=retry_after_s,
+            step="request.admit",
+            peer=self._partition,
+        )
+
+
+def _fail(future: Future[_Grant], error: RefusalError) -> None:
+    try:
+        future.set_exception(error)
+    except InvalidStateError:
+        pass
--- /dev/null
+++ b/libs/daemon/src/azurecleat_daemon/_internal/router.py
@@ -0,0 +1,387 @@
+"""Where work goes: to the engine here, or in one hop to the owner of its partition."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import uuid
+from typing import Any
+
+from azurecleat_coordination import Appender, Replica, rank
+from azurecleat_coordination.records import AcceptJob, CancelJob
+from azurecleat_model import Clock, Job, JobSpec, Ran, RequestSpec, to_plain, validate
+from azurecleat_model.exceptions import (
+    AppendUnknownError,
+    DocumentError,
+    LogError,
+    PeerAnswerLostError,
+    PeerError,
+)
+from azurecleat_peers import PeerNetwork
+from azurecleat_peers.messages import (
+    Acknowledged,
+    AskLimit,
+    Message,
+    Operation,
+    OperationAnswer,
+    RefusalAnswer,
+    RunAnswer,
+    RunRequest,
+)
+from pydantic import TypeAdapter
+
+from azurecleat_daemon._internal.engine import Engine
+from azurecleat_daemon._internal.membership import Membership
+from azurecleat_daemon._internal.metrics import Metrics
+from azurecleat_daemon._internal.partitions import PartitionManager
+from azurecleat_daemon._internal.refusal import RefusalError, status_for
+from azurecleat_daemon._internal.settings import EntrySettings
+
+OPERATION_TIMEOUT_S = 10.0
+ACCEPT_DEADLINE_S = 5.0
+ANSWER_GRACE_S = 0.5
+"""Extra time for a peer's refusal to arrive after the request's own deadline."""
+
+ANY_TEAM = "*"
+"""Stands for an operator; no team can have this name."""
+
+_JOB_SPEC = TypeAdapter(JobSpec)
+
+
+class Router:
+    """Serves callers' work wherever its partition is owned."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        replica: Replica,
+        appender: Appender,
+        partitions: PartitionManager,
+        membership: Membership,
+        network: PeerNetwork,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._replica = replica
+        self._appender = appender
+        self._partitions = partitions
+        self._membership = membership
+        self._network = network
+        self._clock = clock
+        self._metrics = metrics
+
+    def run(self, spec: RequestSpec) -> bytes:
+        """Runs a request in this zone, or in another one if this zone has no owner.
+
+        :raises RefusalError: With what is known about whether the request ran.
+        """
+        refusal: RefusalError | None = None
+        for partition in self._partitions_nearest_first():
+            try:
+                return self._run_in(partition, spec)
+            except RefusalError as error:
+                if error.code not in ("not-owner", "no-owner", "peer-unreachable"):
+                    raise
+                self._metrics.retries.labels("route", error.code).inc()
+                refusal = error
+        raise refusal or _no_owner(self._settings.partitions[0])
+
+    def submit(self, team: str, body: Any, key: str = "") -> dict[str, Any]:
+        """Accepts a job; with a key, the same job again is accepted once.
+
+        :raises RefusalError: The job is not taken.
+        """
+        self.check_spec(body)
+        known = sorted(self._known_partitions())
+        if key:
+            partition = rank(f"{team}/{key}", known)[0] if known else ""
+            digest = hashlib.blake2b(f"{team}/{key}".encode(), digest_size=10).hexdigest()
+            job_id = f"{partition}-{digest}"
+        else:
+            partition = next(iter(self._partitions_nearest_first()), "")
+            job_id = f"{partition}-{uuid.uuid4().hex[:20]}"
+        return self._operate(partition, "submit", team, job_id, json.dumps(body))
+
+    def cancel(self, team: str, job_id: str) -> dict[str, Any]:
+        """Cancels a job."""
+        return self._operate(self._partition_of(job_id), "cancel", team, job_id, "")
+
+    def job(self, team: str, job_id: str) -> dict[str, Any]:
+        """Returns the state of a job."""
+        return self._operate(self._partition_of(job_id), "job", team, job_id, "")
+
+    def why(self, team: str, job_id: str) -> dict[str, Any]:
+        """Returns what a job waits for."""
+        return self._operate(self._partition_of(job_id), "why", team, job_id, "")
+
+    def check_spec(self, body: Any) -> JobSpec:
+        """Checks a job's specification.
+
+        :raises RefusalError: Names the offending field.
+        """
+        try:
+            return validate(_JOB_SPEC, body, "job")
+        except DocumentError as error:
+            raise RefusalError("bad-request", str(error), status=400, step="job.check") from None
+
+    def handle(self, message: Message) -> Message | None:
+        """Serves what peers forward; it is never forwarded again."""
+        try:
+            match message:
+                case RunRequest():
+                    return self._handle_run(message)
+                case Operation():
+                    return self._handle_operation(message)
+                case AskLimit():
+                    return self._handle_ask(message)
+                case _:
+                    return None
+        except RefusalError as refusal:
+            retry_after_s = refusal.retry_after_s
+            return RefusalAnswer(
+                refusal.code,
+                refusal.detail,
+                refusal.ran.value,
+                -1.0 if retry_after_s is None else retry_after_s,
+            )
+
+    def borrow_limits(self) -> None:
+        """Asks other partitions for allotments that waiting work lacks here."""
+        for partition, engine in self._partitions.engines.items():
+            for team, amount in engine.missing_limits().items():
+                self._borrow(partition, team, amount)
+
+    # Requests.
+
+    def _run_in(self, partition: str, spec: RequestSpec) -> bytes:
+        engine = self._partitions.engine(partition)
+        if engine is not None:
+            return engine.requests.serve(spec)
+        address = self._owner_address(partition)
+        message = RunRequest(
+            partition,
+            uuid.uuid4().hex,
+            spec.team,
+            spec.body,
+            spec.deadline_s,
+            spec.repeatable,
+            spec.idempotency_key,
+        )
+        answer = self._forward(address, message, spec.deadline_s + ANSWER_GRACE_S)
+        if isinstance(answer, RunAnswer):
+            return answer.body
+        raise _refusal_from(answer, address)
+
+    def _handle_run(self, message: RunRequest) -> Message:
+        engine = self._engine_here(message.partition)
+        spec = RequestSpec(
+            message.team,
+            message.body,
+            message.deadline_s,
+            message.repeatable,
+            message.idempotency_key,
+        )
+        return RunAnswer(engine.requests.serve(spec))
+
+    def _forward(self, address: str, message: Message, timeout_s: float) -> Message:
+        try:
+            return self._network.call(address, message, timeout_s)
+        except PeerAnswerLostError as error:
+            raise RefusalError(
+                "outcome-unknown",
+                f"the owner's answer was lost: {error}",
+                ran=Ran.UNKNOWN,
+                status=status_for("outcome-unknown"),
+                step=error.step,
+                peer=error.peer,
+            ) from error
+        except PeerError as error:
+            raise RefusalError(
+                "peer-unreachable", str(error), retry_after_s=1.0, step=error.step, peer=error.peer
+            ) from error
+
+    # Jobs.
+
+    def _operate(
+        self, partition: str, name: str, team: str, subject: str, body: str
+    ) -> dict[str, Any]:
+        if not partition:
+            raise _no_owner(partition)
+        operation = Operation(partition, name, team, subject, body)
+        engine = self._partitions.engine(partition)
+        if engine is not None:
+            return self._perform(engine, operation)
+        answer = self._forward(self._owner_address(partition), operation, OPERATION_TIMEOUT_S)
+        if isinstance(answer, OperationAnswer):
+            return json.loads(answer.body)
+        raise _refusal_from(answer, partition)
+
+    def _handle_operation(self, message: Operation) -> Message:
+        engine = self._engine_here(message.partition)
+        return OperationAnswer(json.dumps(self._perform(engine, message)))
+
+    def _perform(self, engine: Engine, operation: Operation) -> dict[str, Any]:
+        match operation.name:
+            case "submit":
+                return self._accept(engine, operation)
+            case "cancel":
+                return self._cancel(operation)
+            case "job":
+                return self._summary(operation)
+            case "why":
+                return self._explain(engine, operation)
+            case name:
+                raise RefusalError("bad-request", f"no operation {name!r}", status=400)
+
+    def _accept(self, engine: Engine, operation: Operation) -> dict[str, Any]:
+        spec = self.check_spec(json.loads(operation.body))
+        job = Job(operation.subject, operation.team, spec, self._clock.wall())
+        known = self._find(operation)
+        if known is not None:
+            return known
+        refused = engine.tasks.check(job)
+        if refused is not None:
+            raise RefusalError(
+                refused.code,
+                refused.detail,
+                status=status_for(refused.code),
+                retry_after_s=refused.retry_after_s,
+                step="job.accept",
+            )
+        try:
+            self._appender.commit(AcceptJob(operation.partition, job), ACCEPT_DEADLINE_S)
+        except AppendUnknownError as error:
+            raise RefusalError(
+                "outcome-unknown",
+                "the job may have been accepted; submit it again with the same idempotency key",
+                ran=Ran.UNKNOWN,
+                status=status_for("outcome-unknown"),
+                step=error.step,
+            ) from error
+        except LogError as error:
+            raise RefusalError(
+                "log-unavailable", str(error), retry_after_s=5.0, step=error.step
+            ) from error
+        return self._find(operation) or {"job": job.job_id}
+
+    def _cancel(self, operation: Operation) -> dict[str, Any]:
+        self._summary(operation)
+        try:
+            event = CancelJob(operation.partition, operation.subject)
+            applied = self._appender.commit(event, ACCEPT_DEADLINE_S)
+        except LogError as error:
+            raise RefusalError(
+                "log-unavailable",
+                f"the cancellation is not recorded: {error}",
+                retry_after_s=5.0,
+                step=error.step,
+            ) from error
+        return {"job": operation.subject, "cancelled": applied.accepted}
+
+    def _summary(self, operation: Operation) -> dict[str, Any]:
+        found = self._find(operation)
+        if found is None:
+            raise RefusalError("not-found", f"no job {operation.subject!r}", status=404)
+        return found
+
+    def _find(self, operation: Operation) -> dict[str, Any] | None:
+        with self._replica.lock:
+            jobs = self._replica.jobs(operation.partition)
+            found = jobs.summary(operation.subject) if jobs else None
+        if found is None or operation.team not in (found["team"], ANY_TEAM):
+            return None
+        return found
+
+    def _explain(self, engine: Engine, operation: Operation) -> dict[str, Any]:
+        summary = self._summary(operation)
+        wait = engine.tasks.why(operation.subject)
+        return {**summary, "why": to_plain(wait) if wait else None}
+
+    # Limits.
+
+    def _borrow(self, partition: str, team: str, amount) -> None:
+        for source in self._known_partitions():
+            if source == partition:
+                continue
+            engine = self._partitions.engine(source)
+            if engine is not None:
+                engine.give_limit(team, amount, partition)
+                continue
+            try:
+                message = AskLimit(source, partition, team, amount)
+                self._network.call(self._owner_address(source), message, 1.0)
+            except (PeerError, RefusalError):
+                self._metrics.retries.labels("limit.borrow", "unreachable").inc()
+
+    def _handle_ask(self, message: AskLimit) -> Message:
+        engine = self._engine_here(message.source)
+        if not engine.give_limit(message.team, message.amount, message.destination):
+            raise RefusalError("nothing-to-give", "no unused allotment")
+        return Acknowledged()
+
+    # Lookup.
+
+    def _engine_here(self, partition: str) -> Engine:
+        engine = self._partitions.engine(partition)
+        if engine is None:
+            raise RefusalError(
+                "not-owner",
+                f"this instance does not serve {partition}",
+                retry_after_s=0.5,
+                peer=self._settings.instance,
+            )
+        return engine
+
+    def _owner_address(self, partition: str) -> str:
+        with self._replica.lock:
+            owner = self._replica.fleet.ownership.owner(partition)
+            member = self._replica.fleet.roster.members.get(owner.instance) if owner else None
+        if owner is None or owner.released or member is None:
+            raise _no_owner(partition)
+        if member.instance == self._settings.instance:
+            raise _no_owner(partition)
+        return member.address
+
+    def _known_partitions(self) -> list[str]:
+        with self._replica.lock:
+            return list(self._replica.fleet.ledger.partitions)
+
+    def _partitions_nearest_first(self) -> list[str]:
+        own = list(self._settings.partitions)
+        here = [p for p in own if self._partitions.engine(p) is not None]
+        near = here + [p for p in own if p not in here]
+        return near + [p for p in self._known_partitions() if p not in near]
+
+    def _partition_of(self, job_id: str) -> str:
+        partition = job_id.rpartition("-")[0]
+        if partition not in self._known_partitions():
+            raise RefusalError("not-found", f"no job {job_id!r}", status=404)
+        return partition
+
+
+def _no_owner(partition: str) -> RefusalError:
+    return RefusalError(
+        "no-owner",
+        f"no instance serves partition {partition!r} now",
+        retry_after_s=1.0,
+        step="route",
+        peer=partition,
+    )
+
+
+def _refusal_from(answer: Message, peer: str) -> RefusalError:
+    if not isinstance(answer, RefusalAnswer):
+        return RefusalError(
+            "outcome-unknown", "unexpected answer of a peer", ran=Ran.UNKNOWN, status=502, peer=peer
+        )
+    retry_after_s = answer.retry_after_s if answer.retry_after_s >= 0 else None
+    return RefusalError(
+        answer.code,
+        answer.detail,
+        ran=Ran(answer.ran),
+        status=status_for(answer.code),
+        retry_after_s=retry_after_s,
+        step="forward",
+        peer=peer,
+    )
--- /dev/null
+++ b/libs/daemon/src/azurecleat_daemon/_internal/settings.py
@@ -0,0 +1,97 @@
+"""Settings of an entry instance, read from JSON with comments."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from typing import Annotated, NamedTuple
+
+from azurecleat_model import Name, parse_jsonc, validate
+from azurecleat_model.exceptions import DocumentError
+from pydantic import Field, TypeAdapter
+
+Address = Annotated[str, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+Seconds = Annotated[float, Field(gt=0, le=3600)]
+
+
+class Timing(NamedTuple):
+    """Leases, bounds and periods in seconds.
+
+    ``lease_s`` is how long targets honour an owner's renewal, ``key_bound_s`` the time within
+    which a withdrawn key stops working everywhere, ``log_read_lag_s`` the largest lag of the
+    log's replicas, ``status_s`` the period of heartbeats within the availability zone, and
+    ``remote_status_s`` that between zones while the log is reachable.
+    """
+
+    lease_s: Seconds = 15.0
+    key_bound_s: Seconds = 5.0
+    log_read_lag_s: Annotated[float, Field(ge=0, le=60)] = 0.5
+    poll_s: Seconds = 1.0
+    status_s: Seconds = 1.0
+    remote_status_s: Seconds = 10.0
+    list_s: Seconds = 1.0
+    request_deadline_s: Seconds = 30.0
+
+
+class Bounds(NamedTuple):
+    """Sizes that protect the instance."""
+
+    callers: Annotated[int, Field(ge=1, le=1000)] = 128
+    body_bytes: Annotated[int, Field(ge=1, le=1 << 20)] = 256 << 10
+    snapshot_every: Annotated[int, Field(ge=10, le=1_000_000)] = 2000
+
+
+class EntrySettings(NamedTuple):
+    """Everything an entry instance is told."""
+
+    instance: Name
+    zone: Name
+    callers: Address
+    peers: Address
+    log: Address
+    instances: Address
+    partitions: tuple[Name, ...]
+    operator_sha256: Annotated[str, Field(pattern=r"^([0-9a-f]{64})?$")] = ""
+    timing: Timing = Timing()
+    bounds: Bounds = Bounds()
+    log_level: Annotated[str, Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
+
+
+_ADAPTER = TypeAdapter(EntrySettings)
+
+
+def parse_settings(text: str, source: str = "settings") -> EntrySettings:
+    """Parses and checks settings.
+
+    :raises DocumentError: Names the offending field.
+    """
+    settings = validate(_ADAPTER, parse_jsonc(text, source), source)
+    if not settings.partitions:
+        raise DocumentError("partitions: at least one is needed", step="check")
+    if settings.timing.log_read_lag_s >= settings.timing.key_bound_s:
+        raise DocumentError("timing.log_read_lag_s must be below key_bound_s", step="check")
+    for address in (settings.callers, settings.peers, settings.log, settings.instances):
+        _check_address(address)
+    return settings
+
+
+def load_settings(path: Path) -> EntrySettings:
+    """Reads a settings file.
+
+    :raises DocumentError: The file cannot be read or is not valid.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise DocumentError(
+            f"cannot read settings {path}: {error}",
+            step="settings.read",
+            hint="name a readable file with --settings, or use --standalone",
+        ) from None
+    return parse_settings(text, str(path))
+
+
+def _check_address(address: str) -> None:
+    numbers = [int(number) for number in re.findall(r"\d+", address)]
+    if max(numbers[:4]) > 255 or numbers[4] > 65_535:
+        raise DocumentError(f"{address!r} is not an IP address with a port", step="check")
--- /dev/null
+++ b/libs/model/src/azurecleat_model/_internal/documents.py
@@ -0,0 +1,134 @@
+"""The environment document: teams, keys, shares, limits and policies of one environment.
+
+Written as JSON with comments, checked against the types below. Unknown fields are refused so
+that a misspelt limit cannot pass for no limit.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import secrets
+from typing import Annotated, Any, NamedTuple, TypeVar
+
+import jsonc
+from pydantic import Field, TypeAdapter, ValidationError
+
+from azurecleat_model._internal.exceptions import DocumentError
+from azurecleat_model._internal.resources import Quota
+from azurecleat_model._internal.work import Name
+
+T = TypeVar("T")
+KEY_BYTES = 24
+MAX_PROBLEMS_SHOWN = 8
+
+
+class KeyHash(NamedTuple):
+    """A team's key as kept in the document: never the secret, only its SHA-256."""
+
+    id: Name
+    sha256: Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+
+
+class Team(NamedTuple):
+    """A customer: its share when all is full, its upper limit, and its keys."""
+
+    name: Name
+    share: Annotated[float, Field(gt=0, le=1e6)]
+    limit: Quota = Quota()
+    queue_limit: Annotated[int, Field(ge=1, le=1_000_000)] = 100_000
+    keys: tuple[KeyHash, ...] = ()
+    open: bool = False
+
+
+class Scheduling(NamedTuple):
+    """The trade-off between waiting time and nearness to share.
+
+    ``waiting_weight`` 0 orders teams by share alone, 1 by time of submission alone.
+    ``usage_half_life_s`` is the time in which past usage loses half its weight.
+    """
+
+    waiting_weight: Annotated[float, Field(ge=0, le=1)] = 0.3
+    usage_half_life_s: Annotated[float, Field(gt=0, le=86_400)] = 600.0
+    reserve_after_s: Annotated[float, Field(gt=0, le=3600)] = 5.0
+
+
+class Environment(NamedTuple):
+    """The whole document of one environment."""
+
+    environment: Name
+    teams: tuple[Team, ...]
+    scheduling: Scheduling = Scheduling()
+
+    def team(self, name: str) -> Team | None:
+        """Returns the team of that name, or None."""
+        return next((team for team in self.teams if team.name == name), None)
+
+
+def validate(adapter: TypeAdapter[T], value: Any, what: str) -> T:
+    """Checks ``value`` against a type.
+
+    :param what: Name of the thing checked, for the error message.
+    :raises DocumentError: Names each offending field.
+    """
+    try:
+        return adapter.validate_python(value)
+    except ValidationError as error:
+        problems = error.errors(include_url=False, include_input=False)
+        lines = [f"{'.'.join(map(str, p['loc'])) or '(top)'}: {p['msg']}" for p in problems]
+        shown = "; ".join(lines[:MAX_PROBLEMS_SHOWN])
+        raise DocumentError(f"{what} is not valid: {shown}", step="check") from None
+
+
+def parse_jsonc(text: str, what: str) -> Any:
+    """Parses JSON with comments.
+
+    :raises DocumentError: With line and column of the first syntax error.
+    """
+    try:
+        return jsonc.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise DocumentError(f"{what} is not JSON: {error}", step="parse") from None
+
+
+_ENVIRONMENT = TypeAdapter(Environment)
+
+
+def environment_from_value(value: Any) -> Environment:
+    """Checks a parsed environment document.
+
+    :raises DocumentError: The document breaks the schema or names a team or key twice.
+    """
+    document = validate(_ENVIRONMENT, value, "environment document")
+    _refuse_doubles([team.name for team in document.teams], "team")
+    _refuse_doubles([key.id for team in document.teams for key in team.keys], "key id")
+    return document
+
+
+def parse_environment(text: str) -> Environment:
+    """Parses and checks an environment document written as JSON with comments."""
+    return environment_from_value(parse_jsonc(text, "environment document"))
+
+
+def _refuse_doubles(names: list[str], what: str) -> None:
+    seen: set[str] = set()
+    for name in names:
+        if name in seen:
+            raise DocumentError(f"{what} {name!r} appears twice", step="check")
+        seen.add(name)
+
+
+def generate_key(key_id: str) -> tuple[str, KeyHash]:
+    """Returns a new bearer token and the hash to put into the document."""
+    token = f"{key_id}:{secrets.token_urlsafe(KEY_BYTES)}"
+    return token, KeyHash(key_id, hash_token(token))
+
+
+def hash_token(token: str) -> str:
+    """Returns the SHA-256 of a bearer token. Tokens are random, so no slow hash is needed."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def token_matches(token: str, key: KeyHash) -> bool:
+    """Compares a bearer token with a stored hash in constant time."""
+    return hmac.compare_digest(hash_token(token), key.sha256)
--- /dev/null
+++ b/libs/model/src/azurecleat_model/_internal/resources.py
@@ -0,0 +1,83 @@
+"""Amounts of worker capacity and of team limits."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+UNLIMITED = 1 << 40
+"""A quota dimension that never binds."""
+
+
+class Resources(NamedTuple):
+    """Capacity of a worker or need of a task.
+
+    ``cpu_milli`` is in thousandths of a core, ``memory_mb`` in MiB, ``accelerators`` in devices.
+    """
+
+    cpu_milli: int
+    memory_mb: int
+    accelerators: int = 0
+
+    def fits_in(self, free: Resources) -> bool:
+        """Tells whether every dimension is at most that of ``free``."""
+        return (
+            self.cpu_milli <= free.cpu_milli
+            and self.memory_mb <= free.memory_mb
+            and self.accelerators <= free.accelerators
+        )
+
+    def plus(self, other: Resources, times: int = 1) -> Resources:
+        """Returns this amount plus ``times`` times ``other``."""
+        return Resources(
+            self.cpu_milli + times * other.cpu_milli,
+            self.memory_mb + times * other.memory_mb,
+            self.accelerators + times * other.accelerators,
+        )
+
+    def at_least(self, other: Resources) -> Resources:
+        """Returns the larger of both in each dimension."""
+        return Resources(*map(max, self, other))
+
+
+ZERO = Resources(0, 0, 0)
+
+
+class Quota(NamedTuple):
+    """Upper limit on what a team has running at one time, per dimension."""
+
+    requests: int = UNLIMITED
+    tasks: int = UNLIMITED
+    cpu_milli: int = UNLIMITED
+    memory_mb: int = UNLIMITED
+    accelerators: int = UNLIMITED
+
+    def plus(self, other: Quota) -> Quota:
+        return Quota(*(a + b for a, b in zip(self, other, strict=True)))
+
+    def minus(self, other: Quota) -> Quota:
+        return Quota(*(a - b for a, b in zip(self, other, strict=True)))
+
+    def covers(self, other: Quota) -> bool:
+        """Tells whether ``other`` is at most this quota in every dimension."""
+        return all(a >= b for a, b in zip(self, other, strict=True))
+
+    def clamp(self, low: int = 0) -> Quota:
+        return Quota(*(max(low, a) for a in self))
+
+
+NO_QUOTA = Quota(0, 0, 0, 0, 0)
+
+
+def task_quota(resources: Resources, tasks: int = 1) -> Quota:
+    """Returns what ``tasks`` running tasks of this size take from a team's limit."""
+    return Quota(
+        0,
+        tasks,
+        tasks * resources.cpu_milli,
+        tasks * resources.memory_mb,
+        tasks * resources.accelerators,
+    )
+
+
+REQUEST_QUOTA = Quota(1, 0, 0, 0, 0)
+"""What one request in progress takes from a team's limit."""
--- /dev/null
+++ b/libs/peers/src/azurecleat_peers/_internal/codec.py
@@ -0,0 +1,171 @@
+"""Encoding of messages as packed Cap'n Proto."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import capnp
+from azurecleat_coordination import PeerStatus
+from azurecleat_model import Quota
+from azurecleat_model.exceptions import FrameError
+
+from azurecleat_peers._internal import messages as m
+
+PROTOCOL_VERSION = 1
+
+_schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
+
+
+class Framed(NamedTuple):
+    """A message with the number that correlates question and answer."""
+
+    id: int
+    message: m.Message
+
+
+def encode(framed: Framed) -> bytes:
+    """Encodes a message."""
+    frame = _schema.Frame.new_message(id=framed.id, version=PROTOCOL_VERSION)
+    _fill(frame, framed.message)
+    return frame.to_bytes_packed()
+
+
+def decode(data: bytes) -> Framed:
+    """Decodes a message; one of an unknown kind becomes :class:`Unsupported`.
+
+    :raises FrameError: The bytes are not a frame.
+    """
+    try:
+        frame = _schema.Frame.from_bytes_packed(data)
+        return Framed(frame.id, _message(frame))
+    except (capnp.KjException, UnicodeDecodeError, ValueError) as error:
+        text = str(error).split("\n")[0][:200]
+        raise FrameError(f"frame cannot be decoded: {text}", step="peer.decode") from None
+
+
+def _fill(frame: Any, message: m.Message) -> None:
+    match message:
+        case m.Hello():
+            frame.hello = message._asdict()
+        case m.Status():
+            frame.status = message._asdict()
+        case m.StatusAnswer(status=status):
+            frame.statusAnswer = {
+                "instance": status.instance,
+                "incarnation": status.incarnation,
+                "logAgeS": status.log_age_s,
+                "configurationAt": status.configuration_at,
+                "rosterAt": status.roster_at,
+                "pending": list(status.pending),
+                "vouches": status.vouches,
+            }
+        case m.Withdraw():
+            frame.withdraw = {"keyId": message.key_id}
+        case m.RunRequest():
+            frame.runRequest = {
+                "partition": message.partition,
+                "requestId": message.request_id,
+                "team": message.team,
+                "body": message.body,
+                "deadlineS": message.deadline_s,
+                "repeatable": message.repeatable,
+                "idempotencyKey": message.idempotency_key,
+            }
+        case m.RunAnswer():
+            frame.runAnswer = {"body": message.body}
+        case m.Operation():
+            frame.operation = message._asdict()
+        case m.OperationAnswer():
+            frame.operationAnswer = {"body": message.body}
+        case m.RefusalAnswer():
+            frame.refusal = {
+                "code": message.code,
+                "detail": message.detail,
+                "ran": message.ran,
+                "retryAfterS": message.retry_after_s,
+            }
+        case m.Unsupported():
+            frame.unsupported = None
+        case m.AskLimit():
+            frame.askLimit = {**message._asdict(), "amount": list(message.amount)}
+        case m.Goodbye():
+            frame.goodbye = message._asdict()
+        case m.Acknowledged():
+            frame.acknowledged = None
+        case m.FetchConfiguration():
+            frame.fetchConfiguration = None
+        case m.ConfigurationAnswer():
+            frame.configuration = message.data
+
+
+def _message(frame: Any) -> m.Message:
+    try:
+        kind = frame.which()
+    except capnp.KjException:
+        return m.Unsupported()
+    match str(kind):
+        case "hello":
+            value = frame.hello
+            return m.Hello(value.instance, value.incarnation, value.zone)
+        case "status":
+            return m.Status(frame.status.instance, frame.status.incarnation)
+        case "statusAnswer":
+            return m.StatusAnswer(_status(frame.statusAnswer))
+        case "withdraw":
+            return m.Withdraw(frame.withdraw.keyId)
+        case "runRequest":
+            return _run_request(frame.runRequest)
+        case "runAnswer":
+            return m.RunAnswer(bytes(frame.runAnswer.body))
+        case "operation":
+            op = frame.operation
+            return m.Operation(op.partition, op.name, op.team, op.subject, op.body)
+        case "operationAnswer":
+            return m.OperationAnswer(frame.operationAnswer.body)
+        case "refusal":
+            value = frame.refusal
+            return m.RefusalAnswer(value.code, value.detail, value.ran, value.retryAfterS)
+        case "askLimit":
+            return _ask_limit(frame.askLimit)
+        case "goodbye":
+            return m.Goodbye(frame.goodbye.instance, frame.goodbye.incarnation)
+        case "acknowledged":
+            return m.Acknowledged()
+        case "fetchConfiguration":
+            return m.FetchConfiguration()
+        case "configuration":
+            return m.ConfigurationAnswer(bytes(frame.configuration))
+        case _:
+            return m.Unsupported()
+
+
+def _status(value: Any) -> PeerStatus:
+    return PeerStatus(
+        value.instance,
+        value.incarnation,
+        value.logAgeS,
+        value.configurationAt,
+        value.rosterAt,
+        tuple(value.pending),
+        value.vouches,
+    )
+
+
+def _run_request(value: Any) -> m.RunRequest:
+    return m.RunRequest(
+        value.partition,
+        value.requestId,
+        value.team,
+        bytes(value.body),
+        value.deadlineS,
+        value.repeatable,
+        value.idempotencyKey,
+    )
+
+
+def _ask_limit(value: Any) -> m.AskLimit:
+    amount = list(value.amount)
+    if len(amount) != len(Quota._fields):
+        raise ValueError("wrong number of quota dimensions")
+    return m.AskLimit(value.source, value.destination, value.team, Quota(*amount))
--- /dev/null
+++ b/libs/peers/src/azurecleat_peers/_internal/network.py
@@ -0,0 +1,186 @@
+"""Calls to other instances over TCP, one connection and one reading thread per peer."""
+
+from __future__ import annotations
+
+import itertools
+import socket
+import threading
+from concurrent.futures import Future, InvalidStateError
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from typing import Protocol
+
+from azurecleat_model.events import PEER_CONNECTED, PEER_LOST, log_event
+from azurecleat_model.exceptions import (
+    FrameError,
+    PeerAnswerLostError,
+    PeerNotSentError,
+)
+
+from azurecleat_peers._internal.codec import Framed, decode, encode
+from azurecleat_peers._internal.framing import receive_frame, send_frame
+from azurecleat_peers._internal.messages import Hello, Message
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class ConnectionRefusedByHostError(PeerNotSentError):
+    """The host answered that no process listens at the address."""
+
+
+class PeerNetwork(Protocol):
+    """Way to call other instances."""
+
+    def call(self, address: str, message: Message, timeout_s: float) -> Message:
+        """Sends a message and returns its answer.
+
+        :raises PeerNotSentError: Nothing was sent.
+        :raises PeerAnswerLostError: It was sent, and no answer came in time.
+        """
+
+    def forget(self, address: str) -> None:
+        """Closes the connection to an instance that is gone."""
+
+
+class _Connection:
+    """One connection; answers reach the caller with the same number, or nobody."""
+
+    def __init__(self, address: str, hello: Hello) -> None:
+        self._address = address
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, Future[Message]] = {}
+        self._lock = threading.Lock()
+        self._closed = False
+        self._socket = self._open()
+        self.bytes = 0
+        self._send(Framed(0, hello))
+        threading.Thread(target=self._read, name=f"peer-{address}", daemon=True).start()
+        log_event(PEER_CONNECTED, peer=address)
+
+    @property
+    def is_closed(self) -> bool:
+        return self._closed
+
+    def call(self, message: Message, timeout_s: float) -> Message:
+        number = next(self._numbers)
+        future: Future[Message] = Future()
+        with self._lock:
+            if self._closed:
+                raise PeerNotSentError("not connected", step="peer.send", peer=self._address)
+            self._waiting[number] = future
+        try:
+            self._send(Framed(number, message))
+            return future.result(timeout_s)
+        except FrameError:
+            raise
+        except (OSError, FutureTimeoutError) as error:
+            if isinstance(error, OSError) and not isinstance(error, TimeoutError):
+                self.close(str(error))
+            raise PeerAnswerLostError(
+                f"no answer: {type(error).__name__}", step="peer.receive", peer=self._address
+            ) from error
+        finally:
+            self._waiting.pop(number, None)
+
+    def close(self, reason: str) -> None:
+        with self._lock:
+            if self._closed:
+                return
+            self._closed = True
+            waiting = list(self._waiting.values())
+        try:
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self._socket.close()
+        error = PeerAnswerLostError(
+            f"connection lost: {reason}", step="peer.receive", peer=self._address
+        )
+        for future in waiting:
+            try:
+                future.set_exception(error)
+            except InvalidStateError:
+                pass
+        log_event(PEER_LOST, peer=self._address, error=reason)
+
+    def _open(self) -> socket.socket:
+        host, _, port = self._address.rpartition(":")
+        try:
+            connection = socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S)
+        except ConnectionRefusedError as error:
+            raise ConnectionRefusedByHostError(
+                "connection refused", step="peer.connect", peer=self._address
+            ) from error
+        except OSError as error:
+            raise PeerNotSentError(str(error), step="peer.connect", peer=self._address) from error
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.settimeout(None)
+        return connection
+
+    def _send(self, framed: Framed) -> None:
+        data = encode(framed)
+        with self._lock:
+            self.bytes += send_frame(self._socket, data)
+
+    def _read(self) -> None:
+        reason = "closed by peer"
+        try:
+            while (data := receive_frame(self._socket)) is not None:
+                self.bytes += len(data)
+                framed = decode(data)
+                future = self._waiting.get(framed.id)
+                if future is not None:
+                    _resolve(future, framed.message)
+        except (OSError, FrameError) as error:
+            reason = str(error)
+        self.close(reason)
+
+
+class TcpPeerNetwork:
+    """Keeps one connection per peer, opened when first needed.
+
+    :param hello: Names this instance to its peers.
+    """
+
+    def __init__(self, hello: Hello) -> None:
+        self._hello = hello
+        self._connections: dict[str, _Connection] = {}
+        self._locks: dict[str, threading.Lock] = {}
+        self._lock = threading.Lock()
+
+    @property
+    def bytes(self) -> int:
+        """Bytes sent and received over the open connections."""
+        return sum(connection.bytes for connection in list(self._connections.values()))
+
+    def call(self, address: str, message: Message, timeout_s: float) -> Message:
+        """Sends a message and returns its answer."""
+        return self._connection(address).call(message, timeout_s)
+
+    def forget(self, address: str) -> None:
+        """Closes the connection to an instance that is gone."""
+        connection = self._connections.pop(address, None)
+        if connection is not None:
+            connection.close("instance is gone")
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for address in list(self._connections):
+            self.forget(address)
+
+    def _connection(self, address: str) -> _Connection:
+        with self._lock:
+            lock = self._locks.setdefault(address, threading.Lock())
+        # Connecting may take a second; it must not hold up calls to other peers.
+        with lock:
+            connection = self._connections.get(address)
+            if connection is None or connection.is_closed:
+                connection = _Connection(address, self._hello)
+                self._connections[address] = connection
+            return connection
+
+
+def _resolve(future: Future[Message], message: Message) -> None:
+    try:
+        future.set_result(message)
+    except InvalidStateError:
+        pass
--- /dev/null
+++ b/libs/peers/src/azurecleat_peers/_internal/server.py
@@ -0,0 +1,158 @@
+"""Serves calls of other instances: one thread per connection, and a bounded pool for calls."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from azurecleat_model import Ran
+from azurecleat_model.events import BAD_FRAME, COMPONENT_FAILED, log_event
+from azurecleat_model.exceptions import AzurecleatError, FrameError
+
+from azurecleat_peers._internal.codec import Framed, decode, encode
+from azurecleat_peers._internal.framing import receive_frame, send_frame
+from azurecleat_peers._internal.messages import Hello, Message, RefusalAnswer, RunRequest
+
+MAX_CALLS = 256
+"""Forwarded requests served at one time; more are refused as not run."""
+
+MAX_CONNECTIONS = 256
+HELLO_TIMEOUT_S = 5.0
+
+Handler = Callable[[Message], Message]
+
+
+class PeerServer:
+    """Accepts connections and answers calls.
+
+    Only forwarded requests may take long; they run in a pool. All other messages are answered
+    on the connection's own thread and in order.
+
+    :param address: ``ip:port`` to listen on; port 0 takes a free one.
+    :param handler: Computes the answer of a message.
+    """
+
+    def __init__(self, address: str, handler: Handler) -> None:
+        host, _, port = address.rpartition(":")
+        self._handler = handler
+        self._listener = socket.create_server((host, int(port)), backlog=128)
+        self._pool = ThreadPoolExecutor(MAX_CALLS, thread_name_prefix="peer-call")
+        self._slots = threading.BoundedSemaphore(MAX_CALLS)
+        self._connections: set[socket.socket] = set()
+        self._lock = threading.Lock()
+        self._stopping = False
+        self._thread = threading.Thread(target=self._accept, name="peer-accept", daemon=True)
+
+    @property
+    def address(self) -> str:
+        host, port = self._listener.getsockname()[:2]
+        return f"{host}:{port}"
+
+    def start(self) -> None:
+        """Starts accepting."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stops accepting, finishes calls in progress and closes all connections."""
+        self._stopping = True
+        try:
+            self._listener.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self._listener.close()
+        self._pool.shutdown(wait=True)
+        with self._lock:
+            connections = list(self._connections)
+        for connection in connections:
+            _shut(connection)
+
+    def _accept(self) -> None:
+        while not self._stopping:
+            try:
+                connection, peer = self._listener.accept()
+            except OSError:
+                return
+            with self._lock:
+                accepted = len(self._connections) < MAX_CONNECTIONS
+                if accepted:
+                    self._connections.add(connection)
+            if not accepted:
+                connection.close()
+                continue
+            name = f"{peer[0]}:{peer[1]}"
+            threading.Thread(
+                target=self._serve, args=(connection, name), name=f"from-{name}", daemon=True
+            ).start()
+
+    def _serve(self, connection: socket.socket, name: str) -> None:
+        write_lock = threading.Lock()
+        try:
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection.settimeout(HELLO_TIMEOUT_S)
+            self._expect_hello(connection)
+            connection.settimeout(None)
+            while (data := receive_frame(connection)) is not None:
+                framed = decode(data)
+                if isinstance(framed.message, RunRequest):
+                    self._submit(connection, write_lock, framed)
+                else:
+                    self._answer(connection, write_lock, framed)
+        except FrameError as error:
+            log_event(BAD_FRAME, peer=name, error=error)
+        except OSError:
+            pass
+        finally:
+            with self._lock:
+                self._connections.discard(connection)
+            _shut(connection)
+
+    def _expect_hello(self, connection: socket.socket) -> None:
+        data = receive_frame(connection)
+        if data is None or not isinstance(decode(data).message, Hello):
+            raise FrameError("the first frame is not a hello", step="peer.hello")
+
+    def _submit(self, connection: socket.socket, lock: threading.Lock, framed: Framed) -> None:
+        if not self._slots.acquire(blocking=False):
+            busy = RefusalAnswer("peer-busy", "too many forwarded calls", Ran.NOT_RUN.value, 1.0)
+            self._send(connection, lock, Framed(framed.id, busy))
+            return
+
+        def run() -> None:
+            try:
+                self._answer(connection, lock, framed)
+            finally:
+                self._slots.release()
+
+        try:
+            self._pool.submit(run)
+        except RuntimeError:
+            self._slots.release()
+            stopping = RefusalAnswer("stopping", "instance stops", Ran.NOT_RUN.value, 1.0)
+            self._send(connection, lock, Framed(framed.id, stopping))
+
+    def _answer(self, connection: socket.socket, lock: threading.Lock, framed: Framed) -> None:
+        try:
+            answer = self._handler(framed.message)
+        except AzurecleatError as error:
+            answer = RefusalAnswer("error", str(error), Ran.UNKNOWN.value, -1.0)
+        except Exception as error:  # A handler's bug must not cut off the peer's other calls.
+            log_event(COMPONENT_FAILED, component="peer handler", error=repr(error))
+            answer = RefusalAnswer("internal", "internal error", Ran.UNKNOWN.value, -1.0)
+        self._send(connection, lock, Framed(framed.id, answer))
+
+    def _send(self, connection: socket.socket, lock: threading.Lock, framed: Framed) -> None:
+        with lock:
+            try:
+                send_frame(connection, encode(framed))
+            except OSError:
+                pass
+
+
+def _shut(connection: socket.socket) -> None:
+    try:
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+    connection.close()
--- /dev/null
+++ b/libs/platform/src/azurecleat_platform/__init__.py
@@ -0,0 +1,51 @@
+"""Adapters of the systems around azurecleat: log, instance list, runners and workers."""
+
+from azurecleat_platform._internal.http_exchange import (
+    AnswerLostError,
+    HttpAnswer,
+    HttpExchange,
+    NotSentError,
+)
+from azurecleat_platform._internal.http_log import HttpLog
+from azurecleat_platform._internal.http_targets import (
+    HttpInstanceList,
+    HttpTarget,
+    target_from_plain,
+)
+from azurecleat_platform._internal.types import (
+    ControlReply,
+    ControlRequest,
+    EndedTask,
+    InstanceList,
+    RunnerClient,
+    RunningTask,
+    StopHow,
+    Target,
+    TargetClient,
+    TargetKind,
+    TaskStart,
+    TaskStop,
+)
+
+__all__ = [
+    "AnswerLostError",
+    "ControlReply",
+    "ControlRequest",
+    "EndedTask",
+    "HttpAnswer",
+    "HttpExchange",
+    "HttpInstanceList",
+    "HttpLog",
+    "HttpTarget",
+    "InstanceList",
+    "NotSentError",
+    "RunnerClient",
+    "RunningTask",
+    "StopHow",
+    "Target",
+    "TargetClient",
+    "TargetKind",
+    "TaskStart",
+    "TaskStop",
+    "target_from_plain",
+]
--- /dev/null
+++ b/libs/platform/src/azurecleat_platform/_internal/http_log.py
@@ -0,0 +1,98 @@
+"""Adapter of the platform's log, over HTTP."""
+
+from __future__ import annotations
+
+import base64
+import json
+
+from azurecleat_coordination import ReadResult
+from azurecleat_model.exceptions import (
+    AppendUnknownError,
+    LogUnavailableError,
+    OffsetForgottenError,
+)
+
+from azurecleat_platform._internal.http_exchange import (
+    AnswerLostError,
+    HttpAnswer,
+    HttpExchange,
+    NotSentError,
+)
+
+STATUS_OK = 200
+STATUS_GONE = 410
+STATUS_UNAVAILABLE = 503
+
+
+class HttpLog:
+    """The log behind an HTTP address.
+
+    :param address: ``host:port`` of the log.
+    :param timeout_s: Seconds to wait for an answer.
+    """
+
+    def __init__(self, address: str, timeout_s: float = 2.0) -> None:
+        self._exchange = HttpExchange(address)
+        self._timeout_s = timeout_s
+
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of bodies sent and received so far."""
+        return self._exchange.body_bytes
+
+    def append(self, data: bytes) -> int:
+        """Appends one entry and returns its offset."""
+        try:
+            answer = self._exchange.call("POST", "/append", data, timeout_s=self._timeout_s)
+        except NotSentError as error:
+            raise self._unavailable("log.append", error) from error
+        except AnswerLostError as error:
+            raise AppendUnknownError(
+                f"the answer to an append was lost: {error}",
+                step="log.append",
+                peer=self._exchange.address,
+            ) from error
+        if answer.status == STATUS_UNAVAILABLE:
+            raise self._unavailable("log.append", "the log refuses appends")
+        if answer.status != STATUS_OK:
+            raise AppendUnknownError(
+                f"unexpected status {answer.status}",
+                step="log.append",
+                peer=self._exchange.address,
+            )
+        return int(json.loads(answer.body)["offset"])
+
+    def read(self, offset: int, limit: int) -> ReadResult:
+        """Reads entries from an offset on."""
+        answer = self._get(f"/read?offset={offset}&limit={limit}")
+        if answer.status == STATUS_GONE:
+            raise OffsetForgottenError(
+                f"offset {offset} is older than retention",
+                step="log.read",
+                peer=self._exchange.address,
+            )
+        value = json.loads(answer.body)
+        entries = tuple((at, base64.b64decode(data)) for at, data in value["entries"])
+        return ReadResult(entries, value["tail"])
+
+    def first_offset(self) -> int:
+        """Returns the oldest offset still held."""
+        return int(json.loads(self._get("/first").body)["first"])
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._exchange.close()
+
+    def _get(self, path: str) -> HttpAnswer:
+        try:
+            answer = self._exchange.call("GET", path, timeout_s=self._timeout_s)
+        except (NotSentError, AnswerLostError) as error:
+            raise self._unavailable("log.read", error) from error
+        if answer.status not in (STATUS_OK, STATUS_GONE):
+            raise self._unavailable("log.read", f"status {answer.status}")
+        return answer
+
+    def _unavailable(self, step: str, error: object) -> LogUnavailableError:
+        return LogUnavailableError(
+            f"the log is not available: {error}", step=step, peer=self._exchange.address
+        )
--- /dev/null
+++ b/libs/platform/src/azurecleat_platform/_internal/http_targets.py
@@ -0,0 +1,146 @@
+"""Adapters of runners, workers and the instance list, over HTTP."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from azurecleat_model import Resources, to_plain
+from azurecleat_model.exceptions import (
+    FencedError,
+    LogUnavailableError,
+    NotRunError,
+    OutcomeUnknownError,
+)
+
+from azurecleat_platform._internal.http_exchange import (
+    AnswerLostError,
+    HttpAnswer,
+    HttpExchange,
+    NotSentError,
+)
+from azurecleat_platform._internal.types import (
+    ControlReply,
+    ControlRequest,
+    EndedTask,
+    RunningTask,
+    Target,
+    TargetKind,
+)
+
+STATUS_OK = 200
+CONTROL_TIMEOUT_S = 2.0
+
+
+class HttpTarget:
+    """A runner or worker behind an HTTP address.
+
+    :param name: Name of the target, for errors.
+    :param address: ``host:port`` of the target.
+    """
+
+    def __init__(self, name: str, address: str) -> None:
+        self._name = name
+        self._exchange = HttpExchange(address)
+
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of bodies sent and received so far."""
+        return self._exchange.body_bytes
+
+    def control(self, request: ControlRequest) -> ControlReply:
+        """Renews the lease and hands over commands."""
+        body = json.dumps(_without_defaults(request), separators=(",", ":")).encode()
+        answer = self._call("/control", body, {}, CONTROL_TIMEOUT_S, "target.control")
+        return _reply_from(json.loads(answer.body))
+
+    def run(self, request_id: str, epoch: int, body: bytes, timeout_s: float) -> bytes:
+        """Runs one request and returns its whole answer."""
+        headers = {"X-Request-Id": request_id, "X-Epoch": str(epoch)}
+        return self._call("/run", body, headers, timeout_s, "runner.run").body
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._exchange.close()
+
+    def _call(
+        self, path: str, body: bytes, headers: dict[str, str], timeout_s: float, step: str
+    ) -> HttpAnswer:
+        try:
+            answer = self._exchange.call("POST", path, body, headers, timeout_s)
+        except NotSentError as error:
+            raise NotRunError(f"not sent: {error}", step=step, peer=self._name) from error
+        except AnswerLostError as error:
+            raise OutcomeUnknownError(
+                f"answer lost: {error}", step=step, peer=self._name
+            ) from error
+        match answer.status:
+            case 200:
+                return answer
+            case 409:
+                epoch = int(json.loads(answer.body)["epoch"])
+                detail = f"epoch {epoch} has control"
+                raise FencedError(detail, epoch=epoch, step=step, peer=self._name)
+            case 503:
+                raise NotRunError(_text(answer), step=step, peer=self._name)
+            case status:
+                raise OutcomeUnknownError(f"status {status}", step=step, peer=self._name)
+
+
+class HttpInstanceList:
+    """The platform's instance list behind an HTTP address."""
+
+    def __init__(self, address: str, timeout_s: float = 2.0) -> None:
+        self._exchange = HttpExchange(address)
+        self._timeout_s = timeout_s
+
+    def targets(self) -> list[Target]:
+        """Returns the runners and workers listed now."""
+        try:
+            answer = self._exchange.call("GET", "/instances", timeout_s=self._timeout_s)
+        except (NotSentError, AnswerLostError) as error:
+            raise self._unavailable(str(error)) from error
+        if answer.status != STATUS_OK:
+            raise self._unavailable(f"status {answer.status}")
+        return [target_from_plain(value) for value in json.loads(answer.body)["targets"]]
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._exchange.close()
+
+    def _unavailable(self, problem: str) -> LogUnavailableError:
+        return LogUnavailableError(
+            f"the instance list is not available: {problem}",
+            step="list.read",
+            peer=self._exchange.address,
+        )
+
+
+def target_from_plain(value: dict[str, Any]) -> Target:
+    """Rebuilds a target from its plain form."""
+    fields = dict(value)
+    fields["kind"] = TargetKind(fields["kind"])
+    fields["capacity"] = Resources(**fields["capacity"])
+    return Target(**fields)
+
+
+def _without_defaults(request: ControlRequest) -> dict[str, Any]:
+    defaults = ControlRequest._field_defaults
+    plain = to_plain(request)
+    return {k: v for k, v in plain.items() if k not in defaults or v != to_plain(defaults[k])}
+
+
+def _reply_from(value: dict[str, Any]) -> ControlReply:
+    running = value.get("running")
+    if running is not None:
+        running = tuple(RunningTask(task, Resources(*used)) for task, used in running)
+    return ControlReply(
+        version=value["version"],
+        running=running,
+        ended=tuple(EndedTask(task, result) for task, result in value.get("ended", ())),
+        refused=tuple(value.get("refused", ())),
+    )
+
+
+def _text(answer: HttpAnswer) -> str:
+    return answer.body.decode(errors="replace")[:200]
--- /dev/null
+++ b/libs/policy/src/azurecleat_policy/_internal/bookkeeping.py
@@ -0,0 +1,417 @@
+"""What both schedulers share: jobs, teams, workers and the consequences of events.
+
+How the next candidate and its workers are found is left to subclasses, so that the indexed
+scheduler can be compared with a brute-force one decision by decision.
+"""
+
+from __future__ import annotations
+
+import heapq
+from typing import NamedTuple
+
+from azurecleat_model import Job, JobKind, Quota, Resources, Scheduling, task_quota
+
+from azurecleat_policy._internal.admission import check_fits_limit, check_fits_workers
+from azurecleat_policy._internal.estimator import Estimator
+from azurecleat_policy._internal.jobs import Lane, PolicyJob, RunningTask, Shape
+from azurecleat_policy._internal.ranking import DECAY_STEP_S, score
+from azurecleat_policy._internal.teams import TeamState
+from azurecleat_policy._internal.types import (
+    Ended,
+    Refused,
+    TaskResult,
+    TeamPolicy,
+    WorkerPolicy,
+)
+from azurecleat_policy._internal.workers import Worker, WorkerTable
+
+MAX_ATTEMPTS = 3
+"""Failures charged to a task before it is given up."""
+
+RETRY_AFTER_FULL_QUEUE_S = 5.0
+
+
+class Adopted(NamedTuple):
+    """A task found running on a worker after a take-over."""
+
+    index: int
+    worker: str
+
+
+class Bookkeeping:
+    """State of a partition's scheduling and its transitions.
+
+    Not thread-safe; all times are seconds on one monotonic clock.
+
+    :param scheduling: The documented trade-off settings.
+    """
+
+    def __init__(self, scheduling: Scheduling) -> None:
+        self._scheduling = scheduling
+        self._workers = WorkerTable()
+        self._teams: dict[str, TeamState] = {}
+        self._jobs: dict[str, PolicyJob] = {}
+        self._estimator = Estimator()
+        self._deadlines: list[tuple[float, int, PolicyJob]] = []
+        self._sequence = 0
+        self._decayed_at = 0.0
+        self._suspects: list[str] = []
+
+    @property
+    def waiting_tasks(self) -> int:
+        return sum(team.waiting for team in self._teams.values())
+
+    @property
+    def jobs(self) -> dict[str, PolicyJob]:
+        return self._jobs
+
+    @property
+    def teams(self) -> dict[str, TeamState]:
+        return self._teams
+
+    @property
+    def workers(self) -> dict[str, Worker]:
+        return self._workers.by_name
+
+    def take_suspects(self) -> list[str]:
+        """Returns the workers put on probation since the last call."""
+        suspects, self._suspects = self._suspects, []
+        return suspects
+
+    def set_scheduling(self, scheduling: Scheduling) -> None:
+        """Changes the trade-off settings."""
+        self._scheduling = scheduling
+        self._all_ranks_changed()
+
+    def set_team(self, policy: TeamPolicy) -> None:
+        """Adds a team or changes its share and limits."""
+        team = self._teams.get(policy.name)
+        if team is None:
+            self._teams[policy.name] = TeamState(policy)
+            self._share_out()
+            return
+        share_changed = team.policy.share != policy.share
+        if team.policy == policy:
+            return
+        team.policy = policy
+        if share_changed:
+            self._share_out()
+        else:
+            self._team_changed(team)
+
+    def remove_team(self, name: str) -> None:
+        """Stops giving a team anything; its running tasks go on until they end."""
+        team = self._teams.get(name)
+        if team is not None:
+            self.set_team(team.policy._replace(limit=Quota(0, 0, 0, 0, 0)))
+
+    def add_worker(self, policy: WorkerPolicy) -> None:
+        """Adds a worker, or changes the capacity of an idle one."""
+        if policy.name in self._workers.by_name:
+            return
+        worker = self._workers.add(policy)
+        self._all_ranks_changed()
+        self._capacity_freed(worker)
+
+    def remove_worker(self, name: str, now: float) -> list[Ended]:
+        """Removes a worker; its tasks count as lost."""
+        worker = self._workers.by_name.get(name)
+        if worker is None:
+            return []
+        ended = [
+            self.finish(job_id, index, TaskResult.LOST, now) for job_id, index in list(worker.tasks)
+        ]
+        self._workers.remove(name)
+        self._all_ranks_changed()
+        self._worker_closed(worker)
+        return ended
+
+    def set_draining(self, name: str, draining: bool) -> None:
+        """Stops or resumes placing tasks on a worker."""
+        worker = self._workers.by_name[name]
+        if worker.draining == draining:
+            return
+        worker.draining = draining
+        self._workers.sync(worker)
+        if draining:
+            self._worker_closed(worker)
+        else:
+            self._capacity_freed(worker)
+
+    def check(self, job: Job) -> Refused | None:
+        """Tells why a job would not be taken now, or returns None."""
+        team = self._teams.get(job.team)
+        if team is None:
+            return Refused("unknown-team", f"no team {job.team!r}")
+        places = job.spec.tasks if job.spec.kind is JobKind.ALL_AT_ONCE else 1
+        refused = check_fits_limit(job, places, team.policy.fleet_limit)
+        refused = refused or check_fits_workers(job, places, self._workers.live())
+        if refused:
+            return refused
+        if team.waiting + job.spec.tasks > team.policy.queue_limit:
+            limit = team.policy.queue_limit
+            detail = f"{team.waiting} tasks wait, the queue limit is {limit}"
+            return Refused("queue-full", detail, RETRY_AFTER_FULL_QUEUE_S)
+        return None
+
+    def submit(self, job: Job, waiting: list[int] | None = None) -> None:
+        """Queues a job that was accepted.
+
+        :param waiting: Indexes of the tasks still to run; None for all.
+        """
+        if job.job_id in self._jobs:
+            return
+        indexes = list(range(job.spec.tasks)) if waiting is None else list(waiting)
+        # The next task is popped from the end.
+        indexes.reverse()
+        self._sequence += 1
+        queued = PolicyJob(job, self._sequence, self._shape(job, len(indexes)), indexes)
+        self._jobs[job.job_id] = queued
+        if job.spec.deadline_s is not None:
+            deadline = job.submitted_at + job.spec.deadline_s
+            heapq.heappush(self._deadlines, (deadline, self._sequence, queued))
+        self._teams[job.team].waiting += len(indexes)
+        self._enqueue(queued)
+
+    def adopt(self, job_id: str, tasks: list[Adopted], now: float) -> None:
+        """Counts tasks found running, which then do not wait any more."""
+        job = self._jobs[job_id]
+        for index, name in tasks:
+            worker = self._workers.by_name[name]
+            if index in job.waiting:
+                job.waiting.remove(index)
+                self._teams[job.job.team].waiting -= 1
+                self._place(job, index, worker, now)
+        if job.waiting:
+            self._reshape(job)
+        self._team_changed(self._teams[job.job.team])
+
+    def drop_waiting(self, job_id: str, index: int) -> None:
+        """Removes a waiting task that must not start any more."""
+        job = self._jobs.get(job_id)
+        if job is None or index not in job.waiting:
+            return
+        job.waiting.remove(index)
+        self._teams[job.job.team].waiting -= 1
+        if job.waiting:
+            self._reshape(job)
+        elif not job.running:
+            del self._jobs[job_id]
+            self._job_gone(job)
+
+    def cancel(self, job_id: str) -> list[tuple[int, str]]:
+        """Drops the waiting tasks of a job in constant time.
+
+        :return: Index and worker of its running tasks, which the caller has to stop.
+        """
+        job = self._jobs.get(job_id)
+        if job is None:
+            return []
+        self._teams[job.job.team].waiting -= len(job.waiting)
+        job.waiting = []
+        job.live = False
+        self._job_gone(job)
+        if not job.running:
+            del self._jobs[job_id]
+        return [(index, self.worker_name(task)) for index, task in job.running.items()]
+
+    def finish(self, job_id: str, index: int, result: TaskResult, now: float) -> Ended:
+        """Ends an attempt of a task and decides whether there is another one."""
+        job = self._jobs.get(job_id)
+        task = job.running.pop(index, None) if job else None
+        if job is None or task is None:
+            return Ended(job_id, index, None)
+        worker = self._workers.slots[task.worker]
+        assert worker is not None
+        del worker.tasks[(job_id, index)]
+        worker.free = worker.free.plus(task.held)
+        self._judge(worker, job, task, result, now)
+        self._workers.sync(worker)
+        team = self._teams[job.job.team]
+        team.free(task_quota(task.size), task.held, self._workers.total)
+        final = self._final_result(job, index, result, worker)
+        if final is None and job.live:
+            self._requeue(job, index)
+        self._capacity_freed(worker)
+        self._team_changed(team)
+        if not job.running and not job.waiting:
+            self._jobs.pop(job_id, None)
+            self._job_gone(job)
+        return Ended(job_id, index, final)
+
+    def report(self, job_id: str, index: int, used: Resources) -> None:
+        """Takes a usage report: a task holds the larger of its declared and reported size."""
+        job = self._jobs.get(job_id)
+        task = job.running.get(index) if job else None
+        if job is None or task is None:
+            return
+        held = task.size.at_least(used)
+        if held == task.held:
+            return
+        if not used.fits_in(task.size):
+            self._estimator.observe_peak(job.job, held)
+        worker = self._workers.slots[task.worker]
+        assert worker is not None
+        grew = not held.fits_in(task.held)
+        worker.free = worker.free.plus(task.held).plus(held, -1)
+        team = self._teams[job.job.team]
+        team.held = team.held.plus(task.held, -1).plus(held)
+        task.held = held
+        team.update_rank(self._workers.total)
+        self._workers.sync(worker)
+        self._team_changed(team)
+        if not grew:
+            self._capacity_freed(worker)
+
+    def worker_name(self, task: RunningTask) -> str:
+        """Returns the name of the worker that a task was placed on."""
+        worker = self._workers.slots[task.worker]
+        assert worker is not None
+        return worker.policy.name
+
+    def blocked_by_limit(self) -> dict[str, Quota]:
+        """Returns the teams with work that only their limit keeps back, and what it needs."""
+        blocked = {}
+        for name, team in self._teams.items():
+            for lane in team.lanes.values():
+                job = lane.head()
+                if job is not None and not team.has_headroom(job):
+                    blocked[name] = job.step_quota
+                    break
+        return blocked
+
+    # Hooks of the search strategies.
+
+    def _lane_changed(self, job: PolicyJob) -> None:
+        """Called when the head of a job's lane may have changed."""
+
+    def _team_changed(self, team: TeamState) -> None:
+        """Called when a team's rank or headroom changed."""
+
+    def _all_ranks_changed(self) -> None:
+        """Called when every team's rank may have changed."""
+        for team in self._teams.values():
+            team.update_rank(self._workers.total)
+
+    def _capacity_freed(self, worker: Worker) -> None:
+        """Called when a worker can take more than before."""
+
+    def _worker_closed(self, worker: Worker) -> None:
+        """Called when a worker takes no more tasks."""
+
+    def _job_gone(self, job: PolicyJob) -> None:
+        """Called when a job has no waiting tasks for good."""
+
+    # Shared steps.
+
+    def _key(self, lane: Lane) -> tuple | None:
+        """Returns the place of a lane in the order, or None if it cannot start anything."""
+        job = lane.head()
+        team = self._teams[lane.team]
+        if job is None or not team.has_headroom(job):
+            return None
+        points = score(team.rank, job.job.submitted_at, self._scheduling.waiting_weight)
+        return (not job.shape.urgent, points, *job.order)
+
+    def _place(self, job: PolicyJob, index: int, worker: Worker, now: float) -> RunningTask:
+        task = RunningTask(job, index, worker.index, now)
+        job.running[index] = task
+        worker.tasks[(job.job.job_id, index)] = task
+        worker.free = worker.free.plus(task.size, -1)
+        self._workers.sync(worker)
+        team = self._teams[job.job.team]
+        team.hold(task_quota(task.size), task.held, self._workers.total)
+        return task
+
+    def _take_expired(self, now: float) -> list[tuple[PolicyJob, list[int]]]:
+        expired = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            job = heapq.heappop(self._deadlines)[2]
+            if not job.live or not job.waiting:
+                continue
+            indexes, job.waiting = job.waiting, []
+            self._teams[job.job.team].waiting -= len(indexes)
+            self._lane_changed(job)
+            self._job_gone(job)
+            if not job.running:
+                self._jobs.pop(job.job.job_id, None)
+            expired.append((job, sorted(indexes)))
+        return expired
+
+    def _decay(self, now: float) -> None:
+        if now - self._decayed_at < DECAY_STEP_S:
+            return
+        elapsed = now - self._decayed_at
+        self._decayed_at = now
+        half_life = self._scheduling.usage_half_life_s
+        for team in self._teams.values():
+            team.decay(elapsed, half_life, self._workers.total)
+        self._all_ranks_changed()
+
+    def _probe(self, now: float) -> None:
+        for worker in self._workers.live():
+            if worker.probation.tick(now):
+                self._workers.sync(worker)
+                self._capacity_freed(worker)
+
+    def _share_out(self) -> None:
+        shares = sum(team.policy.share for team in self._teams.values())
+        for team in self._teams.values():
+            team.entitled = team.policy.share / shares
+        self._all_ranks_changed()
+
+    def _enqueue(self, job: PolicyJob) -> None:
+        team = self._teams[job.job.team]
+        team.lane_for(job.shape).push(job)
+        self._lane_changed(job)
+
+    def _requeue(self, job: PolicyJob, index: int) -> None:
+        self._teams[job.job.team].waiting += 1
+        job.waiting.append(index)
+        self._reshape(job)
+
+    def _reshape(self, job: PolicyJob) -> None:
+        """Moves a job to the lane of what it needs now."""
+        shape = self._shape(job.job, len(job.waiting))
+        former = job.lane
+        if former is not None and shape == job.shape:
+            self._lane_changed(job)
+            return
+        job.lane = None
+        job.shape = shape
+        if former is not None:
+            former_head = former.head()
+            if former_head is not None:
+                self._lane_changed(former_head)
+        self._enqueue(job)
+
+    def _shape(self, job: Job, tasks: int) -> Shape:
+        places = tasks if job.spec.kind is JobKind.ALL_AT_ONCE else 1
+        size = self._estimator.size(job)
+        return Shape(job.spec.urgent, job.spec.kind, size, places, self._estimator.run_s(job))
+
+    def _final_result(
+        self, job: PolicyJob, index: int, result: TaskResult, worker: Worker
+    ) -> TaskResult | None:
+        if result is TaskResult.DONE:
+            return result
+        if result is TaskResult.NOT_STARTED:
+            return None
+        if not job.job.spec.repeatable:
+            return TaskResult.FAILED if result is TaskResult.FAILED else TaskResult.LOST
+        if result is TaskResult.FAILED and not worker.probation.is_active:
+            attempts = job.attempts[index] = job.attempts.get(index, 0) + 1
+            return TaskResult.FAILED if attempts >= MAX_ATTEMPTS else None
+        return None
+
+    def _judge(
+        self, worker: Worker, job: PolicyJob, task: RunningTask, result: TaskResult, now: float
+    ) -> None:
+        if result is TaskResult.DONE:
+            self._estimator.observe_duration(job.job, now - task.started_at)
+            worker.probation.on_success()
+        elif result is TaskResult.FAILED and worker.probation.on_failure(
+            job.job.team, job.job.spec.name, now
+        ):
+            self._suspects.append(worker.policy.name)
+            self._worker_closed(worker)
--- /dev/null
+++ b/libs/policy/src/azurecleat_policy/_internal/candidates.py
@@ -0,0 +1,104 @@
+"""Finds the lane that goes next without looking at all of them.
+
+Lanes of a shape wait together: if the best of them does not fit anywhere, none does, so the
+whole shape is set aside until capacity is freed that it fits into (the idea of equivalence
+classes in A. Verma et al., "Large-scale cluster management at Google with Borg", 2015).
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+
+from azurecleat_policy._internal.jobs import Lane, Shape
+
+Key = tuple
+Entry = tuple[Key, int, int, Lane]
+
+
+class _ShapeQueue:
+    __slots__ = ("shape", "heap", "blocked")
+
+    def __init__(self, shape: Shape) -> None:
+        self.shape = shape
+        self.heap: list[Entry] = []
+        self.blocked = False
+
+
+class CandidateIndex:
+    """Heaps of lanes per shape, and a heap of shapes by their best lane.
+
+    Entries are never removed from within a heap; a lane's ``stamp`` tells the current entry.
+
+    :param key: Computes a lane's place in the order, or None if it has nothing to start.
+    """
+
+    def __init__(self, key: Callable[[Lane], Key | None]) -> None:
+        self._key = key
+        self._shapes: dict[Shape, _ShapeQueue] = {}
+        self._tops: list[tuple[Key, int, _ShapeQueue]] = []
+        self._counter = 0
+
+    def update(self, lane: Lane) -> None:
+        """Puts a lane at its current place, after its head or its team's rank changed."""
+        lane.stamp += 1
+        key = self._key(lane)
+        if key is None:
+            return
+        queue = self._shapes.get(lane.shape)
+        if queue is None:
+            queue = self._shapes[lane.shape] = _ShapeQueue(lane.shape)
+        heapq.heappush(queue.heap, (key, self._next(), lane.stamp, lane))
+        top = self._top(queue)
+        if not queue.blocked and top is not None and top[3] is lane:
+            heapq.heappush(self._tops, (key, self._next(), queue))
+
+    def best(self) -> Lane | None:
+        """Returns the lane that goes first among shapes that are not blocked."""
+        while self._tops:
+            key, _, queue = self._tops[0]
+            top = self._top(queue)
+            if queue.blocked or top is None or top[0] != key:
+                heapq.heappop(self._tops)
+                if not queue.blocked and top is not None and top[0] > key:
+                    heapq.heappush(self._tops, (top[0], self._next(), queue))
+                continue
+            return top[3]
+        return None
+
+    def block(self, shape: Shape) -> None:
+        """Sets a shape aside because its best lane fits nowhere."""
+        self._shapes[shape].blocked = True
+
+    def unblock(self, fits: Callable[[Shape], bool]) -> None:
+        """Brings back the blocked shapes for which ``fits`` holds."""
+        for queue in self._shapes.values():
+            if queue.blocked and fits(queue.shape):
+                queue.blocked = False
+                top = self._top(queue)
+                if top is not None:
+                    heapq.heappush(self._tops, (top[0], self._next(), queue))
+
+    def rebuild(self, lanes: list[Lane]) -> None:
+        """Computes all places anew and drops outdated entries."""
+        blocked = {shape for shape, queue in self._shapes.items() if queue.blocked}
+        self._shapes = {}
+        self._tops = []
+        for lane in lanes:
+            queue = self._shapes.get(lane.shape)
+            if queue is None:
+                queue = self._shapes[lane.shape] = _ShapeQueue(lane.shape)
+                queue.blocked = lane.shape in blocked
+            self.update(lane)
+
+    def _top(self, queue: _ShapeQueue) -> Entry | None:
+        while queue.heap:
+            top = queue.heap[0]
+            if top[2] == top[3].stamp:
+                return top
+            heapq.heappop(queue.heap)
+        return None
+
+    def _next(self) -> int:
+        self._counter += 1
+        return self._counter
--- /dev/null
+++ b/libs/policy/src/azurecleat_policy/_internal/decisions.py
@@ -0,0 +1,250 @@
+"""The decision loop: expiry, reclaiming, starting, reserving and preempting.
+
+Subclasses supply the search; everything here is the policy itself.
+"""
+
+from __future__ import annotations
+
+from azurecleat_model import NO_QUOTA, Quota, Scheduling
+
+from azurecleat_policy._internal.admission import check_fits_limit, check_fits_workers
+from azurecleat_policy._internal.bookkeeping import Bookkeeping
+from azurecleat_policy._internal.jobs import Lane, PolicyJob, RunningTask
+from azurecleat_policy._internal.preemption import Victims, choose_victims
+from azurecleat_policy._internal.reservation import Reservation, plan_reservation
+from azurecleat_policy._internal.types import (
+    Decision,
+    Expire,
+    Reclaim,
+    ReclaimHow,
+    Refused,
+    Start,
+    Wait,
+)
+from azurecleat_policy._internal.workers import Worker
+
+RECLAIM_PATIENCE_S = 1.5
+"""Seconds a task has to give back its capacity before the next harsher step."""
+
+RESERVATION_RECHECK_S = 30.0
+
+
+class DecisionLoop(Bookkeeping):
+    """Turns state into decisions."""
+
+    def __init__(self, scheduling: Scheduling) -> None:
+        super().__init__(scheduling)
+        self._reservation: Reservation | None = None
+        self._reserved_at = 0.0
+        self._reclaiming: dict[tuple[str, int], RunningTask] = {}
+        self._urgent_holds: dict[str, list[str]] = {}
+
+    def decide(self, now: float, max_starts: int = 1_000_000) -> list[Decision]:
+        """Returns the decisions to carry out now, already counted as carried out.
+
+        A start that turns out not to have happened is undone by ``finish`` with
+        ``TaskResult.NOT_STARTED``.
+
+        :param now: Current time in seconds.
+        :param max_starts: Bound on the starts of this call.
+        """
+        decisions: list[Decision] = [
+            Expire(job.job.job_id, tuple(indexes)) for job, indexes in self._take_expired(now)
+        ]
+        self._decay(now)
+        self._probe(now)
+        decisions += self._escalate(now)
+        decisions += self._relieve(now)
+        self._check_reservation(now)
+        starts = 0
+        while starts < max_starts:
+            lane = self._next_lane()
+            if lane is None:
+                break
+            job = lane.head()
+            assert job is not None
+            workers = self._find_workers(job, now)
+            if workers:
+                decisions += self._start(job, workers, now)
+                starts += len(workers)
+            else:
+                decisions += self._on_blocked(job, now)
+        self._reserve(now)
+        return decisions
+
+    def why(self, job_id: str, now: float) -> Wait | None:
+        """Returns what a job waits for, or None if it is not known."""
+        job = self._jobs.get(job_id)
+        if job is None:
+            return None
+        reason, detail = self._reason(job, now)
+        return Wait(job_id, len(job.waiting), len(job.running), reason, detail)
+
+    def impossible(self, limits: dict[str, Quota] | None = None) -> list[tuple[str, Refused]]:
+        """Returns the queued jobs that cannot run in the present fleet.
+
+        :param limits: Fleet-wide limits to judge by; None takes those in force.
+        """
+        found = []
+        for job_id, job in self._jobs.items():
+            if not job.waiting:
+                continue
+            limit = self._teams[job.job.team].policy.fleet_limit
+            if limits is not None:
+                limit = limits.get(job.job.team, NO_QUOTA)
+            refused = check_fits_limit(job.job, job.places, limit)
+            refused = refused or check_fits_workers(job.job, job.places, self._workers.live())
+            if refused and refused.code.startswith("never"):
+                found.append((job_id, refused))
+        return found
+
+    # Search, supplied by subclasses.
+
+    def _next_lane(self) -> Lane | None:
+        """Returns the lane that goes next, or None if nothing can start."""
+        raise NotImplementedError
+
+    def _find_workers(self, job: PolicyJob, now: float) -> list[Worker]:
+        """Returns a worker for each task of the next step of a job, or an empty list."""
+        raise NotImplementedError
+
+    def _preemption_candidates(self, job: PolicyJob) -> list[Worker]:
+        """Returns workers on which preemption would make room for a task."""
+        raise NotImplementedError
+
+    def _block(self, job: PolicyJob, now: float) -> None:
+        """Sets the shape of a job aside until capacity is freed."""
+        raise NotImplementedError
+
+    def _oldest_blocked(self) -> PolicyJob | None:
+        """Returns the job that has waited longest for capacity."""
+        raise NotImplementedError
+
+    # Steps of a decision.
+
+    def _start(self, job: PolicyJob, workers: list[Worker], now: float) -> list[Decision]:
+        team = self._teams[job.job.team]
+        started: list[Decision] = []
+        for worker in workers:
+            index = job.waiting.pop()
+            team.waiting -= 1
+            self._place(job, index, worker, now)
+            started.append(Start(job.job.job_id, index, worker.policy.name, job.shape.size))
+        self._release_holds(job.job.job_id)
+        self._lane_changed(job)
+        self._team_changed(team)
+        return started
+
+    def _on_blocked(self, job: PolicyJob, now: float) -> list[Decision]:
+        self._block(job, now)
+        if not job.shape.urgent or job.places > 1 or job.job.job_id in self._urgent_holds:
+            return []
+        victims = choose_victims(job.shape.size, self._preemption_candidates(job), now)
+        return self._preempt(job, victims, now) if victims else []
+
+    def _preempt(self, job: PolicyJob, victims: Victims, now: float) -> list[Decision]:
+        self._urgent_holds[job.job.job_id] = [victims.worker.policy.name]
+        self._workers.reserve(victims.worker, job.job.job_id, now)
+        return [self._reclaim(task, ReclaimHow.CHECKPOINT, now) for task in victims.tasks]
+
+    def _reclaim(self, task: RunningTask, how: ReclaimHow, now: float) -> Reclaim:
+        task.reclaimed_at = now
+        self._reclaiming[(task.job.job.job_id, task.index)] = task
+        return Reclaim(task.job.job.job_id, task.index, self.worker_name(task), how)
+
+    def _escalate(self, now: float) -> list[Decision]:
+        decisions: list[Decision] = []
+        for key, task in list(self._reclaiming.items()):
+            if task.job.running.get(task.index) is not task:
+                del self._reclaiming[key]
+            elif task.reclaimed_at is not None and now - task.reclaimed_at > RECLAIM_PATIENCE_S:
+                decisions.append(self._reclaim(task, ReclaimHow.STOP, now))
+        return decisions
+
+    def _relieve(self, now: float) -> list[Decision]:
+        """Takes capacity back on workers that reports show to be overcommitted."""
+        decisions: list[Decision] = []
+        for worker in self._workers.live():
+            if min(worker.free) >= 0:
+                continue
+            growing = [t for t in worker.tasks.values() if t.reclaimed_at is None]
+            growing = [t for t in growing if not t.held.fits_in(t.size)]
+            if not growing or any(t.reclaimed_at is not None for t in worker.tasks.values()):
+                continue
+            task = max(growing, key=lambda t: (_excess(t), t.job.sequence, t.index))
+            how = ReclaimHow.CHECKPOINT if worker.free.memory_mb < 0 else ReclaimHow.THROTTLE
+            decisions.append(self._reclaim(task, how, now))
+        return decisions
+
+    def _check_reservation(self, now: float) -> None:
+        reservation = self._reservation
+        if reservation is None:
+            return
+        job = self._jobs.get(reservation.job_id)
+        if job is None or not job.waiting or now - self._reserved_at >= RESERVATION_RECHECK_S:
+            self._end_reservation()
+
+    def _reserve(self, now: float) -> None:
+        if self._reservation is not None:
+            return
+        job = self._oldest_blocked()
+        if job is None or now - job.job.submitted_at < self._scheduling.reserve_after_s:
+            return
+        planned = plan_reservation(job, self._workers.live(), now)
+        if planned is None:
+            return
+        self._reservation = planned
+        self._reserved_at = now
+        for name in planned.workers:
+            worker = self._workers.by_name[name]
+            self._workers.reserve(worker, planned.job_id, planned.until)
+
+    def _release_holds(self, job_id: str) -> None:
+        for name in self._urgent_holds.pop(job_id, ()):
+            self._free_hold(name, job_id)
+        if self._reservation is not None and self._reservation.job_id == job_id:
+            self._end_reservation()
+
+    def _end_reservation(self) -> None:
+        reservation, self._reservation = self._reservation, None
+        assert reservation is not None
+        for name in reservation.workers:
+            self._free_hold(name, reservation.job_id)
+
+    def _free_hold(self, name: str, job_id: str) -> None:
+        worker = self._workers.by_name.get(name)
+        if worker is not None and worker.reserved_for == job_id:
+            self._workers.reserve(worker, None, 0.0)
+            self._capacity_freed(worker)
+
+    def _job_gone(self, job: PolicyJob) -> None:
+        self._release_holds(job.job.job_id)
+
+    def _worker_closed(self, worker: Worker) -> None:
+        if worker.reserved_for is None:
+            return
+        holder = worker.reserved_for
+        self._release_holds(holder)
+
+    def _reason(self, job: PolicyJob, now: float) -> tuple[str, str]:
+        team = self._teams[job.job.team]
+        refused = self.check(job.job)
+        if not job.waiting:
+            return "running", "all tasks are running"
+        if refused and refused.code.startswith("never"):
+            return refused.code, refused.detail
+        if not team.has_headroom(job):
+            return "team-limit", f"in use {tuple(team.used)}, limit {tuple(team.policy.limit)}"
+        if self._reservation is not None and self._reservation.job_id == job.job.job_id:
+            wait_s = max(0.0, self._reservation.until - now)
+            return "reserved", f"workers are kept for it, expected in {wait_s:.0f} s"
+        if not self._find_workers(job, now):
+            return "capacity", "no worker has enough free capacity now"
+        head = job.lane.head() if job.lane else None
+        if head is not None and head is not job:
+            return "behind-own-team", f"job {head.job.job_id} of the same team goes first"
+        return "order", f"teams further below their share go first (rank {team.rank:.2f})"
+
+
+def _excess(task: RunningTask) -> int:
+    return max(held - size for held, size in zip(task.held, task.size, strict=True))
