--- /dev/null
+++ b/libs/policy/src/azurecleat_policy/_internal/jobs.py
@@ -0,0 +1,114 @@
+"""Waiting and running jobs, and the lanes they wait in."""
+
+from __future__ import annotations
+
+import heapq
+from typing import NamedTuple
+
+from azurecleat_model import Job, JobKind, Quota, Resources, task_quota
+
+from azurecleat_policy._internal.kinds import AllOrNone, Placement, placement_for
+
+
+class Shape(NamedTuple):
+    """Everything that decides whether a head of a lane fits; lanes of a shape block together."""
+
+    urgent: bool
+    kind: JobKind
+    size: Resources
+    places: int
+    run_s: float
+
+
+class RunningTask:
+    """One attempt of a task on a worker. ``held`` is max(declared, reported)."""
+
+    __slots__ = ("job", "index", "worker", "size", "held", "started_at", "reclaimed_at")
+
+    def __init__(self, job: PolicyJob, index: int, worker: int, now: float) -> None:
+        self.job = job
+        self.index = index
+        self.worker = worker
+        self.size = job.shape.size
+        self.held = job.shape.size
+        self.started_at = now
+        self.reclaimed_at: float | None = None
+
+    @property
+    def expected_end(self) -> float:
+        if self.job.kind is JobKind.SERVICE:
+            return float("inf")
+        return self.started_at + self.job.shape.run_s
+
+
+class PolicyJob:
+    """A job with the tasks that wait, run or have ended."""
+
+    __slots__ = (
+        "job",
+        "sequence",
+        "shape",
+        "placement",
+        "waiting",
+        "running",
+        "attempts",
+        "live",
+        "lane",
+    )
+
+    def __init__(self, job: Job, sequence: int, shape: Shape, waiting: list[int]) -> None:
+        self.job = job
+        self.sequence = sequence
+        self.shape = shape
+        self.placement: Placement = placement_for(job.spec.kind)
+        self.waiting = waiting
+        self.running: dict[int, RunningTask] = {}
+        self.attempts: dict[int, int] = {}
+        self.live = True
+        self.lane: Lane | None = None
+
+    @property
+    def kind(self) -> JobKind:
+        return self.job.spec.kind
+
+    @property
+    def places(self) -> int:
+        """Tasks that one decision has to place."""
+        return len(self.waiting) if isinstance(self.placement, AllOrNone) else 1
+
+    @property
+    def order(self) -> tuple[float, int]:
+        return (self.job.submitted_at, self.sequence)
+
+    @property
+    def step_quota(self) -> Quota:
+        """Part of the team's limit that the next decision takes."""
+        return task_quota(self.shape.size, self.places)
+
+
+class Lane:
+    """Jobs of one team and shape, oldest first. Only the head is considered."""
+
+    __slots__ = ("team", "shape", "stamp", "_heap")
+
+    def __init__(self, team: str, shape: Shape) -> None:
+        self.team = team
+        self.shape = shape
+        self.stamp = 0
+        self._heap: list[tuple[float, int, PolicyJob]] = []
+
+    def push(self, job: PolicyJob) -> None:
+        """Adds a job, or brings it back after a task has to run again."""
+        job.lane = self
+        heapq.heappush(self._heap, (*job.order, job))
+
+    def head(self) -> PolicyJob | None:
+        """Returns the oldest job with waiting tasks, dropping cancelled ones on the way."""
+        while self._heap:
+            job = self._heap[0][2]
+            if job.lane is self and job.live and job.waiting:
+                return job
+            heapq.heappop(self._heap)
+            if job.lane is self:
+                job.lane = None
+        return None
--- /dev/null
+++ b/libs/policy/src/azurecleat_policy/_internal/preemption.py
@@ -0,0 +1,70 @@
+"""Choice of tasks that give way to urgent work, least loss first."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from azurecleat_model import Resources
+
+from azurecleat_policy._internal.jobs import RunningTask
+from azurecleat_policy._internal.kinds import loss_factor
+from azurecleat_policy._internal.workers import Worker
+
+WORKERS_EXAMINED = 32
+"""Bounds the time of one preemption decision."""
+
+
+class Victims(NamedTuple):
+    """Tasks on one worker whose capacity together with what is free is enough."""
+
+    worker: Worker
+    tasks: tuple[RunningTask, ...]
+    loss: float
+
+
+def choose_victims(size: Resources, workers: list[Worker], now: float) -> Victims | None:
+    """Returns the cheapest set of victims on any of the workers, the first one of equals."""
+    best: Victims | None = None
+    for worker in workers:
+        victims = _victims_on(worker, size, now)
+        if victims and (best is None or victims.loss < best.loss):
+            best = victims
+    return best
+
+
+def is_candidate(size: Resources, worker: Worker) -> bool:
+    """Tells whether preempting everything preemptible on a worker would make room."""
+    if not worker.is_open or worker.reserved_for is not None:
+        return False
+    room = worker.free
+    for task in worker.tasks.values():
+        if may_be_preempted(task):
+            room = room.plus(task.held)
+    return size.fits_in(room)
+
+
+def may_be_preempted(task: RunningTask) -> bool:
+    """Tells whether a task may give way to urgent work."""
+    spec = task.job.job.spec
+    return spec.preemptible and spec.repeatable and not spec.urgent and task.reclaimed_at is None
+
+
+def _victims_on(worker: Worker, size: Resources, now: float) -> Victims | None:
+    tasks = [task for task in worker.tasks.values() if may_be_preempted(task)]
+    tasks.sort(key=lambda task: (_loss(task, now), task.job.sequence, task.index))
+    room = worker.free
+    chosen: list[RunningTask] = []
+    loss = 0.0
+    for task in tasks:
+        if size.fits_in(room):
+            break
+        room = room.plus(task.held)
+        chosen.append(task)
+        loss += _loss(task, now)
+    if not chosen or not size.fits_in(room):
+        return None
+    return Victims(worker, tuple(chosen), loss)
+
+
+def _loss(task: RunningTask, now: float) -> float:
+    return (now - task.started_at) * loss_factor(task.job.kind)
--- /dev/null
+++ b/libs/policy/src/azurecleat_policy/_internal/probation.py
@@ -0,0 +1,72 @@
+"""Workers that fail everything they start.
+
+A worker is judged by unlike work: only failures of several job names of several teams, without a
+success between them, put it on probation. On probation it gets one task at a time as a probe,
+after a delay that doubles with each failed probe; a success ends the probation.
+"""
+
+from __future__ import annotations
+
+SUSPECT_JOB_NAMES = 3
+SUSPECT_TEAMS = 2
+FIRST_PROBE_AFTER_S = 30.0
+MAX_PROBE_AFTER_S = 1800.0
+
+
+class Probation:
+    """Judgement of one worker."""
+
+    __slots__ = ("_failed_names", "_failed_teams", "_delay_s", "_probe_at", "_probe_due")
+
+    def __init__(self) -> None:
+        self._failed_names: set[tuple[str, str]] = set()
+        self._failed_teams: set[str] = set()
+        self._delay_s = 0.0
+        self._probe_at = 0.0
+        self._probe_due = False
+
+    @property
+    def is_active(self) -> bool:
+        return self._delay_s > 0
+
+    @property
+    def failed_names(self) -> frozenset[tuple[str, str]]:
+        """Team and job name of the failures since the last success."""
+        return frozenset(self._failed_names)
+
+    def admits(self, running: int) -> bool:
+        """Tells whether the worker may get another task while it has ``running``."""
+        return not self.is_active or (self._probe_due and running == 0)
+
+    def tick(self, now: float) -> bool:
+        """Makes a probe due when its time has come; returns whether something changed."""
+        if not self.is_active or self._probe_due or now < self._probe_at:
+            return False
+        self._probe_due = True
+        return True
+
+    def on_success(self) -> bool:
+        """Clears the record; returns whether a probation ended."""
+        was_active = self.is_active
+        self._failed_names.clear()
+        self._failed_teams.clear()
+        self._delay_s = 0.0
+        self._probe_due = False
+        return was_active
+
+    def on_failure(self, team: str, name: str, now: float) -> bool:
+        """Counts a failure; returns whether a probation began."""
+        self._failed_names.add((team, name))
+        self._failed_teams.add(team)
+        if self.is_active:
+            self._postpone(now, min(self._delay_s * 2, MAX_PROBE_AFTER_S))
+            return False
+        if len(self._failed_names) < SUSPECT_JOB_NAMES or len(self._failed_teams) < SUSPECT_TEAMS:
+            return False
+        self._postpone(now, FIRST_PROBE_AFTER_S)
+        return True
+
+    def _postpone(self, now: float, delay_s: float) -> None:
+        self._delay_s = delay_s
+        self._probe_at = now + delay_s
+        self._probe_due = False
--- /dev/null
+++ b/libs/policy/src/azurecleat_policy/_internal/reservation.py
@@ -0,0 +1,63 @@
+"""Workers kept for a job that waited too long for capacity.
+
+One reservation at a time, for the oldest blocked job, with backfill in front of it: other tasks
+may use reserved workers only if they are expected to end before the job is expected to start
+(D. Lifka, "The ANL/IBM SP scheduling system", 1995, known as EASY backfilling).
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from azurecleat_model import Resources
+
+from azurecleat_policy._internal.jobs import PolicyJob
+from azurecleat_policy._internal.workers import Worker
+
+
+class Reservation(NamedTuple):
+    """Workers kept for a job, and when it is expected to start on them."""
+
+    job_id: str
+    workers: tuple[str, ...]
+    until: float
+
+
+def places_in(size: Resources, free: Resources) -> int:
+    """Returns how many tasks of a size fit into free capacity."""
+    places = min(free.cpu_milli // size.cpu_milli, free.memory_mb // size.memory_mb)
+    if size.accelerators:
+        places = min(places, free.accelerators // size.accelerators)
+    return max(0, places)
+
+
+def plan_reservation(job: PolicyJob, workers: list[Worker], now: float) -> Reservation | None:
+    """Chooses the workers that are expected to hold the whole job earliest.
+
+    :return: None if the open workers cannot hold the job even when empty.
+    """
+    size = job.shape.size
+    candidates = []
+    for worker in workers:
+        if worker.draining or worker.probation.is_active or worker.reserved_for is not None:
+            continue
+        places = places_in(size, worker.policy.capacity)
+        if places:
+            candidates.append((_drained_at(worker, now), worker.index, places, worker))
+    candidates.sort(key=lambda candidate: candidate[:2])
+    chosen: list[str] = []
+    missing = job.places
+    until = now
+    for drained_at, _, places, worker in candidates:
+        if missing <= 0:
+            break
+        chosen.append(worker.policy.name)
+        until = max(until, drained_at)
+        missing -= places
+    if missing > 0:
+        return None
+    return Reservation(job.job.job_id, tuple(chosen), until)
+
+
+def _drained_at(worker: Worker, now: float) -> float:
+    return max((task.expected_end for task in worker.tasks.values()), default=now)
--- /dev/null
+++ b/libs/policy/src/azurecleat_policy/_internal/scheduler.py
@@ -0,0 +1,145 @@
+"""The indexed scheduler."""
+
+from __future__ import annotations
+
+import numpy as np
+from azurecleat_model import Scheduling
+
+from azurecleat_policy._internal.candidates import CandidateIndex
+from azurecleat_policy._internal.decisions import DecisionLoop
+from azurecleat_policy._internal.jobs import Lane, PolicyJob, Shape
+from azurecleat_policy._internal.kinds import AllOrNone, Pack, Spread
+from azurecleat_policy._internal.preemption import WORKERS_EXAMINED, is_candidate
+from azurecleat_policy._internal.teams import TeamState
+from azurecleat_policy._internal.workers import Worker
+
+_RACK_WEIGHT = 1 << 56
+_WORKER_WEIGHT = 1 << 52
+
+
+class Scheduler(DecisionLoop):
+    """Decides with heaps over teams and numpy columns over workers.
+
+    A decision costs O(log teams) for the order and a few vector operations over the workers.
+
+    :param scheduling: The documented trade-off settings.
+    """
+
+    def __init__(self, scheduling: Scheduling) -> None:
+        super().__init__(scheduling)
+        self._index = CandidateIndex(self._key)
+        self._blocked: dict[Shape, PolicyJob] = {}
+
+    def _next_lane(self) -> Lane | None:
+        return self._index.best()
+
+    def _find_workers(self, job: PolicyJob, now: float) -> list[Worker]:
+        fitting = self._workers.fitting(job, now)
+        if not fitting.size:
+            return []
+        scores = self._workers.score_column(job)[fitting]
+        match job.placement:
+            case Pack():
+                return [self._worker_at(fitting[np.argmin(scores)])]
+            case Spread():
+                return [self._spread(job, fitting, scores)]
+            case AllOrNone():
+                return self._gather(job, fitting, scores)
+
+    def _preemption_candidates(self, job: PolicyJob) -> list[Worker]:
+        found = []
+        for worker in self._workers.live():
+            if is_candidate(job.shape.size, worker):
+                found.append(worker)
+                if len(found) == WORKERS_EXAMINED:
+                    break
+        return found
+
+    def _block(self, job: PolicyJob, now: float) -> None:
+        self._blocked[job.shape] = job
+        self._index.block(job.shape)
+
+    def _oldest_blocked(self) -> PolicyJob | None:
+        heads = []
+        for shape, job in list(self._blocked.items()):
+            if not job.waiting:
+                self._blocked[shape] = job = self._best_of(shape) or job
+            if job.waiting:
+                heads.append(job)
+        return min(heads, key=lambda job: job.order, default=None)
+
+    def _best_of(self, shape: Shape) -> PolicyJob | None:
+        lanes = (team.lanes.get(shape) for team in self._teams.values())
+        heads = (lane.head() for lane in lanes if lane is not None)
+        return min((h for h in heads if h is not None), key=lambda job: job.order, default=None)
+
+    def _spread(self, job: PolicyJob, fitting: np.ndarray, scores: np.ndarray) -> Worker:
+        per_rack: dict[str, int] = {}
+        per_worker: dict[int, int] = {}
+        for task in job.running.values():
+            worker = self._workers.slots[task.worker]
+            assert worker is not None
+            per_rack[worker.policy.rack] = per_rack.get(worker.policy.rack, 0) + 1
+            per_worker[task.worker] = per_worker.get(task.worker, 0) + 1
+        if per_rack:
+            racks = [per_rack.get(self._worker_at(i).policy.rack, 0) for i in fitting]
+            own = [per_worker.get(int(i), 0) for i in fitting]
+            scores = scores + np.array(racks) * _RACK_WEIGHT + np.array(own) * _WORKER_WEIGHT
+        return self._worker_at(fitting[np.argmin(scores)])
+
+    def _gather(self, job: PolicyJob, fitting: np.ndarray, scores: np.ndarray) -> list[Worker]:
+        size = job.shape.size
+        places = self._workers.free_cpu[fitting] // size.cpu_milli
+        places = np.minimum(places, self._workers.free_memory[fitting] // size.memory_mb)
+        if size.accelerators:
+            accelerators = self._workers.free_accelerators[fitting] // size.accelerators
+            places = np.minimum(places, accelerators)
+        if int(places.sum()) < job.places:
+            return []
+        chosen: list[Worker] = []
+        for position in np.argsort(scores, kind="stable"):
+            worker = self._worker_at(fitting[position])
+            count = min(int(places[position]), job.places - len(chosen))
+            if worker.probation.is_active:
+                count = min(count, 1)
+            chosen += [worker] * count
+            if len(chosen) == job.places:
+                return chosen
+        return []
+
+    def _worker_at(self, index: np.intp) -> Worker:
+        worker = self._workers.slots[index]
+        assert worker is not None
+        return worker
+
+    def _lane_changed(self, job: PolicyJob) -> None:
+        if job.lane is not None:
+            self._index.update(job.lane)
+
+    def _team_changed(self, team: TeamState) -> None:
+        for lane in team.lanes.values():
+            self._index.update(lane)
+
+    def _all_ranks_changed(self) -> None:
+        super()._all_ranks_changed()
+        lanes = []
+        for team in self._teams.values():
+            team.lanes = {s: lane for s, lane in team.lanes.items() if lane.head() is not None}
+            lanes += team.lanes.values()
+        self._index.rebuild(lanes)
+
+    def _capacity_freed(self, worker: Worker) -> None:
+        if not worker.is_open:
+            return
+
+        def fits(shape: Shape) -> bool:
+            return shape.places > 1 or shape.size.fits_in(worker.free)
+
+        for shape in [shape for shape in self._blocked if fits(shape)]:
+            del self._blocked[shape]
+        self._index.unblock(fits)
+
+    def _job_gone(self, job: PolicyJob) -> None:
+        super()._job_gone(job)
+        if job.lane is not None:
+            self._index.update(job.lane)
--- /dev/null
+++ b/libs/policy/src/azurecleat_policy/_internal/workers.py
@@ -0,0 +1,167 @@
+"""Workers with their free capacity, as objects and as numpy columns.
+
+Placement decisions read the columns; every change of a worker goes through :meth:`sync`.
+"""
+
+from __future__ import annotations
+
+import numpy as np
+from azurecleat_model import ZERO
+
+from azurecleat_policy._internal.jobs import PolicyJob, RunningTask
+from azurecleat_policy._internal.probation import Probation
+from azurecleat_policy._internal.types import WorkerPolicy
+
+_GROWTH = 64
+_ACCELERATOR_WEIGHT = 1 << 40
+_ACCELERATOR_PENALTY = 1 << 50
+_MEMORY_WEIGHT = 1000
+
+
+class Worker:
+    """One worker.
+
+    ``reserved_for`` is the id of the job that the worker is kept for; other tasks may use it
+    only if they are expected to end by ``reserved_until``.
+    """
+
+    __slots__ = (
+        "policy",
+        "index",
+        "free",
+        "tasks",
+        "draining",
+        "probation",
+        "reserved_for",
+        "reserved_until",
+    )
+
+    def __init__(self, policy: WorkerPolicy, index: int) -> None:
+        self.policy = policy
+        self.index = index
+        self.free = policy.capacity
+        self.tasks: dict[tuple[str, int], RunningTask] = {}
+        self.draining = False
+        self.probation = Probation()
+        self.reserved_for: str | None = None
+        self.reserved_until = float("inf")
+
+    @property
+    def is_open(self) -> bool:
+        return not self.draining and self.probation.admits(len(self.tasks))
+
+
+class WorkerTable:
+    """All workers of a partition, in slots that keep their order."""
+
+    def __init__(self) -> None:
+        self.slots: list[Worker | None] = []
+        self.by_name: dict[str, Worker] = {}
+        self.total = ZERO
+        self.reserved = 0
+        self._cpu_weight = _MEMORY_WEIGHT
+        self._allocate(_GROWTH)
+
+    def add(self, policy: WorkerPolicy) -> Worker:
+        """Adds a worker and returns it."""
+        index = self._free_slot()
+        worker = Worker(policy, index)
+        self.slots[index] = worker
+        self.by_name[policy.name] = worker
+        self.total = self.total.plus(policy.capacity)
+        self._reweigh()
+        return worker
+
+    def remove(self, name: str) -> Worker:
+        """Removes a worker and returns it."""
+        worker = self.by_name.pop(name)
+        self.slots[worker.index] = None
+        self.total = self.total.plus(worker.policy.capacity, -1)
+        if worker.reserved_for is not None:
+            self.reserved -= 1
+        self.open[worker.index] = False
+        self._reweigh()
+        return worker
+
+    def live(self) -> list[Worker]:
+        """Returns the workers in slot order."""
+        return [worker for worker in self.slots if worker is not None]
+
+    def reserve(self, worker: Worker, job_id: str | None, until: float) -> None:
+        """Keeps a worker for a job, or frees it if ``job_id`` is None."""
+        self.reserved += (job_id is not None) - (worker.reserved_for is not None)
+        worker.reserved_for = job_id
+        worker.reserved_until = until if job_id is not None else float("inf")
+        self.sync(worker)
+
+    def sync(self, worker: Worker) -> None:
+        """Copies a worker's state into the columns."""
+        index = worker.index
+        free = worker.free
+        self.free_cpu[index] = free.cpu_milli
+        self.free_memory[index] = free.memory_mb
+        self.free_accelerators[index] = free.accelerators
+        self.open[index] = worker.is_open
+        self.reserved_until[index] = worker.reserved_until
+        self.plain_score[index], self.accelerator_score[index] = self.scores(worker)
+
+    def scores(self, worker: Worker) -> tuple[int, int]:
+        """Returns the packing order of a worker: lower is fuller and goes first.
+
+        The first is for tasks without accelerators, which keep off workers that have some; the
+        second is for tasks that need them.
+        """
+        free = worker.free
+        fill = free.cpu_milli * self._cpu_weight + free.memory_mb * _MEMORY_WEIGHT
+        plain = fill + (_ACCELERATOR_PENALTY if worker.policy.capacity.accelerators else 0)
+        return plain, fill + free.accelerators * _ACCELERATOR_WEIGHT
+
+    def fitting(self, job: PolicyJob, now: float) -> np.ndarray:
+        """Returns the slots of all workers that can take one task of the job now."""
+        size = job.shape.size
+        ok = self.open & (self.free_cpu >= size.cpu_milli) & (self.free_memory >= size.memory_mb)
+        if size.accelerators:
+            ok &= self.free_accelerators >= size.accelerators
+        if self.reserved:
+            ok &= self.reserved_until >= now + job.shape.run_s
+            for worker in self._held_for(job):
+                ok[worker.index] = worker.is_open and size.fits_in(worker.free)
+        return np.flatnonzero(ok)
+
+    def score_column(self, job: PolicyJob) -> np.ndarray:
+        """Returns the packing order of all slots for a job."""
+        return self.accelerator_score if job.shape.size.accelerators else self.plain_score
+
+    def _held_for(self, job: PolicyJob) -> list[Worker]:
+        job_id = job.job.job_id
+        return [w for w in self.slots if w is not None and w.reserved_for == job_id]
+
+    def _free_slot(self) -> int:
+        for index, worker in enumerate(self.slots):
+            if worker is None:
+                return index
+        self.slots.append(None)
+        if len(self.slots) > len(self.open):
+            self._grow()
+        return len(self.slots) - 1
+
+    def _allocate(self, count: int) -> None:
+        self.free_cpu = np.zeros(count, np.int64)
+        self.free_memory = np.zeros(count, np.int64)
+        self.free_accelerators = np.zeros(count, np.int64)
+        self.open = np.zeros(count, bool)
+        self.reserved_until = np.full(count, np.inf)
+        self.plain_score = np.zeros(count, np.int64)
+        self.accelerator_score = np.zeros(count, np.int64)
+
+    def _grow(self) -> None:
+        self._allocate(len(self.open) + max(_GROWTH, len(self.open) // 2))
+        for worker in self.live():
+            self.sync(worker)
+
+    def _reweigh(self) -> None:
+        """Weighs processors against memory by what the fleet has of each."""
+        if self.total.cpu_milli:
+            self._cpu_weight = self.total.memory_mb * _MEMORY_WEIGHT // self.total.cpu_milli
+        for worker in self.live():
+            self.sync(worker)
--- /dev/null
+++ b/tests/functional/test_standalone.py
@@ -0,0 +1,159 @@
+"""The whole path in one process: callers' HTTP, runners, workers and back."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+import unittest
+
+from azurecleat_cli._internal.client import ApiClient, ApiError
+from azurecleat_daemon._internal.standalone import build_standalone, start_standalone
+
+BATCH = {
+    "name": "review",
+    "kind": "batch",
+    "size": {"cpu_milli": 500, "memory_mb": 100},
+    "tasks": 3,
+    "run_s": 0.2,
+}
+
+
+def wait_until(condition, timeout_s: float = 20.0) -> bool:
+    """Polls a condition; the bound only ends a hanging test."""
+    ends_at = time.monotonic() + timeout_s
+    while time.monotonic() < ends_at:
+        if condition():
+            return True
+        time.sleep(0.05)
+    return False
+
+
+class StandaloneTest(unittest.TestCase):
+    """Uses a standalone system as callers and operators would."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.system = build_standalone()
+        start_standalone(cls.system)
+        address = cls.system.application.callers_address
+        cls.client = ApiClient(address, cls.system.key)
+        cls.operator = ApiClient(address, cls.system.operator_token)
+
+    @classmethod
+    def tearDownClass(cls) -> None:
+        cls.system.application.stop()
+
+    def refusal(self, client: ApiClient, method: str, path: str, body: bytes = b"", **headers):
+        with self.assertRaises(ApiError) as caught:
+            client.call(method, path, body, {k.replace("_", "-"): v for k, v in headers.items()})
+        return caught.exception.problem
+
+    def test_request_gets_its_whole_answer(self) -> None:
+        body = bytes(range(256)) * 500
+        answer = self.client.call("POST", "/v1/requests", body)
+        self.assertEqual(answer.body, b"checked: " + body)
+
+    def test_job_runs_to_its_end(self) -> None:
+        job = self.client.call("POST", "/v1/jobs", json.dumps(BATCH).encode()).json()["job"]
+
+        def is_finished() -> bool:
+            return self.client.call("GET", f"/v1/jobs/{job}").json()["finished"]
+
+        self.assertTrue(wait_until(is_finished))
+        self.assertEqual(self.client.call("GET", f"/v1/jobs/{job}").json()["done"], 3)
+
+    def test_same_idempotency_key_submits_a_job_once(self) -> None:
+        body = json.dumps(BATCH).encode()
+        first = self.client.call("POST", "/v1/jobs", body, {"Idempotency-Key": "j1"}).json()
+        second = self.client.call("POST", "/v1/jobs", body, {"Idempotency-Key": "j1"}).json()
+        self.assertEqual(first["job"], second["job"])
+
+    def test_request_marked_once_runs_once(self) -> None:
+        headers = {"X-Repeatable": "false", "Idempotency-Key": "once-1"}
+        self.client.call("POST", "/v1/requests", b"invoice", headers)
+        problem = self.refusal(
+            self.client,
+            "POST",
+            "/v1/requests",
+            b"invoice",
+            X_Repeatable="false",
+            Idempotency_Key="once-1",
+        )
+        self.assertEqual((problem["code"], problem["ran"]), ("duplicate", "unknown"))
+
+    def test_open_queue_needs_no_key_and_others_do(self) -> None:
+        stranger = ApiClient(self.system.application.callers_address, "nobody:secret")
+        self.assertEqual(
+            stranger.call("POST", "/v1/open/public/requests", b"a").body, b"checked: a"
+        )
+        self.assertEqual(
+            self.refusal(stranger, "POST", "/v1/requests", b"a")["code"], "unauthorized"
+        )
+        self.assertEqual(
+            self.refusal(stranger, "POST", "/v1/open/demo/requests", b"a")["code"], "unauthorized"
+        )
+
+    def test_bad_input_gets_a_clear_answer(self) -> None:
+        cases = [
+            ("/v1/jobs", b"{", "bad-request"),
+            ("/v1/jobs", b"[" * 100_000, "bad-request"),
+            ("/v1/jobs", b'{"name": "x"}', "bad-request"),
+            ("/v1/jobs", json.dumps({**BATCH, "tasks": -1}).encode(), "bad-request"),
+            ("/v1/jobs", json.dumps({**BATCH, "tasks": 10**9}).encode(), "bad-request"),
+            ("/v1/jobs", json.dumps({**BATCH, "surprise": 1}).encode(), "bad-request"),
+            ("/v1/jobs", json.dumps({**BATCH, "name": "../../etc"}).encode(), "bad-request"),
+            ("/v1/nothing", b"", "not-found"),
+        ]
+        for path, body, code in cases:
+            with self.subTest(path=path, body=body[:40]):
+                problem = self.refusal(self.client, "POST", path, body)
+                self.assertEqual((problem["code"], problem["ran"]), (code, "not-run"))
+
+    def test_too_large_body_is_refused_as_not_run(self) -> None:
+        problem = self.refusal(self.client, "POST", "/v1/requests", b"x" * (257 << 10))
+        self.assertEqual(problem["code"], "too-large")
+
+    def test_job_that_never_fits_names_the_constraint(self) -> None:
+        body = json.dumps({**BATCH, "size": {"cpu_milli": 100_000, "memory_mb": 1}}).encode()
+        problem = self.refusal(self.client, "POST", "/v1/jobs", body)
+        self.assertEqual(problem["code"], "never-fits-worker")
+        self.assertIn("cpu_milli", problem["detail"])
+
+    def test_two_operators_racing_have_one_winner(self) -> None:
+        shown = self.operator.call("GET", "/v1/operator/environment").json()
+        path = f"/v1/operator/environment/promote/{shown['version']}"
+        text = json.dumps(shown["document"]).encode()
+        outcomes = []
+
+        def promote() -> None:
+            try:
+                outcomes.append(self.operator.call("POST", path, text).status)
+            except ApiError as error:
+                outcomes.append(error.problem["code"])
+
+        threads = [threading.Thread(target=promote) for _ in range(2)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(sorted(map(str, outcomes)), ["200", "conflict"])
+
+    def test_withdrawn_key_stops_and_stays_withdrawn(self) -> None:
+        from azurecleat_model import generate_key, to_plain
+
+        token, key = generate_key("short-lived")
+        body = json.dumps(to_plain(key)).encode()
+        self.operator.call("POST", "/v1/operator/teams/demo/keys", body)
+        holder = ApiClient(self.system.application.callers_address, token)
+        holder.call("POST", "/v1/requests", b"a")
+        self.operator.call("DELETE", "/v1/operator/keys/short-lived")
+        self.assertEqual(self.refusal(holder, "POST", "/v1/requests", b"a")["code"], "unauthorized")
+        self.assertEqual(
+            self.refusal(self.operator, "POST", "/v1/operator/teams/demo/keys", body)["code"],
+            "conflict",
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
