--- /dev/null
+++ b/libs/bench/src/azurecleat_bench/_internal/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Random faults on in-process instances, and a checker of the promises."""
--- /dev/null
+++ b/libs/bench/src/azurecleat_bench/_internal/faults/connections.py
@@ -0,0 +1,160 @@
+"""Connections between named parts that can be cut, stalled, or lose answers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from azurecleat_coordination import ReadResult
+from azurecleat_fakes import MemoryList, MemoryLog
+from azurecleat_model.exceptions import (
+    AppendUnknownError,
+    LogUnavailableError,
+    NotRunError,
+    OutcomeUnknownError,
+    PeerAnswerLostError,
+    PeerNotSentError,
+)
+from azurecleat_peers import ConnectionRefusedByHostError
+from azurecleat_peers.messages import Framed as Frame
+from azurecleat_peers.messages import Message, decode, encode
+from azurecleat_platform import ControlReply, ControlRequest, Target
+
+LOG = "log"
+
+
+class Cuts:
+    """One-way cuts between named parts."""
+
+    def __init__(self) -> None:
+        self._cut: set[tuple[str, str]] = set()
+
+    def cut(self, source: str, destination: str) -> None:
+        """Drops everything sent from one part to the other."""
+        self._cut.add((source, destination))
+
+    def heal(self) -> None:
+        """Ends all cuts."""
+        self._cut.clear()
+
+    def passes(self, source: str, destination: str) -> bool:
+        """Tells whether messages pass in this direction."""
+        return (source, destination) not in self._cut
+
+
+class CutLog:
+    """The log as one instance reaches it."""
+
+    def __init__(self, log: MemoryLog, name: str, cuts: Cuts) -> None:
+        self._log = log
+        self._name = name
+        self._cuts = cuts
+
+    def append(self, data: bytes) -> int:
+        """Appends one entry."""
+        if not self._cuts.passes(self._name, LOG):
+            raise LogUnavailableError("cut", step="log.append")
+        offset = self._log.append(data)
+        if not self._cuts.passes(LOG, self._name):
+            raise AppendUnknownError("answer cut", step="log.append")
+        return offset
+
+    def read(self, offset: int, limit: int) -> ReadResult:
+        """Reads entries."""
+        self._check()
+        return self._log.read(offset, limit)
+
+    def first_offset(self) -> int:
+        """Returns the oldest offset still held."""
+        self._check()
+        return self._log.first_offset()
+
+    def _check(self) -> None:
+        if not (self._cuts.passes(self._name, LOG) and self._cuts.passes(LOG, self._name)):
+            raise LogUnavailableError("cut", step="log.read")
+
+
+class CutList:
+    """The instance list as one instance reaches it."""
+
+    def __init__(self, instances: MemoryList, name: str, cuts: Cuts) -> None:
+        self._instances = instances
+        self._name = name
+        self._cuts = cuts
+
+    def targets(self) -> list[Target]:
+        """Returns the targets listed now."""
+        if not self._cuts.passes(self._name, LOG):
+            raise LogUnavailableError("cut", step="list.read")
+        return self._instances.targets()
+
+
+class CutTarget:
+    """A target as one instance reaches it; the instance may be paused before a send.
+
+    :param stall: Called between the instance's last check and the bytes going out.
+    """
+
+    def __init__(self, target: Any, name: str, cuts: Cuts, stall: Callable[[str], None]) -> None:
+        self._target = target
+        self._name = name
+        self._cuts = cuts
+        self._stall = stall
+
+    def control(self, request: ControlRequest) -> ControlReply:
+        """Makes one control exchange."""
+        self._stall(self._name)
+        self._check_out("control")
+        reply = self._target.control(request)
+        self._check_back("control")
+        return reply
+
+    def run(self, request_id: str, epoch: int, body: bytes, timeout_s: float) -> bytes:
+        """Runs one request."""
+        self._stall(self._name)
+        self._check_out("run")
+        answer = self._target.run(request_id, epoch, body, timeout_s)
+        self._check_back("run")
+        return answer
+
+    def close(self) -> None:
+        """Does nothing; there is no connection."""
+
+    def _check_out(self, step: str) -> None:
+        if not self._cuts.passes(self._name, self._target.target.name):
+            raise NotRunError("cut", step=step, peer=self._target.target.name)
+
+    def _check_back(self, step: str) -> None:
+        if not self._cuts.passes(self._target.target.name, self._name):
+            raise OutcomeUnknownError("answer cut", step=step, peer=self._target.target.name)
+
+
+class LocalNetwork:
+    """Peers reached by name, through the real encoding.
+
+    :param name: Name of the calling instance.
+    :param find: Returns the handler of a live instance, ``None`` if its process is dead.
+    """
+
+    def __init__(self, name: str, cuts: Cuts, find: Callable[[str], Any]) -> None:
+        self._name = name
+        self._cuts = cuts
+        self._find = find
+
+    def call(self, address: str, message: Message, timeout_s: float) -> Message:
+        """Sends a message and returns its answer."""
+        if not self._cuts.passes(self._name, address):
+            raise PeerNotSentError("cut", step="peer.connect", peer=address)
+        node = self._find(address)
+        if node is None:
+            raise ConnectionRefusedByHostError("refused", step="peer.connect", peer=address)
+        if node.is_paused:
+            raise PeerAnswerLostError("paused", step="peer.receive", peer=address)
+        arrived = decode(encode(Frame(1, message))).message
+        answer = node.core.handle(arrived)
+        if not self._cuts.passes(address, self._name):
+            raise PeerAnswerLostError("answer cut", step="peer.receive", peer=address)
+        return decode(encode(Frame(1, answer))).message
+
+    def forget(self, address: str) -> None:
+        """Does nothing; there is no connection."""
--- /dev/null
+++ b/libs/bench/src/azurecleat_bench/_internal/faults/history.py
@@ -0,0 +1,90 @@
+"""What callers and operators saw, for the checker."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+
+class CallerResult(NamedTuple):
+    """One request and its outcome: ``done``, ``not-run`` or ``unknown``."""
+
+    at: float
+    instance: str
+    team: str
+    key_id: str
+    body: bytes
+    repeatable: bool
+    outcome: str
+    code: str
+    answer: bytes
+
+
+class Execution(NamedTuple):
+    """A request run by a runner."""
+
+    at: float
+    runner: str
+    body: bytes
+
+
+class Withdrawn(NamedTuple):
+    """A key said to be withdrawn, at the time the operator was told so."""
+
+    at: float
+    key_id: str
+    in_force: bool
+
+
+class LeavingSpell(NamedTuple):
+    """Time during which the list showed a target as leaving."""
+
+    target: str
+    since: float
+    until: float
+
+
+class LimitChange(NamedTuple):
+    """A promoted limit of a team."""
+
+    at: float
+    team: str
+    tasks: int
+    requests: int
+
+
+class VersionSeen(NamedTuple):
+    """The configuration version at an instance; ``ready`` once it has read the log."""
+
+    at: float
+    incarnation: str
+    version: int
+    ready: bool
+
+
+class AcceptedJob(NamedTuple):
+    """A job that its caller was told is accepted."""
+
+    at: float
+    job_id: str
+    team: str
+    tasks: int
+    repeatable: bool
+
+
+class History(NamedTuple):
+    """Everything seen from outside."""
+
+    callers: list[CallerResult]
+    executions: list[Execution]
+    observations: list[Any]
+    withdrawn: list[Withdrawn]
+    leaving: list[LeavingSpell]
+    limits: list[LimitChange]
+    versions: list[VersionSeen]
+    jobs: list[AcceptedJob]
+    final_jobs: dict[str, dict[str, Any]]
+
+
+def new_history() -> History:
+    """Returns an empty history."""
+    return History([], [], [], [], [], [], [], [], {})
--- a/libs/coordination/src/azurecleat_coordination/_internal/appender.py
+++ b/libs/coordination/src/azurecleat_coordination/_internal/appender.py
@@ -27,6 +27,19 @@
     future: Future[Applied]
 
 
+class _Batch:
+    """Events that share one entry, until the outcome of each is decided."""
+
+    def __init__(self, sequence: int, pending: list[_Pending]) -> None:
+        self.sequence = sequence
+        self.pending = pending
+        self.may_be_in = False
+
+    @property
+    def is_decided(self) -> bool:
+        return all(pending.future.done() for pending in self.pending)
+
+
 class AppendCounts(NamedTuple):
     """What the appender did so far."""
 
@@ -63,8 +76,7 @@
         self._queue: list[_Pending] = []
         self._wakeup = threading.Condition()
         self._stopping = False
-        self._in_flight: tuple[int, list[_Pending]] | None = None
-        self._in_flight_lock = threading.Lock()
+        self._batch: _Batch | None = None
         self._last_append_at = clock.monotonic() - MIN_APPEND_INTERVAL_S
         self._counts = AppendCounts()
         self._thread: threading.Thread | None = None
@@ -107,61 +119,67 @@
 
     def commit(self, event: RecordEvent, deadline_s: float = DEFAULT_DEADLINE_S) -> Applied:
         """Submits an event and waits for its outcome; raises like the future of ``submit``."""
-        return self.submit(event, deadline_s).result()
+        return self.wait(self.submit(event, deadline_s))
 
-    def append_batch(self, batch: list[_Pending]) -> None:
-        """Appends one batch, trying again until it is known to be in or its deadlines passed."""
-        may_be_in = False
-        self._sequence += 1
-        tries = 0
-        while True:
-            if not may_be_in:
-                batch = self._without_expired(batch)
-            if not batch or all(p.future.done() for p in batch):
-                return
-            if self._has_expired(batch):
-                self._fail(batch, AppendUnknownError("no answer in time", step="log.append"))
-                return
-            may_be_in = self._try_append(batch, may_be_in)
-            if all(p.future.done() for p in batch):
-                return
-            tries += 1
-            self._pause(self._backoff.delay_s(tries))
+    def wait(self, future: Future[Applied]) -> Applied:
+        """Waits for a submitted event; without a thread, appends here until it is decided."""
+        if self._thread is None:
+            while not future.done():
+                if not self.step():
+                    self._give_up()
+        return future.result()
+
+    def step(self) -> bool:
+        """Makes one try to append what is queued; returns whether nothing is left undecided.
+
+        A batch whose outcome is unknown stays as it is until a read shows it or all its
+        deadlines have passed; one that is certainly not in the log sheds what has expired.
+        """
+        if self._batch is None:
+            with self._wakeup:
+                batch = self._queue[:MAX_EVENTS_PER_ENTRY]
+                del self._queue[:MAX_EVENTS_PER_ENTRY]
+            if not batch:
+                return True
+            self._sequence += 1
+            self._batch = _Batch(self._sequence, batch)
+        self._shed_expired(self._batch)
+        if not self._batch.is_decided:
+            self._try_append(self._batch)
+        if not self._batch.is_decided:
+            return False
+        self._batch = None
+        return not self._queue
 
     def _run(self) -> None:
+        tries = 0
         while True:
             with self._wakeup:
-                while not self._queue and not self._stopping:
+                while not self._queue and self._batch is None and not self._stopping:
                     self._wakeup.wait()
-                if not self._queue:
+                if not self._queue and self._batch is None:
                     return
-                since = self._clock.monotonic() - self._last_append_at
-                if since < MIN_APPEND_INTERVAL_S:
-                    self._wakeup.wait_for(
-                        lambda: self._stopping, timeout=MIN_APPEND_INTERVAL_S - since
-                    )
-                batch = self._queue[:MAX_EVENTS_PER_ENTRY]
-                del self._queue[:MAX_EVENTS_PER_ENTRY]
-            self.append_batch(batch)
-
-    def _try_append(self, batch: list[_Pending], may_be_in: bool) -> bool:
-        """Tries once and returns whether the entry may be in the log."""
-        data = encode_entry(Entry(self._writer, self._sequence, tuple(p.event for p in batch)))
-        with self._in_flight_lock:
-            self._in_flight = (self._sequence, batch)
+            self._pause(self._last_append_at + MIN_APPEND_INTERVAL_S - self._clock.monotonic())
+            self.step()
+            tries = 0 if self._batch is None else tries + 1
+            if tries:
+                self._pause(self._backoff.delay_s(tries))
+
+    def _try_append(self, batch: _Batch) -> None:
+        events = tuple(pending.event for pending in batch.pending)
+        data = encode_entry(Entry(self._writer, batch.sequence, events))
         self._last_append_at = self._clock.monotonic()
         try:
             self._log.append(data)
-            may_be_in = True
-            self._count(appends=1, events=len(batch), bytes=len(data))
+            batch.may_be_in = True
+            self._count(appends=1, events=len(events), bytes=len(data))
         except LogUnavailableError:
             self._count(unavailable=1)
         except AppendUnknownError:
-            may_be_in = True
+            batch.may_be_in = True
             self._count(unknown=1)
-        if may_be_in:
+        if batch.may_be_in:
             self._read_own()
-        return may_be_in
 
     def _read_own(self) -> None:
         try:
@@ -170,35 +188,36 @@
             return
 
     def _on_applied(self, writer: str, sequence: int, results: list[Applied]) -> None:
-        if writer != self._writer:
+        batch = self._batch
+        if writer != self._writer or batch is None or batch.sequence != sequence:
             return
-        with self._in_flight_lock:
-            if self._in_flight is None or self._in_flight[0] != sequence:
-                return
-            batch = self._in_flight[1]
-            self._in_flight = None
-        for pending, result in zip(batch, results, strict=True):
+        for pending, result in zip(batch.pending, results, strict=True):
             _resolve(pending.future.set_result, result)
 
-    def _without_expired(self, batch: list[_Pending]) -> list[_Pending]:
+    def _shed_expired(self, batch: _Batch) -> None:
         now = self._clock.monotonic()
-        for pending in batch:
-            if pending.deadline <= now:
-                error = LogUnavailableError("the log was not reached in time", step="log.append")
+        expired = [pending for pending in batch.pending if pending.deadline <= now]
+        if not batch.may_be_in:
+            error = LogUnavailableError("the log was not reached in time", step="log.append")
+            for pending in expired:
                 _resolve(pending.future.set_exception, error)
-        return [pending for pending in batch if not pending.future.done()]
-
-    def _has_expired(self, batch: list[_Pending]) -> bool:
-        now = self._clock.monotonic()
-        return all(pending.deadline <= now for pending in batch)
-
-    def _fail(self, batch: list[_Pending], error: Exception) -> None:
-        for pending in batch:
-            _resolve(pending.future.set_exception, error)
+            batch.pending = [pending for pending in batch.pending if not pending.future.done()]
+        elif len(expired) == len(batch.pending):
+            unknown = AppendUnknownError("no answer in time", step="log.append")
+            for pending in expired:
+                _resolve(pending.future.set_exception, unknown)
+
+    def _give_up(self) -> None:
+        """Ends the present batch as if its deadlines had passed."""
+        if self._batch is not None:
+            past = self._clock.monotonic() - 1.0
+            self._batch.pending = [p._replace(deadline=past) for p in self._batch.pending]
+            self._shed_expired(self._batch)
 
     def _pause(self, seconds: float) -> None:
-        with self._wakeup:
-            self._wakeup.wait_for(lambda: self._stopping, timeout=seconds)
+        if seconds > 0:
+            with self._wakeup:
+                self._wakeup.wait_for(lambda: self._stopping, timeout=seconds)
 
     def _count(self, **increments: int) -> None:
         values = self._counts._asdict()
--- a/libs/daemon/src/azurecleat_daemon/__init__.py
+++ b/libs/daemon/src/azurecleat_daemon/__init__.py
@@ -2,6 +2,8 @@
 
 from azurecleat_daemon._internal.application import Application, Parts
 from azurecleat_daemon._internal.composition import build_application, wire
+from azurecleat_daemon._internal.core import Core, Surroundings, wire_core
+from azurecleat_daemon._internal.refusal import RefusalError
 from azurecleat_daemon._internal.settings import (
     Bounds,
     EntrySettings,
@@ -13,11 +15,15 @@
 __all__ = [
     "Application",
     "Bounds",
+    "Core",
     "EntrySettings",
     "Parts",
+    "RefusalError",
+    "Surroundings",
     "Timing",
     "build_application",
     "load_settings",
     "parse_settings",
     "wire",
+    "wire_core",
 ]
--- a/libs/daemon/src/azurecleat_daemon/_internal/application.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/application.py
@@ -7,7 +7,6 @@
 from typing import NamedTuple
 
 import waitress
-from azurecleat_coordination import Appender, Replica
 from azurecleat_model.events import (
     INSTANCE_STARTED,
     INSTANCE_STOPPED,
@@ -20,13 +19,9 @@
 from azurecleat_peers import PeerServer, TcpPeerNetwork
 from azurecleat_platform import InstanceList
 
-from azurecleat_daemon._internal.housekeeping import SnapshotWriter
+from azurecleat_daemon._internal.core import Core
 from azurecleat_daemon._internal.http_api import HttpApi
 from azurecleat_daemon._internal.lifecycle import Periodic
-from azurecleat_daemon._internal.membership import Membership
-from azurecleat_daemon._internal.operators import Operators
-from azurecleat_daemon._internal.partitions import PartitionManager
-from azurecleat_daemon._internal.router import Router
 from azurecleat_daemon._internal.settings import EntrySettings
 
 SPARE_THREADS = 8
@@ -44,13 +39,7 @@
 class Parts(NamedTuple):
     """The wired parts of an instance."""
 
-    replica: Replica
-    appender: Appender
-    membership: Membership
-    partitions: PartitionManager
-    router: Router
-    operators: Operators
-    snapshots: SnapshotWriter
+    core: Core
     api: HttpApi
     peer_server: PeerServer
     network: TcpPeerNetwork
@@ -73,10 +62,10 @@
         self._periodics = [
             Periodic("log-tail", timing.poll_s, self._poll),
             Periodic("instance-list", timing.list_s, self._list),
-            Periodic("membership", min(timing.status_s, 1.0) / 2, parts.membership.step),
-            Periodic("partitions", PARTITION_STEP_S, parts.partitions.step),
-            Periodic("limits", LIMIT_STEP_S, parts.router.borrow_limits),
-            Periodic("snapshots", SNAPSHOT_STEP_S, parts.snapshots.step),
+            Periodic("membership", min(timing.status_s, 1.0) / 2, parts.core.membership.step),
+            Periodic("partitions", PARTITION_STEP_S, parts.core.partitions.step),
+            Periodic("limits", LIMIT_STEP_S, parts.core.router.borrow_limits),
+            Periodic("snapshots", SNAPSHOT_STEP_S, parts.core.snapshots.step),
         ]
         host, _, port = settings.callers.rpartition(":")
         self._http = waitress.create_server(
@@ -105,9 +94,9 @@
 
     def start(self) -> None:
         """Starts all parts."""
-        self._parts.membership.set_address(self._parts.peer_server.address)
+        self._parts.core.membership.set_address(self._parts.peer_server.address)
         self._parts.peer_server.start()
-        self._parts.appender.start()
+        self._parts.core.appender.start()
         for periodic in self._periodics:
             periodic.start()
         self._http_thread.start()
@@ -127,8 +116,8 @@
             self._parts.api.drain()
             longest_s = self._longest_deadline_s()
             self._parts.api.wait_until_idle(longest_s)
-            self._parts.partitions.release_all(longest_s)
-            self._parts.membership.leave()
+            self._parts.core.partitions.release_all(longest_s)
+            self._parts.core.membership.leave()
             self._close()
             self._stopped.set()
             log_event(INSTANCE_STOPPED, instance=self._settings.instance)
@@ -136,7 +125,7 @@
     def kill(self) -> None:
         """Stops at once without handing over, as a crash would; for tests."""
         self._parts.api.drain()
-        for engine in self._parts.partitions.engines.values():
+        for engine in self._parts.core.partitions.engines.values():
             engine.stop()
         self._close()
         self._stopped.set()
@@ -146,7 +135,7 @@
             periodic.stop()
         self._parts.peer_server.stop()
         self._parts.network.close()
-        self._parts.appender.stop()
+        self._parts.core.appender.stop()
         self._http.close()
         self._http_thread.join(DRAIN_GRACE_S)
         for hook in self._parts.on_stop:
@@ -165,14 +154,14 @@
 
     def _poll(self) -> None:
         try:
-            self._parts.replica.catch_up()
+            self._parts.core.replica.catch_up()
         except LogUnavailableError as error:
             if self._log_is_reached:
                 log_event(LOG_UNREACHABLE, error=error)
             self._log_is_reached = False
             return
         if not self._log_is_reached:
-            log_event(LOG_REACHED, offset=self._parts.replica.position)
+            log_event(LOG_REACHED, offset=self._parts.core.replica.position)
         self._log_is_reached = True
 
     def _list(self) -> None:
@@ -181,4 +170,4 @@
         except LogUnavailableError:
             # The list only suggests; targets already known stay.
             return
-        self._parts.partitions.set_targets(targets)
+        self._parts.core.partitions.set_targets(targets)
--- /dev/null
+++ b/libs/daemon/src/azurecleat_daemon/_internal/core.py
@@ -0,0 +1,98 @@
+"""The coordinating parts of an instance, wired without any server of its own."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from azurecleat_coordination import Appender, Backoff, Log, Replica
+from azurecleat_model import Clock
+from azurecleat_peers import PeerNetwork
+from azurecleat_peers.messages import Message, Unsupported
+from azurecleat_platform import InstanceList, RunnerClient, Target
+
+from azurecleat_daemon._internal.admission import Admission
+from azurecleat_daemon._internal.engine import Services
+from azurecleat_daemon._internal.housekeeping import SnapshotWriter
+from azurecleat_daemon._internal.membership import Membership
+from azurecleat_daemon._internal.metrics import Metrics
+from azurecleat_daemon._internal.operators import Operators
+from azurecleat_daemon._internal.partitions import PartitionManager
+from azurecleat_daemon._internal.router import Router
+from azurecleat_daemon._internal.settings import EntrySettings
+
+APPEND_BACKOFF_S = 0.2
+APPEND_BACKOFF_MAX_S = 5.0
+
+
+class Core(NamedTuple):
+    """The wired parts of an instance that need neither HTTP nor TCP."""
+
+    replica: Replica
+    appender: Appender
+    membership: Membership
+    partitions: PartitionManager
+    router: Router
+    operators: Operators
+    admission: Admission
+    snapshots: SnapshotWriter
+    metrics: Metrics
+
+    def handle(self, message: Message) -> Message:
+        """Answers a message of a peer."""
+        return self.membership.handle(message) or self.router.handle(message) or Unsupported()
+
+
+class Surroundings(NamedTuple):
+    """What an instance is wired to.
+
+    ``threaded`` False leaves all stepping to the caller, for tests on an injected clock.
+    """
+
+    log: Log
+    instances: InstanceList
+    connect: Callable[[Target], RunnerClient]
+    network: PeerNetwork
+    clock: Clock
+    incarnation: str
+    threaded: bool = True
+    sleep: Callable[[float], None] = time.sleep
+
+
+def wire_core(settings: EntrySettings, surroundings: Surroundings) -> Core:
+    """Wires the coordinating parts of an instance."""
+    log, clock = surroundings.log, surroundings.clock
+    incarnation, network = surroundings.incarnation, surroundings.network
+    metrics = Metrics()
+    replica = Replica(log, clock, frozenset(settings.partitions))
+    backoff = Backoff(APPEND_BACKOFF_S, APPEND_BACKOFF_MAX_S, random.Random(incarnation))
+    appender = Appender(log, replica, clock, incarnation, backoff)
+    membership = Membership(settings, incarnation, replica, appender, network, clock, metrics)
+    services = Services(
+        settings.instance,
+        replica,
+        appender,
+        clock,
+        metrics,
+        surroundings.connect,
+        settings.timing.lease_s,
+        surroundings.threaded,
+        surroundings.sleep,
+    )
+    partitions = PartitionManager(settings, services, membership)
+    router = Router(settings, replica, appender, partitions, membership, network, clock, metrics)
+    return Core(
+        replica,
+        appender,
+        membership,
+        partitions,
+        router,
+        Operators(replica, appender, membership, partitions),
+        Admission(replica, membership, settings.operator_sha256),
+        SnapshotWriter(
+            settings.instance, replica, appender, membership, settings.bounds.snapshot_every
+        ),
+        metrics,
+    )
--- a/libs/daemon/src/azurecleat_daemon/_internal/engine.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/engine.py
@@ -4,6 +4,7 @@
 
 import random
 import threading
+import time
 from collections.abc import Callable
 from concurrent.futures import Future
 from enum import Enum
@@ -55,6 +56,7 @@
     connect: ClientFactory
     lease_s: float
     threaded: bool
+    sleep: Callable[[float], None] = time.sleep
 
 
 class TeamRow(NamedTuple):
@@ -123,6 +125,8 @@
             services.clock,
             services.metrics,
             backoff,
+            services.sleep,
+            services.threaded,
         )
         self._stepper = Periodic(f"engine-{partition}", STEP_S, self.step)
         self._follow_configuration()
--- a/libs/daemon/src/azurecleat_daemon/_internal/housekeeping.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/housekeeping.py
@@ -50,7 +50,7 @@
         futures = [self._appender.submit(chunk) for chunk in chunks]
         try:
             for future in futures:
-                future.result()
+                self._appender.wait(future)
         except LogError:
             return
         size = sum(len(chunk.data) for chunk in chunks)
--- a/libs/daemon/src/azurecleat_daemon/_internal/membership.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/membership.py
@@ -101,6 +101,8 @@
         self._joined = False
         self._joining = False
         self._proof = Proof.NONE
+        self._introduced: set[str] = set()
+        self._is_introduced = False
 
     @property
     def incarnation(self) -> str:
@@ -138,7 +140,7 @@
 
     def proof(self) -> Proof:
         """Returns what proves that the keys known here are fresh, if anything does."""
-        proof = self._freshness.proof(self._knowledge())
+        proof = self._freshness.proof(self._knowledge()) if self._meet_all() else Proof.NONE
         if proof is not self._proof:
             self._on_proof_changed(proof)
         return proof
@@ -228,6 +230,7 @@
         except ConnectionRefusedByHostError:
             self._metrics.retries.labels("peer.status", "refused").inc()
             self._freshness.on_gone(member.instance, sent_at)
+            self._introduced.add(member.instance)
             return
         except PeerError:
             self._metrics.retries.labels("peer.status", "no-answer").inc()
@@ -245,6 +248,7 @@
             known_at = self._replica.fleet.configuration.changed_at
         if status.configuration_at > known_at:
             self._fetch_configuration(member)
+        self._introduced.add(member.instance)
         self._freshness.on_answer(sent_at, status)
 
     def _fetch_configuration(self, member: Member) -> None:
@@ -281,6 +285,17 @@
             is_known and not known.evicted_by and question.instance not in self._evictions,
         )
 
+    def _meet_all(self) -> bool:
+        """Tells whether every member answered this incarnation once, or its process is gone.
+
+        A key withdrawn during an outage of the log is known to the members before the log has
+        it; an instance that starts in between learns of it only from them.
+        """
+        if not self._is_introduced and self._joined:
+            others = set(self.members()) - {self._settings.instance}
+            self._is_introduced = others <= self._introduced
+        return self._is_introduced
+
     def _knowledge(self) -> Knowledge:
         with self._replica.lock:
             fleet = self._replica.fleet
--- a/libs/daemon/src/azurecleat_daemon/_internal/partitions.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/partitions.py
@@ -161,8 +161,11 @@
         engine.stop()
 
     def _release(self, partition: str, engine: Engine) -> None:
-        for future in engine.tasks.flush():
-            if future.exception(RELEASE_DEADLINE_S) is not None:
+        for future in engine.tasks.flush(RELEASE_DEADLINE_S):
+            try:
+                self._services.appender.wait(future)
+            except LogError:
+                # Workers keep what is not recorded, and tell the next owner.
                 break
         engine.release_targets()
         with self._lock:
--- a/libs/daemon/src/azurecleat_daemon/_internal/request_desk.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/request_desk.py
@@ -8,6 +8,7 @@
 
 import threading
 import uuid
+from collections.abc import Callable
 from concurrent.futures import Future, InvalidStateError
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import NamedTuple
@@ -78,6 +79,9 @@
 
     :param appender: Records intents of requests that are not repeatable.
     :param lease: Checked immediately before each dispatch.
+    :param sleep: Waits between tries.
+    :param may_block: False where one thread runs everything, so that no slot can become free
+        while a request waits.
     """
 
     def __init__(
@@ -90,6 +94,8 @@
         clock: Clock,
         metrics: Metrics,
         backoff: Backoff,
+        sleep: Callable[[float], None],
+        may_block: bool,
     ) -> None:
         self._partition = partition
         self._epoch = epoch
@@ -98,6 +104,8 @@
         self._clock = clock
         self._metrics = metrics
         self._backoff = backoff
+        self._sleep = sleep
+        self._may_block = may_block
         self._lock = threading.RLock()
         self._scheduler = Scheduler(environment.scheduling)
         self._links: dict[str, TargetLink] = {}
@@ -279,13 +287,17 @@
         budget = self._budgets.setdefault(spec.team, RetryBudget())
         budget.on_first_try()
         tries = 0
+        unknown: RefusalError | None = None
         while True:
             tries += 1
             try:
                 return self._try_once(spec, ends_at)
             except RefusalError as refusal:
+                if refusal.ran is Ran.UNKNOWN:
+                    unknown = refusal
                 if not self._may_retry(refusal, budget, tries, ends_at):
-                    raise
+                    # An earlier try may have run, whatever became of the last one.
+                    raise unknown or refusal from None
                 self._metrics.retries.labels("request", refusal.code).inc()
 
     def _may_retry(
@@ -296,7 +308,7 @@
         delay_s = self._backoff.delay_s(tries)
         if self._clock.monotonic() + delay_s >= ends_at or not budget.take():
             return False
-        threading.Event().wait(delay_s)
+        self._sleep(delay_s)
         return True
 
     def _try_once(self, spec: RequestSpec, ends_at: float) -> bytes:
@@ -317,7 +329,8 @@
             self._scheduler.submit(job)
             self._pump()
         try:
-            return future.result(max(0.0, ends_at - self._clock.monotonic()))
+            left_s = max(0.0, ends_at - self._clock.monotonic())
+            return future.result(left_s if self._may_block else 0.0)
         except FutureTimeoutError:
             return self._give_up(request_id, future)
 
--- a/libs/daemon/src/azurecleat_daemon/_internal/standalone.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/standalone.py
@@ -80,9 +80,9 @@
     """
     application = standalone.application
     application.start()
-    application.parts.operators.promote(json.dumps(to_plain(standalone.environment)), 0)
+    application.parts.core.operators.promote(json.dumps(to_plain(standalone.environment)), 0)
     ends_at = time.monotonic() + READY_TIMEOUT_S
-    while application.parts.partitions.engine("local") is None:
+    while application.parts.core.partitions.engine("local") is None:
         if time.monotonic() > ends_at:
             raise AzurecleatError(
                 "the standalone system did not get ready",
--- a/libs/daemon/src/azurecleat_daemon/_internal/task_desk.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/task_desk.py
@@ -173,7 +173,7 @@
             self._flushed_at = now
             self.flush()
 
-    def flush(self) -> list[Future[Applied]]:
+    def flush(self, deadline_s: float = RESULT_DEADLINE_S) -> list[Future[Applied]]:
         """Submits buffered results to the log."""
         with self._lock:
             batch, self._results = self._results, {}
@@ -181,7 +181,7 @@
         for job_id, results in batch.items():
             ranges = {name: to_ranges(indexes) for name, indexes in results.items()}
             event = EndTasks(self._partition, self._epoch, job_id, **ranges)
-            future = self._appender.submit(event, RESULT_DEADLINE_S)
+            future = self._appender.submit(event, deadline_s)
             future.add_done_callback(
                 lambda done, job_id=job_id, results=results: self._on_recorded(
                     done, job_id, results
--- a/libs/fakes/src/azurecleat_fakes/_internal/standin_target.py
+++ b/libs/fakes/src/azurecleat_fakes/_internal/standin_target.py
@@ -47,6 +47,10 @@
     def epoch(self) -> int:
         return self._epoch
 
+    @property
+    def expires_at(self) -> float:
+        return self._expires_at
+
     def is_lapsed(self) -> bool:
         """Tells whether no owner has control now."""
         return self._clock.monotonic() >= self._expires_at
@@ -151,30 +155,31 @@
         if stop.task not in self._running or stop.how is StopHow.THROTTLE:
             return
         result = "checkpointed" if stop.how is StopHow.CHECKPOINT else "stopped"
-        self._end(stop.task, result)
+        self._end(stop.task, result, self._clock.monotonic())
 
     def _advance(self) -> None:
+        """Ends what ended since the last call, at the time at which it ended."""
         now = self._clock.monotonic()
         if self.faults.fail_tasks:
             for name in list(self._running):
-                self._end(name, "failed")
+                self._end(name, "failed", now)
+        lapsed_at = self._control.expires_at
         for name, task in list(self._running.items()):
-            if task.ends_at <= now:
-                self._end(name, "done")
-        if self._control.is_lapsed():
-            for name in list(self._running):
-                self._end(name, "stopped")
+            if task.ends_at <= min(now, lapsed_at):
+                self._end(name, "done", task.ends_at)
+            elif lapsed_at <= now:
+                self._end(name, "stopped", lapsed_at)
 
-    def _end(self, task: str, result: str) -> None:
+    def _end(self, task: str, result: str, at: float) -> None:
         del self._running[task]
         self._ended[task] = result
         self._version += 1
-        self._observe(result, task)
+        self._observe(result, task, at)
 
-    def _observe(self, what: str, subject: str) -> None:
-        now = self._clock.monotonic()
+    def _observe(self, what: str, subject: str, at: float | None = None) -> None:
+        moment = self._clock.monotonic() if at is None else at
         epoch = self._control.epoch
-        self._history.append(Observation(now, self._target.name, what, subject, epoch))
+        self._history.append(Observation(moment, self._target.name, what, subject, epoch))
 
 
 class StandInRunner:
@@ -201,6 +206,10 @@
     def target(self) -> Target:
         return self._target
 
+    @property
+    def in_progress(self) -> frozenset[str]:
+        return frozenset(self._in_progress)
+
     def control(self, request: ControlRequest) -> ControlReply:
         """Renews the lease and tells which requests are in progress."""
         with self._lock:
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -79,8 +79,7 @@
 
     def start(self) -> None:
         """Starts the process."""
-        file = tempfile.NamedTemporaryFile("w", suffix=".json", delete=False)
-        with file:
+        with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
             json.dump(self.settings, file)
         program = Path(sys.executable).with_name("azurecleat-entry")
         self.process = subprocess.Popen(
