Attempts of tasks have names of their own

Change: each attempt is named job.index.epoch-n; reports about any other attempt are acknowledged and ignored. A start that the worker refused is proved not run, so a task that is not repeatable may be sent again without a second record. Ruled out: placement (decisions matched), the checker (times agree with exchanges).

--- a/libs/bench/src/azurecleat_bench/_internal/faults/history.py
+++ b/libs/bench/src/azurecleat_bench/_internal/faults/history.py
@@ -28,11 +28,22 @@
 
 
 class Withdrawn(NamedTuple):
-    """A key said to be withdrawn, at the time the operator was told so."""
+    """A key said to be withdrawn in force, at the time the operator was told so.
+
+    ``holders`` are the instances that know of it; they matter until it is ``recorded``.
+    """
 
     at: float
     key_id: str
-    in_force: bool
+    recorded: bool
+    holders: tuple[str, ...]
+
+
+class Death(NamedTuple):
+    """An instance whose process ended."""
+
+    at: float
+    instance: str
 
 
 class LeavingSpell(NamedTuple):
@@ -78,6 +89,7 @@
     executions: list[Execution]
     observations: list[Any]
     withdrawn: list[Withdrawn]
+    deaths: list[Death]
     leaving: list[LeavingSpell]
     limits: list[LimitChange]
     versions: list[VersionSeen]
@@ -87,4 +99,4 @@
 
 def new_history() -> History:
     """Returns an empty history."""
-    return History([], [], [], [], [], [], [], [], {})
+    return History([], [], [], [], [], [], [], [], [], {})
--- a/libs/bench/src/azurecleat_bench/_internal/faults/world.py
+++ b/libs/bench/src/azurecleat_bench/_internal/faults/world.py
@@ -46,6 +46,7 @@
 from azurecleat_bench._internal.faults.history import (
     AcceptedJob,
     CallerResult,
+    Death,
     Execution,
     LeavingSpell,
     LimitChange,
@@ -209,10 +210,15 @@
                 node.incarnation,
                 threaded=False,
                 sleep=lambda seconds: None,
+                new_id=self._new_id,
             ),
         )
         node.core.membership.set_address(node.name)
 
+    def _new_id(self) -> str:
+        self._count += 1
+        return f"{self._count:020d}"
+
     def _tick(self, node: Node) -> None:
         core = node.core
         if core is None or node.is_paused or self.clock.monotonic() < node.paused_until:
@@ -350,6 +356,7 @@
         if node is not None and self._depth == 0:
             self.faults += 1
             node.core = None
+            self.history.deaths.append(Death(self.clock.monotonic(), node.name))
 
     def _revive(self) -> None:
         dead = [node for node in self.nodes.values() if node.core is None]
@@ -444,9 +451,11 @@
         key = self.rng.choice(left)
         assert node.core is not None
         result = node.core.membership.withdraw(key.key_id)
-        in_force = result.recorded or not result.unsure
+        if not result.in_force:
+            return
         at = self.clock.monotonic()
-        self.history.withdrawn.append(Withdrawn(at, key.key_id, in_force))
+        holders = (node.name, *result.confirmed)
+        self.history.withdrawn.append(Withdrawn(at, key.key_id, result.recorded, holders))
 
     def _raise_limit(self) -> None:
         node = self._live_node()
--- a/libs/cli/src/azurecleat_cli/_internal/commands/key.py
+++ b/libs/cli/src/azurecleat_cli/_internal/commands/key.py
@@ -38,6 +38,4 @@
         path = f"/v1/operator/keys/{self.argument('id')}"
         value = self.client.call("DELETE", path).json()
         self.show(value)
-        if value["recorded"] or not value["unsure"]:
-            return EXIT_OK
-        return EXIT_UNKNOWN
+        return EXIT_OK if value["in_force"] else EXIT_UNKNOWN
--- a/libs/daemon/src/azurecleat_daemon/_internal/core.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/core.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+import uuid
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -27,6 +28,11 @@
 APPEND_BACKOFF_MAX_S = 5.0
 
 
+def new_id() -> str:
+    """Returns a random id, unique for all time."""
+    return uuid.uuid4().hex
+
+
 class Core(NamedTuple):
     """The wired parts of an instance that need neither HTTP nor TCP."""
 
@@ -59,6 +65,7 @@
     incarnation: str
     threaded: bool = True
     sleep: Callable[[float], None] = time.sleep
+    new_id: Callable[[], str] = new_id
 
 
 def wire_core(settings: EntrySettings, surroundings: Surroundings) -> Core:
@@ -80,9 +87,20 @@
         settings.timing.lease_s,
         surroundings.threaded,
         surroundings.sleep,
+        surroundings.new_id,
     )
     partitions = PartitionManager(settings, services, membership)
-    router = Router(settings, replica, appender, partitions, membership, network, clock, metrics)
+    router = Router(
+        settings,
+        replica,
+        appender,
+        partitions,
+        membership,
+        network,
+        clock,
+        metrics,
+        surroundings.new_id,
+    )
     return Core(
         replica,
         appender,
--- a/libs/daemon/src/azurecleat_daemon/_internal/engine.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/engine.py
@@ -4,7 +4,6 @@
 
 import random
 import threading
-import time
 from collections.abc import Callable
 from concurrent.futures import Future
 from enum import Enum
@@ -56,7 +55,8 @@
     connect: ClientFactory
     lease_s: float
     threaded: bool
-    sleep: Callable[[float], None] = time.sleep
+    sleep: Callable[[float], None]
+    new_id: Callable[[], str]
 
 
 class TeamRow(NamedTuple):
@@ -127,6 +127,7 @@
             backoff,
             services.sleep,
             services.threaded,
+            services.new_id,
         )
         self._stepper = Periodic(f"engine-{partition}", STEP_S, self.step)
         self._follow_configuration()
--- a/libs/daemon/src/azurecleat_daemon/_internal/membership.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/membership.py
@@ -54,10 +54,16 @@
 
 
 class Withdrawal(NamedTuple):
-    """How far a withdrawal got. ``unsure`` instances stop by themselves within the bound."""
+    """How far a withdrawal got.
+
+    Once ``in_force``, no instance takes work for the key after the bound. A withdrawal that is
+    not ``recorded`` yet is kept by the instances that ``confirmed`` it and by the one that took
+    it; ``unsure`` ones did not answer.
+    """
 
     key_id: str
     recorded: bool
+    in_force: bool
     confirmed: tuple[str, ...]
     unsure: tuple[str, ...]
 
@@ -178,8 +184,8 @@
     def withdraw(self, key_id: str) -> Withdrawal:
         """Withdraws a key: spreads it to all members at once, and records it in the log.
 
-        A member that does not confirm loses its proof of freshness within the bound, because
-        this instance then knows of a withdrawal that the member does not.
+        In force without the log only if every member confirmed it. Every instance that may
+        take keyed work is known here: before it does, all members have to vouch for it.
         """
         self._note_withdrawn(key_id)
         confirmed, unsure = [], []
@@ -191,8 +197,9 @@
             else:
                 unsure.append(member.instance)
         recorded = self._record(key_id)
+        in_force = recorded or (self._is_introduced and not unsure)
         log_event(KEY_WITHDRAWN, key=key_id, recorded=recorded)
-        return Withdrawal(key_id, recorded, tuple(confirmed), tuple(unsure))
+        return Withdrawal(key_id, recorded, in_force, tuple(confirmed), tuple(unsure))
 
     def leave(self) -> None:
         """Says goodbye to all peers and leaves the roster."""
@@ -248,7 +255,8 @@
             known_at = self._replica.fleet.configuration.changed_at
         if status.configuration_at > known_at:
             self._fetch_configuration(member)
-        self._introduced.add(member.instance)
+        if status.vouches:
+            self._introduced.add(member.instance)
         self._freshness.on_answer(sent_at, status)
 
     def _fetch_configuration(self, member: Member) -> None:
@@ -260,8 +268,11 @@
             self._replica.adopt_configuration(json.loads(answer.data))
 
     def _tell(self, member: Member, message: Message) -> bool:
+        """Tells a member something; a process that is gone need not know it."""
         try:
             answer = self._network.call(member.address, message, CALL_TIMEOUT_S)
+        except ConnectionRefusedByHostError:
+            return True
         except PeerError:
             return False
         return isinstance(answer, Acknowledged)
@@ -286,10 +297,11 @@
         )
 
     def _meet_all(self) -> bool:
-        """Tells whether every member answered this incarnation once, or its process is gone.
+        """Tells whether every member knew this incarnation once, or its process is gone.
 
         A key withdrawn during an outage of the log is known to the members before the log has
-        it; an instance that starts in between learns of it only from them.
+        it. An instance that starts in between learns of it from them, and one that takes a
+        withdrawal later has to know this instance in order to tell it.
         """
         if not self._is_introduced and self._joined:
             others = set(self.members()) - {self._settings.instance}
--- a/libs/daemon/src/azurecleat_daemon/_internal/request_desk.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/request_desk.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import threading
-import uuid
 from collections.abc import Callable
 from concurrent.futures import Future, InvalidStateError
 from concurrent.futures import TimeoutError as FutureTimeoutError
@@ -96,6 +95,7 @@
         backoff: Backoff,
         sleep: Callable[[float], None],
         may_block: bool,
+        new_id: Callable[[], str],
     ) -> None:
         self._partition = partition
         self._epoch = epoch
@@ -106,6 +106,7 @@
         self._backoff = backoff
         self._sleep = sleep
         self._may_block = may_block
+        self._new_id = new_id
         self._lock = threading.RLock()
         self._scheduler = Scheduler(environment.scheduling)
         self._links: dict[str, TargetLink] = {}
@@ -161,7 +162,7 @@
     def remove_teams_except(self, names: set[str]) -> None:
         """Stops serving teams that left the configuration."""
         with self._lock:
-            for name in set(self._scheduler.teams) - names:
+            for name in sorted(set(self._scheduler.teams) - names):
                 self._scheduler.remove_team(name)
 
     def team_usage(self, name: str) -> int:
@@ -222,7 +223,7 @@
         """Counts requests of a former owner, and frees slots whose request is over."""
         names = {task.task for task in running}
         with self._lock:
-            for request_id in names:
+            for request_id in sorted(names):
                 self._adopt(request_id, link.target.name, sent_at)
             for request_id, dispatched in list(self._lingering.items()):
                 job = self._scheduler.jobs.get(request_id)
@@ -312,7 +313,7 @@
         return True
 
     def _try_once(self, spec: RequestSpec, ends_at: float) -> bytes:
-        request_id = f"{spec.team}/{uuid.uuid4().hex}"
+        request_id = f"{spec.team}/{self._new_id()}"
         queued_at = self._clock.monotonic()
         grant = self._wait_for_slot(request_id, spec, ends_at)
         self._metrics.waiting.labels("request").observe(self._clock.monotonic() - queued_at)
--- a/libs/daemon/src/azurecleat_daemon/_internal/router.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/router.py
@@ -4,7 +4,7 @@
 
 import hashlib
 import json
-import uuid
+from collections.abc import Callable
 from typing import Any
 
 from azurecleat_coordination import Appender, Replica, rank
@@ -61,6 +61,7 @@
         network: PeerNetwork,
         clock: Clock,
         metrics: Metrics,
+        new_id: Callable[[], str],
     ) -> None:
         self._settings = settings
         self._replica = replica
@@ -70,6 +71,7 @@
         self._network = network
         self._clock = clock
         self._metrics = metrics
+        self._new_id = new_id
 
     def run(self, spec: RequestSpec) -> bytes:
         """Runs a request in this zone, or in another one if this zone has no owner.
@@ -100,7 +102,7 @@
             job_id = f"{partition}-{digest}"
         else:
             partition = next(iter(self._partitions_nearest_first()), "")
-            job_id = f"{partition}-{uuid.uuid4().hex[:20]}"
+            job_id = f"{partition}-{self._new_id()[:20]}"
         return self._operate(partition, "submit", team, job_id, json.dumps(body))
 
     def cancel(self, team: str, job_id: str) -> dict[str, Any]:
@@ -161,7 +163,7 @@
         address = self._owner_address(partition)
         message = RunRequest(
             partition,
-            uuid.uuid4().hex,
+            self._new_id(),
             spec.team,
             spec.body,
             spec.deadline_s,
--- a/libs/daemon/src/azurecleat_daemon/_internal/task_desk.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/task_desk.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 from concurrent.futures import Future
+from typing import NamedTuple
 
 from azurecleat_coordination import Appender, Applied, JobState, Replica, to_ranges
 from azurecleat_coordination.records import BeginTask, EndTasks
@@ -37,6 +38,8 @@
 RESULT_FLUSH_S = 0.5
 RESULT_DEADLINE_S = 30.0
 MAX_STARTS_PER_STEP = 200
+SERVICE_RUN_S = 1e9
+"""Towards workers a service is a task without an end."""
 
 RECORDED_AS = {
     TaskResult.DONE: "done",
@@ -45,15 +48,29 @@
 }
 
 
-def task_id(job_id: str, index: int) -> str:
-    """Returns the name of a task towards workers."""
-    return f"{job_id}.{index}"
+class TaskName(NamedTuple):
+    """Name of one attempt of a task towards workers.
 
+    Attempts have names of their own, so that a late report of an earlier attempt is never taken
+    for one of the present attempt, on the same worker or on another one.
+    """
+
+    job_id: str
+    index: int
+    attempt: str
 
-def split_task_id(task: str) -> tuple[str, int]:
-    """Returns the job id and index of a task."""
-    job_id, _, index = task.rpartition(".")
-    return job_id, int(index)
+    def __str__(self) -> str:
+        return f"{self.job_id}.{self.index}.{self.attempt}"
+
+    @staticmethod
+    def parse(text: str) -> TaskName:
+        """Splits a name reported by a worker."""
+        job_id, index, attempt = text.rsplit(".", 2)
+        return TaskName(job_id, int(index), attempt)
+
+    @property
+    def key(self) -> tuple[str, int]:
+        return (self.job_id, self.index)
 
 
 class TaskDesk:
@@ -86,7 +103,10 @@
         self._scheduler = Scheduler(environment.scheduling)
         self._links: dict[str, TargetLink] = {}
         self._results: dict[str, dict[str, set[int]]] = {}
-        self._unacknowledged: dict[str, TargetLink] = {}
+        self._unacknowledged: dict[tuple[str, int], tuple[str, TargetLink]] = {}
+        self._current: dict[tuple[str, int], TaskName] = {}
+        self._attempts = 0
+        self._begun_unsent: set[tuple[str, int]] = set()
         self._seen_running: dict[str, set[str]] = {}
         self._jobs = replica.jobs(partition)
         self._feed: deque[str] = deque()
@@ -132,7 +152,7 @@
     def remove_teams_except(self, names: set[str]) -> None:
         """Stops starting work of teams that left the configuration."""
         with self._lock:
-            for name in set(self._scheduler.teams) - names:
+            for name in sorted(set(self._scheduler.teams) - names):
                 self._scheduler.remove_team(name)
 
     def team_usage(self, name: str) -> Quota:
@@ -217,7 +237,7 @@
             names = {task.task for task in running}
             vanished = self._seen_running.get(link.target.name, set()) - names
             self._seen_running[link.target.name] = names
-            for task in vanished:
+            for task in sorted(vanished):
                 self._on_vanished(link, task)
             for task in running:
                 self._on_seen(link, task)
@@ -234,8 +254,7 @@
         self._metrics.retries.labels("worker.start", "refused").inc(len(tasks))
         with self._lock:
             for task in tasks:
-                job_id, index = split_task_id(task)
-                self._finish(job_id, index, TaskResult.NOT_STARTED)
+                self._on_not_started(TaskName.parse(task))
 
     def on_lost(self, link: TargetLink) -> None:
         """Returns the tasks of a worker whose lease lapsed to the queue."""
@@ -244,6 +263,7 @@
             self._links.pop(name, None)
             self._seen_running.pop(name, None)
             for ended in self._scheduler.remove_worker(name, self._clock.monotonic()):
+                self._current.pop((ended.job_id, ended.index), None)
                 self._metrics.retries.labels("worker.lease", "lapsed").inc()
                 if ended.final is not None:
                     self._record(ended.job_id, ended.index, ended.final)
@@ -285,9 +305,10 @@
     def _cancel(self, job_id: str) -> None:
         for index, worker in self._scheduler.cancel(job_id):
             link = self._links.get(worker)
-            if link is not None:
-                link.withdraw_start(task_id(job_id, index))
-                link.stop_task(TaskStop(task_id(job_id, index)))
+            name = self._current.get((job_id, index))
+            if link is not None and name is not None:
+                link.withdraw_start(str(name))
+                link.stop_task(TaskStop(str(name)))
 
     def _decide(self) -> None:
         with self._lock, self._metrics.decision.labels("task").time():
@@ -308,7 +329,9 @@
         job = self._scheduler.jobs[decision.job_id].job
         waited = self._clock.monotonic() - job.submitted_at
         self._metrics.waiting.labels(job.spec.kind.value).observe(max(0.0, waited))
-        if job.spec.repeatable:
+        key = (decision.job_id, decision.index)
+        if job.spec.repeatable or key in self._begun_unsent:
+            self._begun_unsent.discard(key)
             self._send_start(decision)
             return
         event = BeginTask(self._partition, self._epoch, decision.job_id, decision.index)
@@ -335,64 +358,83 @@
     def _send_start(self, decision: Start) -> None:
         job = self._scheduler.jobs.get(decision.job_id)
         link = self._links.get(decision.worker)
-        if job is None or link is None or decision.index not in job.running:
-            self._finish(decision.job_id, decision.index, TaskResult.NOT_STARTED)
+        self._attempts += 1
+        name = TaskName(decision.job_id, decision.index, f"{self._epoch}-{self._attempts}")
+        if job is None or link is None or not self._is_placed(name, decision.worker):
             return
+        self._current[name.key] = name
         spec = job.job.spec
-        run_s = spec.run_s if spec.kind is not JobKind.SERVICE else float(10**9)
-        name = task_id(decision.job_id, decision.index)
-        link.start_task(TaskStart(name, decision.size, run_s, spec.command))
+        run_s = spec.run_s if spec.kind is not JobKind.SERVICE else SERVICE_RUN_S
+        link.start_task(TaskStart(str(name), decision.size, run_s, spec.command))
+
+    def _is_placed(self, name: TaskName, worker: str) -> bool:
+        job = self._scheduler.jobs.get(name.job_id)
+        task = job.running.get(name.index) if job else None
+        return task is not None and self._scheduler.worker_name(task) == worker
 
     def _reclaim(self, decision: Reclaim) -> None:
         link = self._links.get(decision.worker)
-        if link is not None:
-            how = StopHow(decision.how.value)
-            link.stop_task(TaskStop(task_id(decision.job_id, decision.index), how))
+        name = self._current.get((decision.job_id, decision.index))
+        if link is not None and name is not None:
+            link.stop_task(TaskStop(str(name), StopHow(decision.how.value)))
 
     def _withdraw_unsent(self, link: TargetLink) -> None:
         for task in link.take_unsent():
-            job_id, index = split_task_id(task)
-            self._finish(job_id, index, TaskResult.NOT_STARTED)
+            self._on_not_started(TaskName.parse(task))
+
+    def _on_not_started(self, name: TaskName) -> None:
+        """Returns a task to the queue whose start is proved not to have happened."""
+        if self._current.get(name.key) != name:
+            return
+        job = self._scheduler.jobs.get(name.job_id)
+        if job is not None and not job.job.spec.repeatable:
+            self._begun_unsent.add(name.key)
+        self._finish(*name.key, TaskResult.NOT_STARTED)
 
     def _on_seen(self, link: TargetLink, task: RunningTask) -> None:
-        job_id, index = split_task_id(task.task)
-        job = self._scheduler.jobs.get(job_id)
-        if job is None or (index not in job.running and index not in job.waiting):
+        name = TaskName.parse(task.task)
+        job = self._scheduler.jobs.get(name.job_id)
+        if job is not None and name.index in job.waiting and not self._is_open:
+            # Started by a former owner, and still running.
+            adopted = [Adopted(name.index, link.target.name)]
+            self._scheduler.adopt(name.job_id, adopted, self._clock.monotonic())
+            self._current[name.key] = name
+        if self._current.get(name.key) == name:
+            self._scheduler.report(name.job_id, name.index, task.used)
+        else:
             link.stop_task(TaskStop(task.task))
-            return
-        now = self._clock.monotonic()
-        if index in job.waiting:
-            self._scheduler.adopt(job_id, [Adopted(index, link.target.name)], now)
-        self._scheduler.report(job_id, index, task.used)
 
     def _on_vanished(self, link: TargetLink, task: str) -> None:
-        job_id, index = split_task_id(task)
-        job = self._scheduler.jobs.get(job_id)
-        running = job.running.get(index) if job else None
-        if running is None or task in self._unacknowledged:
-            return
-        if self._scheduler.worker_name(running) == link.target.name:
-            self._finish(job_id, index, TaskResult.LOST)
+        name = TaskName.parse(task)
+        if self._current.get(name.key) == name and self._is_placed(name, link.target.name):
+            self._finish(*name.key, TaskResult.LOST)
 
     def _on_end(self, link: TargetLink, end: EndedTask) -> None:
-        if end.task in self._unacknowledged:
+        name = TaskName.parse(end.task)
+        if self._unacknowledged.get(name.key, ("", None))[0] == end.task:
             return
-        job_id, index = split_task_id(end.task)
-        job = self._scheduler.jobs.get(job_id)
-        if job is not None and index in job.waiting:
-            # Ended before this owner took over; its result still counts.
-            adopted = [Adopted(index, link.target.name)]
-            self._scheduler.adopt(job_id, adopted, self._clock.monotonic())
-        if job is None or index not in job.running:
+        result = TaskResult(end.result)
+        job = self._scheduler.jobs.get(name.job_id)
+        is_waiting = job is not None and name.index in job.waiting
+        if is_waiting and result is TaskResult.DONE and not self._was_recorded(name):
+            # Ended while nobody listened; it need not run again.
+            adopted = [Adopted(name.index, link.target.name)]
+            self._scheduler.adopt(name.job_id, adopted, self._clock.monotonic())
+            self._current[name.key] = name
+        if self._current.get(name.key) != name:
             link.acknowledge(end.task)
             return
-        if self._finish(job_id, index, TaskResult(end.result)):
-            self._unacknowledged[end.task] = link
+        if self._finish(*name.key, result):
+            self._unacknowledged[name.key] = (end.task, link)
         else:
             link.acknowledge(end.task)
 
+    def _was_recorded(self, name: TaskName) -> bool:
+        return name.index in self._results.get(name.job_id, {}).get("done", set())
+
     def _finish(self, job_id: str, index: int, result: TaskResult) -> bool:
         """Ends an attempt; returns whether a final result waits to be recorded."""
+        self._current.pop((job_id, index), None)
         ended = self._scheduler.finish(job_id, index, result, self._clock.monotonic())
         self._metrics.outcomes.labels("task", result.value).inc()
         if ended.final is None:
@@ -418,7 +460,7 @@
                     self._results.setdefault(job_id, {}).setdefault(name, set()).update(indexes)
             return
         with self._lock:
-            for index in {index for indexes in results.values() for index in indexes}:
-                link = self._unacknowledged.pop(task_id(job_id, index), None)
+            for index in sorted({index for indexes in results.values() for index in indexes}):
+                task, link = self._unacknowledged.pop((job_id, index), ("", None))
                 if link is not None:
-                    link.acknowledge(task_id(job_id, index))
+                    link.acknowledge(task)
--- a/libs/fakes/src/azurecleat_fakes/_internal/standin_target.py
+++ b/libs/fakes/src/azurecleat_fakes/_internal/standin_target.py
@@ -162,7 +162,7 @@
         now = self._clock.monotonic()
         if self.faults.fail_tasks:
             for name in list(self._running):
-                self._end(name, "failed", now)
+                self._end(name, "failed", min(now, self._control.expires_at))
         lapsed_at = self._control.expires_at
         for name, task in list(self._running.items()):
             if task.ends_at <= min(now, lapsed_at):
