Two waiting partitions no longer block each other; a paused owner looks at the list first

Change: (1) a request for limit carries how long its oldest work waited, and the longer wait goes first. (2) the control lease is valid only within 2 s of a look at the list, reached or not. Directed scenarios (cut-off instance, deposed owner, all instances replaced after retention), and 12 mutations that must each be noticed by the checker. Ruled out for (1): ledger arithmetic (ceilings equal amounts, sums equal the limit).

--- /dev/null
+++ b/libs/bench/src/azurecleat_bench/_internal/commands/faults.py
@@ -0,0 +1,26 @@
+"""Random faults on in-process instances, checked against the promises."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from cleo.helpers import option
+
+from azurecleat_bench._internal.base import COMMON_OPTIONS, Bench
+from azurecleat_bench._internal.faults.run import run_faults, summarize
+
+
+class FaultsCommand(Bench):
+    """Runs random work and faults, then checks what targets, callers and operators saw."""
+
+    name = "faults"
+    description = "Random faults, checked against the promises."
+    options = [*COMMON_OPTIONS, option("steps", None, "Steps.", flag=False, default="300")]
+
+    def measure(self) -> dict[str, Any]:
+        """Runs one world."""
+        steps = self.number("steps")
+        world, violations = run_faults(self.seed, steps)
+        for violation in violations:
+            self.line_error(f"{violation.promise}: {violation.detail}")
+        return {"seed": self.seed, **summarize(world, steps, violations)}
--- a/libs/bench/src/azurecleat_bench/_internal/faults/checker.py
+++ b/libs/bench/src/azurecleat_bench/_internal/faults/checker.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
+from itertools import pairwise
 from typing import NamedTuple
 
 from azurecleat_bench._internal.faults.history import History, Withdrawn
@@ -28,6 +29,15 @@
     detail: str
 
 
+class Interval(NamedTuple):
+    """Time during which a target ran something."""
+
+    subject: str
+    target: str
+    since: float
+    until: float
+
+
 def check(history: History, bounds: Bounds) -> list[Violation]:
     """Returns all broken promises."""
     violations: list[Violation] = []
@@ -45,16 +55,15 @@
 
 
 def _one_place(history: History, bounds: Bounds) -> list[str]:
-    running: dict[str, set[str]] = defaultdict(set)
+    by_task: dict[str, list[Interval]] = defaultdict(list)
+    for interval in _intervals(history, "start", ENDS):
+        by_task[_task_of(interval.subject)].append(interval)
     found = []
-    for seen in _by_time(history):
-        task = _task_of(seen.subject)
-        if seen.what == "start":
-            if running[task]:
-                found.append(f"{seen.subject} on {seen.target} and {running[task]}")
-            running[task].add(f"{seen.target} {seen.subject}")
-        elif seen.what in ENDS:
-            running[task].discard(f"{seen.target} {seen.subject}")
+    for intervals in by_task.values():
+        intervals.sort(key=lambda interval: interval.since)
+        for former, latter in pairwise(intervals):
+            if latter.since < former.until and latter.since < latter.until:
+                found.append(f"{latter} while {former}")
     return found
 
 
@@ -85,25 +94,42 @@
 
 def _limits(history: History, bounds: Bounds) -> list[str]:
     team_of = {job.job_id: job.team for job in history.jobs}
-    limits: dict[str, tuple[int, int]] = {}
-    changes = sorted(history.limits)
-    tasks: Counter[str] = Counter()
-    requests: Counter[str] = Counter()
+    tasks = [
+        (interval, team_of.get(_job_of(interval.subject), ""))
+        for interval in _intervals(history, "start", ENDS)
+    ]
+    requests = [
+        (interval, interval.subject.partition("/")[0])
+        for interval in _intervals(history, "run", ("finish",))
+    ]
+    found = []
+    for team in sorted({change.team for change in history.limits}):
+        changes = [change for change in history.limits if change.team == team]
+        task_limits = [(change.at, change.tasks) for change in changes]
+        request_limits = [(change.at, change.requests) for change in changes]
+        found += _over_limit(f"tasks of {team}", team, tasks, task_limits)
+        found += _over_limit(f"requests of {team}", team, requests, request_limits)
+    return found
+
+
+def _over_limit(
+    what: str,
+    team: str,
+    running: list[tuple[Interval, str]],
+    limits: list[tuple[float, int]],
+) -> list[str]:
+    steps = []
+    for interval, owner in running:
+        if owner == team and interval.since < interval.until:
+            steps += [(interval.since, 1), (interval.until, -1)]
+    count = 0
     found = []
-    for seen in _by_time(history):
-        while changes and changes[0].at <= seen.at:
-            change = changes.pop(0)
-            limits[change.team] = (change.tasks, change.requests)
-        if seen.what in ("run", "finish"):
-            team = seen.subject.partition("/")[0]
-            requests[team] += 1 if seen.what == "run" else -1
-            if team in limits and requests[team] > limits[team][1]:
-                found.append(f"{team} has {requests[team]} requests at {seen.at:.2f}")
-        elif seen.what == "start" or seen.what in ENDS:
-            team = team_of.get(_job_of(seen.subject), "")
-            tasks[team] += 1 if seen.what == "start" else -1
-            if team in limits and tasks[team] > limits[team][0]:
-                found.append(f"{team} has {tasks[team]} tasks at {seen.at:.2f}")
+    # At one moment, ends (-1) sort before starts (+1).
+    for at, change in sorted(steps):
+        count += change
+        limit = max((most for since, most in limits if since <= at), default=0)
+        if change > 0 and count > limit:
+            found.append(f"{count} {what} at {at:.2f}, limit {limit}")
     return found
 
 
@@ -184,10 +210,18 @@
     return subject.rsplit(".", 2)[0]
 
 
-def _by_time(history: History) -> list:
-    # At the same moment an end comes before a start.
-    order = {"start": 1, "run": 1}
-    return sorted(history.observations, key=lambda seen: (seen.at, order.get(seen.what, 0)))
+def _intervals(history: History, start: str, ends: tuple[str, ...]) -> list[Interval]:
+    """Returns when each attempt ran on each target, in the order in which targets saw it."""
+    began: dict[tuple[str, str], float] = {}
+    intervals = []
+    for seen in history.observations:
+        key = (seen.subject, seen.target)
+        if seen.what == start:
+            began[key] = seen.at
+        elif seen.what in ends and key in began:
+            intervals.append(Interval(seen.subject, seen.target, began.pop(key), seen.at))
+    intervals += [Interval(*key, since, float("inf")) for key, since in began.items()]
+    return intervals
 
 
 RULES = {
--- a/libs/bench/src/azurecleat_bench/_internal/faults/connections.py
+++ b/libs/bench/src/azurecleat_bench/_internal/faults/connections.py
@@ -7,6 +7,7 @@
 
 from azurecleat_coordination import ReadResult
 from azurecleat_fakes import MemoryList, MemoryLog
+from azurecleat_model import ManualClock
 from azurecleat_model.exceptions import (
     AppendUnknownError,
     LogUnavailableError,
@@ -136,7 +137,10 @@
     :param find: Returns the handler of a live instance, ``None`` if its process is dead.
     """
 
-    def __init__(self, name: str, cuts: Cuts, find: Callable[[str], Any]) -> None:
+    def __init__(
+        self, name: str, cuts: Cuts, find: Callable[[str], Any], clock: ManualClock
+    ) -> None:
+        self._clock = clock
         self._name = name
         self._cuts = cuts
         self._find = find
@@ -148,7 +152,7 @@
         node = self._find(address)
         if node is None:
             raise ConnectionRefusedByHostError("refused", step="peer.connect", peer=address)
-        if node.is_paused:
+        if node.is_paused(self._clock.monotonic()):
             raise PeerAnswerLostError("paused", step="peer.receive", peer=address)
         arrived = decode(encode(Frame(1, message))).message
         answer = node.core.handle(arrived)
--- a/libs/bench/src/azurecleat_bench/_internal/faults/world.py
+++ b/libs/bench/src/azurecleat_bench/_internal/faults/world.py
@@ -86,7 +86,11 @@
         self.core: Core | None = None
         self.incarnation = ""
         self.paused_until = 0.0
-        self.is_paused = False
+        self.is_stalled = False
+
+    def is_paused(self, now: float) -> bool:
+        """Tells whether the process does not run now."""
+        return self.is_stalled or now < self.paused_until
 
 
 class Key(NamedTuple):
@@ -122,7 +126,7 @@
         self.faults = 0
         self._count = 0
         self._depth = 0
-        self._stalls_on = False
+        self.stalls_on = False
         self._leaving: dict[str, float] = {}
         self._retries: list[tuple[bytes, str, Key]] = []
 
@@ -135,7 +139,7 @@
         self.run_for(2.0)
         self._promote()
         self.run_for(8.0)
-        self._stalls_on = True
+        self.stalls_on = True
 
     def run_for(self, seconds: float) -> None:
         """Lets all live instances step for some time."""
@@ -164,7 +168,7 @@
             (self._leave, 1),
             (self._come_back, 1),
             (self._fail_worker, 1),
-            (self._forget_log, 1),
+            (self.forget_covered, 1),
         )
         self.rng.choices([e for e, _ in events], [w for _, w in events])[0]()
         if self.rng.random() < 0.4:
@@ -172,7 +176,7 @@
 
     def settle(self) -> None:
         """Ends all faults and lets accepted work finish."""
-        self._stalls_on = False
+        self.stalls_on = False
         self.cuts.heal()
         self.log.faults = Faults()
         for target in self.targets.values():
@@ -196,7 +200,7 @@
         """Starts a new incarnation of an instance."""
         self._count += 1
         node.incarnation = f"{node.name}#{self._count}"
-        node.is_paused = False
+        node.is_stalled = False
         node.core = wire_core(
             self._settings(node),
             Surroundings(
@@ -205,7 +209,7 @@
                 lambda target: CutTarget(
                     self.targets[target.name], node.name, self.cuts, self._stall
                 ),
-                LocalNetwork(node.name, self.cuts, self._find),
+                LocalNetwork(node.name, self.cuts, self._find, self.clock),
                 self.clock,
                 node.incarnation,
                 threaded=False,
@@ -221,7 +225,7 @@
 
     def _tick(self, node: Node) -> None:
         core = node.core
-        if core is None or node.is_paused or self.clock.monotonic() < node.paused_until:
+        if core is None or node.is_paused(self.clock.monotonic()):
             return
         try:
             core.replica.catch_up()
@@ -230,7 +234,7 @@
         try:
             core.partitions.set_targets(CutList(self.list, node.name, self.cuts).targets())
         except LogUnavailableError:
-            pass
+            core.partitions.keep_targets()
         core.membership.step()
         core.partitions.step()
         for engine in core.partitions.engines.values():
@@ -280,17 +284,32 @@
 
     def _submit_job(self) -> None:
         node = self._live_node()
-        if node is None or not self.keys:
-            return
-        key = self.rng.choice(self.keys)
-        tasks = self.rng.choice((1, 2, 4))
-        repeatable = self.rng.random() < 0.7
+        if node is not None and self.keys:
+            self.submit(
+                node,
+                self.rng.choice(self.keys),
+                tasks=self.rng.choice((1, 2, 4)),
+                run_s=self.rng.choice((0.5, 2.0, 6.0)),
+                repeatable=self.rng.random() < 0.7,
+                kind=self.rng.choice(("batch", "batch", "all-at-once")),
+            )
+
+    def submit(
+        self,
+        node: Node,
+        key: Key,
+        tasks: int,
+        run_s: float,
+        repeatable: bool,
+        kind: str = "batch",
+    ) -> None:
+        """Submits a job through an instance and records it if it is accepted."""
         body = {
             "name": f"name-{self.rng.randrange(5)}",
-            "kind": self.rng.choice(("batch", "batch", "all-at-once")),
+            "kind": kind,
             "size": {"cpu_milli": 1000, "memory_mb": 1000},
             "tasks": tasks,
-            "run_s": self.rng.choice((0.5, 2.0, 6.0)),
+            "run_s": run_s,
             "repeatable": repeatable,
         }
         assert node.core is not None
@@ -315,7 +334,7 @@
 
     def _serve(self, runner: str, body: bytes) -> bytes:
         self.history.executions.append(Execution(self.clock.monotonic(), runner, body))
-        if self._stalls_on and self._depth < 2 and self.rng.random() < LONG_REQUEST_CHANCE:
+        if self.stalls_on and self._depth < 2 and self.rng.random() < LONG_REQUEST_CHANCE:
             # A request that takes long enough for other things to happen meanwhile.
             self._depth += 1
             for _ in range(self.rng.randrange(1, 4)):
@@ -327,14 +346,14 @@
 
     def _stall(self, name: str) -> None:
         """Pauses an instance between its last check and its send."""
-        if not self._stalls_on or self._depth >= 2 or self.rng.random() >= STALL_CHANCE:
+        if not self.stalls_on or self._depth >= 2 or self.rng.random() >= STALL_CHANCE:
             return
         node = self.nodes[name]
         self.faults += 1
         self._depth += 1
-        node.is_paused = True
+        node.is_stalled = True
         self.run_for(self.rng.uniform(0.1, MAX_STALL_S))
-        node.is_paused = False
+        node.is_stalled = False
         self._depth -= 1
 
     def _cut(self) -> None:
@@ -413,7 +432,7 @@
             ]
         )
 
-    def _forget_log(self) -> None:
+    def forget_covered(self) -> None:
         """Forgets what snapshots cover, as retention does."""
         covered = [
             node.core.replica.snapshot_covers
@@ -535,9 +554,7 @@
         live = [
             node
             for node in self.nodes.values()
-            if node.core is not None
-            and not node.is_paused
-            and self.clock.monotonic() >= node.paused_until
+            if node.core is not None and not node.is_paused(self.clock.monotonic())
         ]
         return self.rng.choice(live) if live else None
 
--- a/libs/daemon/src/azurecleat_daemon/_internal/application.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/application.py
@@ -169,5 +169,6 @@
             targets = self._parts.instances.targets()
         except LogUnavailableError:
             # The list only suggests; targets already known stay.
+            self._parts.core.partitions.keep_targets()
             return
         self._parts.core.partitions.set_targets(targets)
--- a/libs/daemon/src/azurecleat_daemon/_internal/engine.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/engine.py
@@ -32,6 +32,9 @@
 ClientFactory = Callable[[Target], RunnerClient]
 
 STEP_S = 0.1
+MAX_LIST_PAUSE_S = 2.0
+"""Without a look at the instance list for this long, nothing is started or dispatched."""
+
 BACKOFF_BASE_S = 0.02
 BACKOFF_MAX_S = 0.5
 
@@ -59,6 +62,13 @@
     new_id: Callable[[], str]
 
 
+class Shortage(NamedTuple):
+    """Part of a limit that a team lacks in a partition, and how long its oldest work waits."""
+
+    amount: Quota
+    waited_s: float
+
+
 class TeamRow(NamedTuple):
     """A team in a partition, for status reports. ``usage_over_share`` is 1 at the share."""
 
@@ -94,7 +104,7 @@
         self._epoch = epoch
         self._former_targets = former_targets
         self._clock = services.clock
-        self._lease = ControlLease(services.clock, targets, services.lease_s)
+        self._lease = ControlLease(services.clock, targets, services.lease_s, MAX_LIST_PAUSE_S)
         self._committed_targets = targets
         self._attempted_targets: set[tuple[str, ...]] = set()
         self._phase = Phase.RECOVERING
@@ -198,6 +208,7 @@
     def set_targets(self, targets: list[Target]) -> None:
         """Takes over the instance list: new targets get a link, leaving ones nothing new."""
         with self._lock:
+            self._lease.stay_awake()
             for target in targets:
                 link = self._links.get(target.name)
                 if link is None:
@@ -208,20 +219,24 @@
                     self._desk(target).on_target_listed(link)
             self._drop_gone({target.name for target in targets})
 
-    def give_limit(self, team: str, amount: Quota, destination: str) -> bool:
+    def give_limit(self, team: str, need: Shortage, destination: str) -> bool:
         """Transfers unused allotment to another partition; returns whether any was given.
 
-        The part given is set aside before the record is appended, so that it is never used on
-        both sides whatever becomes of the append.
+        If work waits for the limit here too, the longer wait goes first: without an order, two
+        jobs that each need more than a partition holds would wait for each other for ever. The
+        part given is set aside before the record is appended, so that it is never used on both
+        sides whatever becomes of the append.
         """
         with self._lock:
-            allotted = self._allotted(team)
-            unused = allotted.minus(self._usage(team)).clamp()
-            waiting = team in self.tasks.blocked_by_limit() or self._requests_blocked(team)
-            part = Quota(
-                *(min(a, u if not waiting else 0) for a, u in zip(amount, unused, strict=True))
+            own = self.missing_limits().get(team)
+            goes_first = own is None or (own.waited_s, destination) < (
+                need.waited_s,
+                self._partition,
             )
-            if part == NO_QUOTA or self._phase is not Phase.SERVING or not self._lease.is_valid():
+            unused = self._allotted(team).minus(self._usage(team)).clamp()
+            part = Quota(*map(min, need.amount, unused))
+            may_give = self._phase is Phase.SERVING and self._lease.is_valid()
+            if part == NO_QUOTA or not goes_first or not may_give:
                 return False
             self._given[team] = self._given.get(team, NO_QUOTA).plus(part)
         self._follow_configuration()
@@ -230,14 +245,17 @@
         future.add_done_callback(lambda done: self._on_given(done, team, part))
         return True
 
-    def missing_limits(self) -> dict[str, Quota]:
+    def missing_limits(self) -> dict[str, Shortage]:
         """Returns what teams with waiting work lack here."""
-        missing: dict[str, Quota] = {}
+        missing: dict[str, Shortage] = {}
         for team, need in self.tasks.blocked_by_limit().items():
-            missing[team] = self._usage(team).plus(need).minus(self._allotted(team)).clamp()
-        for team, waiting in self.requests.blocked_by_limit().items():
-            missing[team] = missing.get(team, NO_QUOTA)._replace(requests=waiting)
-        return {team: need for team, need in missing.items() if need != NO_QUOTA}
+            lacking = self._usage(team).plus(need.quota).minus(self._allotted(team)).clamp()
+            missing[team] = Shortage(lacking, need.waited_s)
+        for team, need in self.requests.blocked_by_limit().items():
+            former = missing.get(team, Shortage(NO_QUOTA, 0.0))
+            lacking = former.amount._replace(requests=need.waiting_tasks)
+            missing[team] = Shortage(lacking, max(former.waited_s, need.waited_s))
+        return {team: need for team, need in missing.items() if need.amount != NO_QUOTA}
 
     def running_on(self, target: Target) -> int:
         """Returns the number of tasks or requests on a target."""
@@ -393,9 +411,6 @@
     def _usage(self, team: str) -> Quota:
         return self.tasks.team_usage(team)._replace(requests=self.requests.team_usage(team))
 
-    def _requests_blocked(self, team: str) -> bool:
-        return team in self.requests.blocked_by_limit()
-
     def _acknowledge_limits(self) -> None:
         """Tells the log when reduced limits are kept here, so that others may use the rest."""
         with self._services.replica.lock:
--- a/libs/daemon/src/azurecleat_daemon/_internal/partitions.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/partitions.py
@@ -59,6 +59,11 @@
         for partition, engine in self.engines.items():
             engine.set_targets(self._targets_of(partition))
 
+    def keep_targets(self) -> None:
+        """Goes on with the targets known, after the instance list was not reached."""
+        for engine in self.engines.values():
+            engine.lease.stay_awake()
+
     def step(self) -> None:
         """Claims what nobody serves, and gives up what another instance claimed."""
         for partition in self._settings.partitions:
--- a/libs/daemon/src/azurecleat_daemon/_internal/request_desk.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/request_desk.py
@@ -38,6 +38,7 @@
 from azurecleat_policy import (
     Adopted,
     Expire,
+    LimitNeed,
     Scheduler,
     Start,
     TaskResult,
@@ -171,11 +172,10 @@
             team = self._scheduler.teams.get(name)
             return team.used.tasks if team else 0
 
-    def blocked_by_limit(self) -> dict[str, int]:
+    def blocked_by_limit(self) -> dict[str, LimitNeed]:
         """Returns the teams whose next request waits for limit only, with how many wait."""
         with self._lock:
-            teams = self._scheduler.teams
-            return {name: teams[name].waiting for name in self._scheduler.blocked_by_limit()}
+            return self._scheduler.blocked_by_limit(self._clock.monotonic())
 
     def serve(self, spec: RequestSpec) -> bytes:
         """Serves one request and returns the runner's whole answer.
--- a/libs/daemon/src/azurecleat_daemon/_internal/router.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/router.py
@@ -30,7 +30,7 @@
 )
 from pydantic import TypeAdapter
 
-from azurecleat_daemon._internal.engine import Engine
+from azurecleat_daemon._internal.engine import Engine, Shortage
 from azurecleat_daemon._internal.membership import Membership
 from azurecleat_daemon._internal.metrics import Metrics
 from azurecleat_daemon._internal.partitions import PartitionManager
@@ -151,8 +151,8 @@
     def borrow_limits(self) -> None:
         """Asks other partitions for allotments that waiting work lacks here."""
         for partition, engine in self._partitions.engines.items():
-            for team, amount in engine.missing_limits().items():
-                self._borrow(partition, team, amount)
+            for team, shortage in engine.missing_limits().items():
+                self._borrow(partition, team, shortage)
 
     # Requests.
 
@@ -302,23 +302,24 @@
 
     # Limits.
 
-    def _borrow(self, partition: str, team: str, amount) -> None:
+    def _borrow(self, partition: str, team: str, need: Shortage) -> None:
         for source in self._known_partitions():
             if source == partition:
                 continue
             engine = self._partitions.engine(source)
             if engine is not None:
-                engine.give_limit(team, amount, partition)
+                engine.give_limit(team, need, partition)
                 continue
             try:
-                message = AskLimit(source, partition, team, amount)
+                message = AskLimit(source, partition, team, need.amount, need.waited_s)
                 self._network.call(self._owner_address(source), message, 1.0)
             except (PeerError, RefusalError):
                 self._metrics.retries.labels("limit.borrow", "unreachable").inc()
 
     def _handle_ask(self, message: AskLimit) -> Message:
         engine = self._engine_here(message.source)
-        if not engine.give_limit(message.team, message.amount, message.destination):
+        need = Shortage(message.amount, message.waited_s)
+        if not engine.give_limit(message.team, need, message.destination):
             raise RefusalError("nothing-to-give", "no unused allotment")
         return Acknowledged()
 
--- a/libs/daemon/src/azurecleat_daemon/_internal/task_desk.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/task_desk.py
@@ -22,6 +22,7 @@
 from azurecleat_policy import (
     Adopted,
     Expire,
+    LimitNeed,
     Reclaim,
     Refused,
     Scheduler,
@@ -161,10 +162,10 @@
             team = self._scheduler.teams.get(name)
             return team.used if team else Quota(0, 0, 0, 0, 0)
 
-    def blocked_by_limit(self) -> dict[str, Quota]:
+    def blocked_by_limit(self) -> dict[str, LimitNeed]:
         """Returns the teams whose next task waits for limit only, with what it needs."""
         with self._lock:
-            return self._scheduler.blocked_by_limit()
+            return self._scheduler.blocked_by_limit(self._clock.monotonic())
 
     def check(self, job) -> Refused | None:
         """Tells why a job would not be taken."""
--- a/libs/peers/src/azurecleat_peers/_internal/codec.py
+++ b/libs/peers/src/azurecleat_peers/_internal/codec.py
@@ -89,7 +89,13 @@
         case m.Unsupported():
             return "unsupported", None
         case m.AskLimit():
-            return "askLimit", {**message._asdict(), "amount": list(message.amount)}
+            return "askLimit", {
+                "source": message.source,
+                "destination": message.destination,
+                "team": message.team,
+                "amount": list(message.amount),
+                "waitedS": message.waited_s,
+            }
         case m.Goodbye():
             return "goodbye", message._asdict()
         case m.Acknowledged():
@@ -169,4 +175,4 @@
     amount = list(value.amount)
     if len(amount) != len(Quota._fields):
         raise ValueError("wrong number of quota dimensions")
-    return m.AskLimit(value.source, value.destination, value.team, Quota(*amount))
+    return m.AskLimit(value.source, value.destination, value.team, Quota(*amount), value.waitedS)
--- a/libs/peers/src/azurecleat_peers/_internal/messages.py
+++ b/libs/peers/src/azurecleat_peers/_internal/messages.py
@@ -83,12 +83,16 @@
 
 
 class AskLimit(NamedTuple):
-    """Asks the owner of ``source`` to transfer part of a team's limit to ``destination``."""
+    """Asks the owner of ``source`` to transfer part of a team's limit to ``destination``.
+
+    ``waited_s`` is how long the oldest work that lacks it has waited.
+    """
 
     source: str
     destination: str
     team: str
     amount: Quota
+    waited_s: float
 
 
 class Goodbye(NamedTuple):
--- a/libs/peers/src/azurecleat_peers/_internal/peer.capnp
+++ b/libs/peers/src/azurecleat_peers/_internal/peer.capnp
@@ -69,6 +69,12 @@
   retryAfterS @3 :Float64;
 }
 
-struct AskLimit { source @0 :Text; destination @1 :Text; team @2 :Text; amount @3 :List(Int64); }
+struct AskLimit {
+  source @0 :Text;
+  destination @1 :Text;
+  team @2 :Text;
+  amount @3 :List(Int64);
+  waitedS @4 :Float64;
+}
 
 struct Goodbye { instance @0 :Text; incarnation @1 :Text; }
--- a/libs/platform/src/azurecleat_platform/_internal/http_targets.py
+++ b/libs/platform/src/azurecleat_platform/_internal/http_targets.py
@@ -90,8 +90,8 @@
 class HttpInstanceList:
     """The platform's instance list behind an HTTP address."""
 
-    def __init__(self, address: str, timeout_s: float = 2.0) -> None:
-        self._exchange = HttpExchange(address)
+    def __init__(self, address: str, timeout_s: float = 1.0) -> None:
+        self._exchange = HttpExchange(address, connect_timeout_s=0.5)
         self._timeout_s = timeout_s
 
     def targets(self) -> list[Target]:
--- a/libs/policy/src/azurecleat_policy/_internal/bookkeeping.py
+++ b/libs/policy/src/azurecleat_policy/_internal/bookkeeping.py
@@ -18,6 +18,7 @@
 from azurecleat_policy._internal.teams import TeamState
 from azurecleat_policy._internal.types import (
     Ended,
+    LimitNeed,
     Refused,
     TaskResult,
     TeamPolicy,
@@ -274,15 +275,18 @@
         assert worker is not None
         return worker.policy.name
 
-    def blocked_by_limit(self) -> dict[str, Quota]:
+    def blocked_by_limit(self, now: float) -> dict[str, LimitNeed]:
         """Returns the teams with work that only their limit keeps back, and what it needs."""
-        blocked = {}
+        blocked: dict[str, LimitNeed] = {}
         for name, team in self._teams.items():
-            for lane in team.lanes.values():
-                job = lane.head()
-                if job is not None and not team.has_headroom(job):
-                    blocked[name] = job.step_quota
-                    break
+            if not team.waiting:
+                continue
+            heads = (lane.head() for lane in team.lanes.values())
+            short = [job for job in heads if job is not None and not team.has_headroom(job)]
+            if short:
+                oldest = min(short, key=lambda job: job.order)
+                waited_s = now - oldest.job.submitted_at
+                blocked[name] = LimitNeed(oldest.step_quota, team.waiting, waited_s)
         return blocked
 
     # Hooks of the search strategies.
--- a/libs/policy/src/azurecleat_policy/_internal/types.py
+++ b/libs/policy/src/azurecleat_policy/_internal/types.py
@@ -104,6 +104,14 @@
     final: TaskResult | None
 
 
+class LimitNeed(NamedTuple):
+    """What a team's oldest job needs that only the team's limit keeps back."""
+
+    quota: Quota
+    waiting_tasks: int
+    waited_s: float
+
+
 class Wait(NamedTuple):
     """Why a job waits, for operators."""
 
--- /dev/null
+++ b/tests/unit/bench/test_faults.py
@@ -0,0 +1,214 @@
+"""Random faults break no promise, and each promise's check notices when its mechanism is off."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from contextlib import ExitStack
+from typing import NamedTuple
+from unittest import mock
+
+from azurecleat_bench._internal.faults.checker import Violation
+from azurecleat_bench._internal.faults.run import run_faults
+from azurecleat_bench._internal.faults.scenarios import (
+    cut_off_instance,
+    deposed_owner,
+    every_instance_replaced,
+)
+from azurecleat_bench._internal.faults.world import World
+from azurecleat_coordination import ControlLease, Freshness, Proof
+from azurecleat_coordination._internal.configuration import Configuration
+from azurecleat_coordination._internal.intents import Intents
+from azurecleat_coordination._internal.jobs import Jobs
+from azurecleat_coordination._internal.ledger import Ledger
+from azurecleat_coordination._internal.result import ACCEPTED
+from azurecleat_daemon import RefusalError
+from azurecleat_daemon._internal.link import TargetLink
+from azurecleat_fakes import ControlPoint
+from azurecleat_model import Quota, Ran
+from azurecleat_policy import Scheduler
+
+STEPS = 250
+SEEDS = (1, 12, 24, 121, 213, 227, 327)
+MUTATION_SEEDS = range(12)
+
+
+def never_lapses(lease: ControlLease) -> bool:
+    """Replaces the lease check: an owner believes in its rights for ever."""
+    return True
+
+
+def admit_anyone(point: ControlPoint, request, name: str) -> None:
+    """Replaces fencing at targets: any epoch may command."""
+    point._epoch = request.epoch
+    point._expires_at = point._clock.monotonic() + request.lease_s
+
+
+def whole_limit(ledger: Ledger, team: str, partition: str) -> Quota:
+    """Replaces allotments: each partition takes the whole limit."""
+    return ledger._limits.get(team, Quota())
+
+
+def forget_withdrawals(configuration: Configuration, token: str, also=frozenset()) -> str | None:
+    """Replaces authentication: a key once known is good for ever."""
+    for team in configuration.environment.teams:
+        if any(key.id == token.partition(":")[0] for key in team.keys):
+            return team.name
+    found = configuration._given.get(token.partition(":")[0])
+    return found[0] if found else None
+
+
+def tell_not_run(refusal: RefusalError, code: str, detail: str, **fields) -> None:
+    """Replaces the honest refusal: what is unknown is told as not run."""
+    make_refusal(refusal, code, detail, **{**fields, "ran": Ran.NOT_RUN})
+
+
+make_refusal = RefusalError.__init__
+
+
+def load_older(configuration: Configuration, value) -> None:
+    """Replaces loading: an older copy replaces a newer one."""
+    configuration._version = max(0, value["version"] - 1)
+
+
+def lose_jobs(jobs: Jobs, value) -> None:
+    """Replaces loading of a snapshot: live jobs are dropped."""
+    jobs._epoch = value["epoch"]
+    jobs._live = {}
+
+
+def first_worker(scheduler: Scheduler, job, now: float) -> list:
+    """Replaces the search for capacity: the first worker takes everything."""
+    return scheduler._workers.live()[:1] * job.places
+
+
+def impatient(link: TargetLink, now: float) -> None:
+    """Replaces waiting for a lease to lapse: a silent target counts as lost at once."""
+    link._lost = True
+    link._granted = False
+    link._since = -1
+    link._listener.on_lost(link)
+
+
+def random_run(seed: int) -> list[Violation]:
+    """The scenario of most mutations."""
+    return run_faults(seed, STEPS)[1]
+
+
+class Mutation(NamedTuple):
+    """A mechanism switched off: what replaces what, and which promises that must break."""
+
+    name: str
+    replacements: tuple[tuple[type, str, Callable], ...]
+    promises: set[str]
+    scenario: Callable[[int], list[Violation]] = random_run
+
+
+MUTATIONS = (
+    Mutation("no search for capacity", ((Scheduler, "_find_workers", first_worker),), {"capacity"}),
+    Mutation(
+        "silent targets count as lost at once",
+        ((TargetLink, "_check_lapse", impatient),),
+        {"one-place", "limits", "capacity"},
+    ),
+    Mutation(
+        "withdrawals forgotten",
+        ((Configuration, "authenticate", forget_withdrawals),),
+        {"keys"},
+    ),
+    Mutation(
+        "freshness not proved",
+        ((Freshness, "proof", lambda self, knowledge: Proof.LOG),),
+        {"keys"},
+        lambda seed: cut_off_instance(seed)[1],
+    ),
+    Mutation("allotments off", ((Ledger, "allotment", whole_limit),), {"limits"}),
+    Mutation(
+        "answers crossed",
+        ((World, "_serve", lambda world, runner, body: b"checked: another"),),
+        {"own-answer"},
+    ),
+    Mutation("unknown told as not run", ((RefusalError, "__init__", tell_not_run),), {"not-run"}),
+    Mutation(
+        "intents off",
+        ((Intents, "intend", lambda self, event: ACCEPTED),),
+        {"at-most-once"},
+    ),
+    Mutation(
+        "leaving ignored",
+        ((Scheduler, "set_draining", lambda self, name, draining: None),),
+        {"leaving"},
+    ),
+    Mutation(
+        "older configuration loaded", ((Configuration, "load", load_older),), {"never-reverts"}
+    ),
+    Mutation(
+        "jobs lost from snapshots",
+        ((Jobs, "load", lose_jobs),),
+        {"accepted-jobs-end"},
+        lambda seed: every_instance_replaced(seed)[1],
+    ),
+    Mutation(
+        "fencing and leases off",
+        (
+            (ControlPoint, "admit", admit_anyone),
+            (ControlLease, "is_valid", never_lapses),
+        ),
+        {"one-place", "limits", "capacity", "at-most-once"},
+        lambda seed: deposed_owner(seed)[1],
+    ),
+)
+
+
+class FaultsTest(unittest.TestCase):
+    """The short form of ``azurecleat-bench faults``."""
+
+    def test_random_faults_break_no_promise(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                _, violations = run_faults(seed, STEPS)
+                self.assertEqual(violations, [])
+
+    def test_same_seed_gives_the_same_run(self) -> None:
+        first, _ = run_faults(5, 100)
+        second, _ = run_faults(5, 100)
+        self.assertEqual(first.history.callers, second.history.callers)
+        self.assertEqual(first.history.observations, second.history.observations)
+
+    def test_a_cut_off_instance_takes_no_withdrawn_key(self) -> None:
+        world, violations = cut_off_instance(1)
+        self.assertEqual(violations, [])
+        late = [result for result in world.history.callers if result.body.startswith(b"late")]
+        self.assertEqual({result.code for result in late}, {"keys-not-fresh"})
+
+    def test_a_deposed_owner_does_nothing_with_its_old_rights(self) -> None:
+        world, violations = deposed_owner(1)
+        self.assertEqual(violations, [])
+        epochs = {seen.epoch for seen in world.history.observations if seen.what == "start"}
+        self.assertIn(2, epochs, "another instance took over")
+
+    def test_accepted_jobs_survive_all_instances_and_retention(self) -> None:
+        world, violations = every_instance_replaced(1)
+        self.assertEqual(violations, [])
+        self.assertGreater(world.log.first_offset(), 0, "the log forgot something")
+        self.assertEqual(len(world.history.jobs), 4)
+
+    def test_each_deliberate_break_is_noticed(self) -> None:
+        for mutation in MUTATIONS:
+            with self.subTest(mutation=mutation.name):
+                self.assertTrue(self.is_noticed(mutation))
+
+    def is_noticed(self, mutation: Mutation) -> bool:
+        """Runs seeds under a mutation until a check of the expected promises fails."""
+        for seed in MUTATION_SEEDS:
+            with ExitStack() as stack:
+                for owner, name, replacement in mutation.replacements:
+                    stack.enter_context(mock.patch.object(owner, name, replacement))
+                violations = mutation.scenario(seed)
+            if mutation.promises & {violation.promise for violation in violations}:
+                return True
+        return False
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/unit/peers/test_codec.py
+++ b/tests/unit/peers/test_codec.py
@@ -21,7 +21,7 @@
     m.OperationAnswer("{}"),
     m.RefusalAnswer("deadline", "too late", "not-run", -1.0),
     m.Unsupported(),
-    m.AskLimit("hobart", "burnie", "crew", Quota(1, 2, 3, 4, 5)),
+    m.AskLimit("hobart", "burnie", "crew", Quota(1, 2, 3, 4, 5), 2.5),
     m.Goodbye("a", "1"),
     m.Acknowledged(),
     m.FetchConfiguration(),
