--- a/libs/bench/src/azurecleat_bench/_internal/faults/history.py
+++ b/libs/bench/src/azurecleat_bench/_internal/faults/history.py
@@ -54,6 +54,13 @@
     until: float
 
 
+class ListCut(NamedTuple):
+    """A moment at which an instance of a zone could not read the instance list."""
+
+    at: float
+    zone: str
+
+
 class LimitChange(NamedTuple):
     """A promoted limit of a team."""
 
@@ -91,6 +98,7 @@
     withdrawn: list[Withdrawn]
     deaths: list[Death]
     leaving: list[LeavingSpell]
+    list_cuts: list[ListCut]
     limits: list[LimitChange]
     versions: list[VersionSeen]
     jobs: list[AcceptedJob]
@@ -99,4 +107,4 @@
 
 def new_history() -> History:
     """Returns an empty history."""
-    return History([], [], [], [], [], [], [], [], [], {})
+    return History([], [], [], [], [], [], [], [], [], [], {})
--- a/libs/bench/src/azurecleat_bench/_internal/faults/world.py
+++ b/libs/bench/src/azurecleat_bench/_internal/faults/world.py
@@ -50,6 +50,7 @@
     Execution,
     LeavingSpell,
     LimitChange,
+    ListCut,
     VersionSeen,
     Withdrawn,
     new_history,
@@ -235,6 +236,7 @@
             core.partitions.set_targets(CutList(self.list, node.name, self.cuts).targets())
         except LogUnavailableError:
             core.partitions.keep_targets()
+            self.history.list_cuts.append(ListCut(self.clock.monotonic(), node.zone))
         core.membership.step()
         core.partitions.step()
         for engine in core.partitions.engines.values():
--- a/libs/daemon/src/azurecleat_daemon/_internal/composition.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/composition.py
@@ -56,7 +56,7 @@
         core.admission,
         core.operators,
         core.metrics,
-        lambda: core.replica.is_ready,
+        lambda: core.replica.is_ready and core.membership.is_introduced,
     )
     server = PeerServer(settings.peers, core.handle)
     return Application(settings, Parts(core, api, server, network, instances, on_stop))
--- a/libs/daemon/src/azurecleat_daemon/_internal/core.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/core.py
@@ -48,7 +48,12 @@
 
     def handle(self, message: Message) -> Message:
         """Answers a message of a peer."""
-        return self.membership.handle(message) or self.router.handle(message) or Unsupported()
+        # An answer without fields is an empty tuple, so truth would not tell it from None.
+        for handler in (self.membership.handle, self.router.handle):
+            answer = handler(message)
+            if answer is not None:
+                return answer
+        return Unsupported()
 
 
 class Surroundings(NamedTuple):
--- a/libs/daemon/src/azurecleat_daemon/_internal/engine.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/engine.py
@@ -219,6 +219,11 @@
                     self._desk(target).on_target_listed(link)
             self._drop_gone({target.name for target in targets})
 
+    def know_team(self, team: str) -> None:
+        """Makes a team known that a configuration newer than the last step has added."""
+        if team not in self.tasks.scheduler.teams:
+            self._follow_configuration()
+
     def give_limit(self, team: str, need: Shortage, destination: str) -> bool:
         """Transfers unused allotment to another partition; returns whether any was given.
 
--- a/libs/daemon/src/azurecleat_daemon/_internal/http_api.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/http_api.py
@@ -124,8 +124,6 @@
             ("Content-Length", str(len(answer.body))),
             *answer.headers,
         ]
-        if self._is_draining:
-            headers.append(("Connection", "close"))
         reason = REASONS.get(answer.status, "Unknown")
         start_response(f"{answer.status} {reason}", headers)
         return [answer.body]
--- a/libs/daemon/src/azurecleat_daemon/_internal/membership.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/membership.py
@@ -5,6 +5,7 @@
 import json
 import random
 import threading
+from enum import Enum
 from typing import NamedTuple
 
 from azurecleat_coordination import (
@@ -58,16 +59,25 @@
 
     Once ``in_force``, no instance takes work for the key after the bound. A withdrawal that is
     not ``recorded`` yet is kept by the instances that ``confirmed`` it and by the one that took
-    it; ``unsure`` ones did not answer.
+    it. The processes of those ``gone`` have ended; ``unsure`` ones did not answer.
     """
 
     key_id: str
     recorded: bool
     in_force: bool
     confirmed: tuple[str, ...]
+    gone: tuple[str, ...]
     unsure: tuple[str, ...]
 
 
+class Told(str, Enum):
+    """What became of a message to a member."""
+
+    CONFIRMED = "confirmed"
+    GONE = "gone"
+    UNSURE = "unsure"
+
+
 class Membership:
     """This instance among its peers.
 
@@ -120,6 +130,11 @@
         with self._lock:
             return frozenset(self._pending)
 
+    @property
+    def is_introduced(self) -> bool:
+        """Tells whether all members knew this incarnation once; it may take keyed work then."""
+        return self._is_introduced
+
     @property
     def present_proof(self) -> Proof:
         return self._proof
@@ -188,18 +203,14 @@
         take keyed work is known here: before it does, all members have to vouch for it.
         """
         self._note_withdrawn(key_id)
-        confirmed, unsure = [], []
+        told: dict[Told, list[str]] = {Told.CONFIRMED: [], Told.GONE: [], Told.UNSURE: []}
         for member in self.members().values():
-            if member.instance == self._settings.instance:
-                continue
-            if self._tell(member, Withdraw(key_id)):
-                confirmed.append(member.instance)
-            else:
-                unsure.append(member.instance)
+            if member.instance != self._settings.instance:
+                told[self._tell(member, Withdraw(key_id))].append(member.instance)
         recorded = self._record(key_id)
-        in_force = recorded or (self._is_introduced and not unsure)
+        in_force = recorded or (self._is_introduced and not told[Told.UNSURE])
         log_event(KEY_WITHDRAWN, key=key_id, recorded=recorded)
-        return Withdrawal(key_id, recorded, in_force, tuple(confirmed), tuple(unsure))
+        return Withdrawal(key_id, recorded, in_force, *(tuple(names) for names in told.values()))
 
     def leave(self) -> None:
         """Says goodbye to all peers and leaves the roster."""
@@ -267,15 +278,15 @@
         if isinstance(answer, ConfigurationAnswer):
             self._replica.adopt_configuration(json.loads(answer.data))
 
-    def _tell(self, member: Member, message: Message) -> bool:
+    def _tell(self, member: Member, message: Message) -> Told:
         """Tells a member something; a process that is gone need not know it."""
         try:
             answer = self._network.call(member.address, message, CALL_TIMEOUT_S)
         except ConnectionRefusedByHostError:
-            return True
+            return Told.GONE
         except PeerError:
-            return False
-        return isinstance(answer, Acknowledged)
+            return Told.UNSURE
+        return Told.CONFIRMED if isinstance(answer, Acknowledged) else Told.UNSURE
 
     def _status(self, question: Status) -> PeerStatus:
         with self._replica.lock:
--- a/libs/daemon/src/azurecleat_daemon/_internal/router.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/router.py
@@ -159,6 +159,7 @@
     def _run_in(self, partition: str, spec: RequestSpec) -> bytes:
         engine = self._partitions.engine(partition)
         if engine is not None:
+            engine.know_team(spec.team)
             return engine.requests.serve(spec)
         address = self._owner_address(partition)
         message = RunRequest(
@@ -184,6 +185,7 @@
             message.repeatable,
             message.idempotency_key,
         )
+        engine.know_team(message.team)
         return RunAnswer(engine.requests.serve(spec))
 
     def _forward(self, address: str, message: Message, timeout_s: float) -> Message:
@@ -239,6 +241,7 @@
     def _accept(self, engine: Engine, operation: Operation) -> dict[str, Any]:
         spec = self.check_spec(json.loads(operation.body))
         job = Job(operation.subject, operation.team, spec, self._clock.wall())
+        engine.know_team(operation.team)
         known = self._find(operation)
         if known is not None:
             return known
--- /dev/null
+++ b/tests/unit/coordination/test_replica.py
@@ -0,0 +1,201 @@
+"""Replay: once each, in order, from snapshots after retention, past what cannot be read."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from azurecleat_coordination import Appender, Backoff, Replica, to_chunks
+from azurecleat_coordination.records import (
+    AcceptJob,
+    Claim,
+    Entry,
+    GiveKey,
+    Intend,
+    Promote,
+    Transfer,
+    WithdrawKey,
+    encode_entry,
+)
+from azurecleat_fakes import Faults, MemoryLog
+from azurecleat_model import (
+    Environment,
+    Job,
+    JobKind,
+    JobSpec,
+    KeyHash,
+    ManualClock,
+    Quota,
+    TaskSize,
+    Team,
+    generate_key,
+    to_plain,
+)
+from azurecleat_model.exceptions import AppendUnknownError, LogUnavailableError
+
+DOCUMENT = to_plain(Environment("test", (Team("crew", 1.0, Quota(tasks=10)),)))
+
+
+class Instance:
+    """A replica and an appender on a shared log."""
+
+    def __init__(self, log: MemoryLog, name: str) -> None:
+        self.clock = ManualClock()
+        self.replica = Replica(log, self.clock)
+        backoff = Backoff(0.001, 0.001, random.Random(1))
+        self.appender = Appender(log, self.replica, self.clock, name, backoff)
+
+
+def job(job_id: str) -> Job:
+    return Job(job_id, "crew", JobSpec("check", JobKind.BATCH, TaskSize(1, 1)), 0.0)
+
+
+class AppenderTest(unittest.TestCase):
+    """Group commit under a faulty log."""
+
+    def setUp(self) -> None:
+        self.log = MemoryLog()
+        self.one = Instance(self.log, "one")
+
+    def test_lost_answer_is_resolved_by_reading(self) -> None:
+        self.log.faults = Faults(lose_answers=1)
+        self.assertTrue(self.one.appender.commit(Promote(DOCUMENT, 0)).accepted)
+        self.assertEqual(self.log.tail, 1)
+
+    def test_append_repeated_by_the_platform_takes_effect_once(self) -> None:
+        self.one.appender.commit(Promote(DOCUMENT, 0))
+        self.one.appender.commit(Claim("burnie", 1, "one", "one", ()))
+        self.one.appender.commit(Claim("hobart", 1, "one", "one", ()))
+        move = Transfer("crew", "burnie", 1, "hobart", Quota(0, 2, 0, 0, 0))
+        self.one.appender.commit(move)
+        # The last entry once more, as a delayed retry inside the platform would leave it.
+        self.log.append(self.log.read(self.log.tail - 1, 1).entries[0][1])
+        self.one.replica.catch_up()
+        self.assertEqual(self.one.replica.fleet.ledger.allotment("crew", "hobart").tasks, 2)
+
+    def test_unavailable_log_is_told_as_certainly_not_in(self) -> None:
+        self.log.faults = Faults(down=True)
+        with self.assertRaises(LogUnavailableError):
+            self.one.appender.commit(Promote(DOCUMENT, 0))
+        self.log.faults = Faults()
+        self.one.appender.step()
+        self.assertEqual(self.log.tail, 0, "what was given up is not appended later")
+
+    def test_unread_append_is_told_as_unknown(self) -> None:
+        class DeafLog(MemoryLog):
+            """Takes appends, loses all answers and cannot be read."""
+
+            def append(self, data: bytes) -> int:
+                super().append(data)
+                raise AppendUnknownError("lost", step="log.append")
+
+            def read(self, offset: int, limit: int):
+                raise LogUnavailableError("cut", step="log.read")
+
+        instance = Instance(DeafLog(), "one")
+        with self.assertRaises(AppendUnknownError):
+            instance.appender.commit(Promote(DOCUMENT, 0))
+
+    def test_events_submitted_together_share_an_entry(self) -> None:
+        futures = [self.one.appender.submit(Intend(f"k{i}", 0.0)) for i in range(50)]
+        self.one.appender.step()
+        self.assertTrue(all(future.result().accepted for future in futures))
+        self.assertEqual(self.log.tail, 1)
+
+    def test_first_of_two_racing_promotions_wins(self) -> None:
+        two = Instance(self.log, "two")
+        two.replica.catch_up()
+        self.assertTrue(self.one.appender.commit(Promote(DOCUMENT, 0)).accepted)
+        result = two.appender.commit(Promote(DOCUMENT, 0))
+        self.assertFalse(result.accepted)
+        self.assertIn("version 1 is in force", result.reason)
+
+    def test_first_of_two_racing_claims_wins(self) -> None:
+        two = Instance(self.log, "two")
+        first = self.one.appender.commit(Claim("hobart", 1, "one", "one", ()))
+        second = two.appender.commit(Claim("hobart", 1, "two", "two", ()))
+        self.assertEqual((first.accepted, second.accepted), (True, False))
+
+
+class SnapshotTest(unittest.TestCase):
+    """Reading a log that has forgotten its beginning."""
+
+    def setUp(self) -> None:
+        self.log = MemoryLog()
+        self.one = Instance(self.log, "one")
+        token, key = generate_key("k1")
+        self.token = token
+        commit = self.one.appender.commit
+        commit(Promote(DOCUMENT, 0))
+        commit(GiveKey("crew", key))
+        commit(Claim("hobart", 1, "one", "one", ("w1",)))
+        commit(AcceptJob("hobart", job("hobart-1")))
+        commit(Intend("crew/invoice", 0.0))
+
+    def snapshot(self) -> None:
+        for section in self.one.replica.whole_sections():
+            for chunk in to_chunks(section, *self.one.replica.dump(section)):
+                self.one.appender.commit(chunk)
+
+    def test_new_reader_gets_the_same_state_from_snapshots(self) -> None:
+        covered = self.log.tail
+        self.snapshot()
+        self.one.appender.commit(AcceptJob("hobart", job("hobart-2")))
+        self.log.forget_before(covered)
+        reader = Replica(self.log, ManualClock())
+        reader.catch_up()
+        self.assertTrue(reader.is_ready)
+        for section in self.one.replica.whole_sections():
+            self.assertEqual(reader.dump(section), self.one.replica.dump(section))
+
+    def test_reader_without_a_snapshot_is_not_ready(self) -> None:
+        self.log.forget_before(2)
+        reader = Replica(self.log, ManualClock())
+        reader.catch_up()
+        self.assertFalse(reader.is_ready)
+        self.assertIsNone(reader.jobs("hobart"))
+
+    def test_reader_overtaken_by_retention_loads_a_snapshot(self) -> None:
+        slow = Replica(self.log, ManualClock())
+        slow.catch_up()
+        self.one.appender.commit(WithdrawKey("k1"))
+        covered = self.log.tail
+        self.snapshot()
+        self.log.forget_before(covered)
+        slow.catch_up()
+        self.assertIsNone(slow.fleet.configuration.authenticate(self.token))
+
+    def test_reserved_run_is_remembered_across_a_snapshot(self) -> None:
+        covered = self.log.tail
+        self.snapshot()
+        self.log.forget_before(covered)
+        late = Instance(self.log, "late")
+        late.replica.catch_up()
+        self.assertFalse(late.appender.commit(Intend("crew/invoice", 1.0)).accepted)
+
+    def test_undecodable_entry_is_counted_and_passed_over(self) -> None:
+        self.log.append(b"J{not json")
+        self.log.append(encode_entry(Entry("x", 1, (WithdrawKey("k9"),))))
+        self.one.replica.catch_up()
+        self.assertEqual(self.one.replica.undecodable, 1)
+        self.assertIn("k9", self.one.replica.fleet.configuration.withdrawn)
+
+    def test_lagging_replica_of_the_log_proves_nothing(self) -> None:
+        before = self.one.replica.reached_tail_at
+        self.log.faults = Faults(read_lag=3)
+        self.one.clock.advance(10)
+        self.one.replica.catch_up()
+        self.assertEqual(self.one.replica.reached_tail_at, before)
+
+    def test_withdrawn_key_cannot_be_revived_by_a_document(self) -> None:
+        self.one.appender.commit(WithdrawKey("k1"))
+        key = KeyHash("k1", "0" * 64)
+        team = Team("crew", 1.0, Quota(tasks=10), keys=(key,))
+        revived = to_plain(Environment("test", (team,)))
+        self.assertTrue(self.one.appender.commit(Promote(revived, 1)).accepted)
+        self.assertIsNone(self.one.replica.fleet.configuration.authenticate("k1:x"))
+        self.assertIsNone(self.one.replica.fleet.configuration.authenticate(self.token))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/unit/daemon/test_core.py
@@ -0,0 +1,52 @@
+"""Parts of an instance wired without servers."""
+
+from __future__ import annotations
+
+import unittest
+
+from azurecleat_bench._internal.faults.world import World
+from azurecleat_peers.messages import (
+    Acknowledged,
+    Goodbye,
+    RefusalAnswer,
+    RunAnswer,
+    RunRequest,
+    Status,
+    StatusAnswer,
+    Unsupported,
+    Withdraw,
+)
+
+
+class HandleTest(unittest.TestCase):
+    """Messages of peers reach the part that answers them."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.world = World(1)
+        cls.world.start()
+        cls.core = cls.world.nodes["hobart-0"].core
+
+    def test_each_kind_gets_its_answer(self) -> None:
+        cases = [
+            (Withdraw("nobody"), Acknowledged),
+            (Goodbye("nobody", "1"), Acknowledged),
+            (Status("hobart-1", "1"), StatusAnswer),
+            (RunRequest("nowhere", "r", "crew", b"", 1.0, True, ""), RefusalAnswer),
+            (RunAnswer(b""), Unsupported),
+        ]
+        for message, kind in cases:
+            with self.subTest(message=message):
+                self.assertIsInstance(self.core.handle(message), kind)
+
+    def test_forwarded_request_is_not_forwarded_again(self) -> None:
+        owners = [n for n in self.world.nodes.values() if n.core.partitions.engine("hobart")]
+        others = [n for n in self.world.nodes.values() if n not in owners]
+        message = RunRequest("hobart", "r", "crew", b"", 1.0, True, "")
+        for node in others:
+            answer = node.core.handle(message)
+            self.assertEqual((answer.code, answer.ran), ("not-owner", "not-run"))
+
+
+if __name__ == "__main__":
+    unittest.main()
