--- /dev/null
+++ b/libs/bench/src/azurecleat_bench/_internal/commands/forwarding.py
@@ -0,0 +1,94 @@
+"""What one hop to a partition's owner adds to a request."""
+
+from __future__ import annotations
+
+import http.client
+import threading
+import time
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from typing import Any
+
+from cleo.helpers import option
+
+from azurecleat_bench._internal.base import COMMON_OPTIONS, Bench, quantile
+from azurecleat_bench._internal.processes import Entry, Fleet, wait_until
+
+CALLERS = 4
+
+
+class ForwardingCommand(Bench):
+    """Sends the same load to the owner and to an instance that forwards."""
+
+    name = "forwarding"
+    description = "Latency and throughput through a forwarding instance against the owner."
+    options = [
+        *COMMON_OPTIONS,
+        option("rate", None, "Requests a second.", flag=False, default="200"),
+        option("seconds", None, "Length of each part.", flag=False, default="5"),
+    ]
+
+    def measure(self) -> dict[str, Any]:
+        """Measures direct and forwarded calls, at a rate and as fast as they go."""
+        fleet = Fleet(("hobart",), 2)
+        try:
+            fleet.start()
+            owner = wait_until(lambda: fleet.owner_of("hobart"))
+            other = fleet.others(owner)[0]
+            rate, seconds = self.number("rate"), self.number("seconds")
+            # The load has a process of its own: the stand-ins share this one's interpreter.
+            with ProcessPoolExecutor(1, mp_context=get_context("spawn")) as pool:
+
+                def load(entry: Entry, rate: int, seconds: float) -> list[float]:
+                    return pool.submit(_load, entry.callers, fleet.token, rate, seconds).result()
+
+                for entry in (owner, other):
+                    load(entry, rate, 1.0)
+                direct = load(owner, rate, seconds)
+                forwarded = load(other, rate, seconds)
+                fast_direct = load(owner, 0, seconds)
+                fast_forwarded = load(other, 0, seconds)
+        finally:
+            fleet.stop()
+        return {
+            "direct_p50_ms": _ms(direct, 0.5),
+            "direct_p99_ms": _ms(direct, 0.99),
+            "added_p50_ms": round(_ms(forwarded, 0.5) - _ms(direct, 0.5), 3),
+            "added_p99_ms": round(_ms(forwarded, 0.99) - _ms(direct, 0.99), 3),
+            "throughput_direct_per_s": round(len(fast_direct) / seconds),
+            "throughput_forwarded_per_s": round(len(fast_forwarded) / seconds),
+            "throughput_ratio": round(len(fast_forwarded) / len(fast_direct), 3),
+        }
+
+
+def _ms(times: list[float], fraction: float) -> float:
+    return round(quantile(times, fraction) * 1000, 3)
+
+
+def _load(address: str, token: str, rate: int, seconds: float) -> list[float]:
+    """Calls from a few threads; a rate of 0 is as fast as answers come."""
+    times: list[float] = []
+    ends_at = time.monotonic() + seconds
+    period_s = CALLERS / rate if rate else 0.0
+
+    def call() -> None:
+        connection = http.client.HTTPConnection(address)
+        headers = {"Authorization": f"Bearer {token}"}
+        due = time.monotonic()
+        while time.monotonic() < ends_at:
+            began = time.monotonic()
+            connection.request("POST", "/v1/requests", b"x" * 64, headers)
+            response = connection.getresponse()
+            response.read()
+            if response.status == 200:
+                times.append(time.monotonic() - began)
+            due += period_s
+            time.sleep(max(0.0, due - time.monotonic()))
+        connection.close()
+
+    threads = [threading.Thread(target=call) for _ in range(CALLERS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return times
--- /dev/null
+++ b/libs/bench/src/azurecleat_bench/_internal/commands/log.py
@@ -0,0 +1,95 @@
+"""What the log is asked to carry for the work done."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Any
+
+from azurecleat_coordination import Replica
+from azurecleat_coordination.records import AcceptJob, Entry, Promote, encode_entry
+from azurecleat_fakes import MemoryLog
+from azurecleat_model import (
+    Environment,
+    Job,
+    JobKind,
+    JobSpec,
+    Quota,
+    SystemClock,
+    TaskSize,
+    Team,
+    to_plain,
+)
+
+from azurecleat_bench._internal.base import Bench
+from azurecleat_bench._internal.processes import Fleet, wait_until
+
+JOBS = 60
+TASKS = 5
+ONCE = 40
+REPLAY_SIZES = (1000, 4000, 16_000)
+
+
+class LogCommand(Bench):
+    """Runs jobs and requests through one zone and counts appends; replays logs of three sizes."""
+
+    name = "log"
+    description = "Appends and bytes per unit of work, and replay time against state size."
+
+    def measure(self) -> dict[str, Any]:
+        """Measures both."""
+        return {**self._work(), "replay_s": {str(size): _replay(size) for size in REPLAY_SIZES}}
+
+    def _work(self) -> dict[str, Any]:
+        fleet = Fleet(("hobart",), 2)
+        try:
+            fleet.start()
+            owner = wait_until(lambda: fleet.owner_of("hobart"))
+            client = owner.client(fleet.token)
+            appends, size, began = fleet.log.tail, fleet.log.appended_bytes, time.monotonic()
+            spec = {
+                "name": "check",
+                "kind": "batch",
+                "size": {"cpu_milli": 500, "memory_mb": 100},
+                "tasks": TASKS,
+                "run_s": 0.1,
+            }
+            body = json.dumps(spec).encode()
+            ids = [client.call("POST", "/v1/jobs", body).json()["job"] for _ in range(JOBS)]
+            for job in ids:
+                wait_until(lambda job=job: client.call("GET", f"/v1/jobs/{job}").json()["finished"])
+            job_appends, job_bytes = fleet.log.tail - appends, fleet.log.appended_bytes - size
+            seconds = time.monotonic() - began
+            appends = fleet.log.tail
+            once_s = []
+            for number in range(ONCE):
+                headers = {"X-Repeatable": "false", "Idempotency-Key": f"once-{number}"}
+                called = time.monotonic()
+                client.call("POST", "/v1/requests", b"x", headers)
+                once_s.append(time.monotonic() - called)
+            return {
+                "tasks": JOBS * TASKS,
+                "seconds": round(seconds, 2),
+                "appends_per_s": round(job_appends / seconds, 2),
+                "appends_per_task": round(job_appends / (JOBS * TASKS), 4),
+                "bytes_per_task": round(job_bytes / (JOBS * TASKS), 1),
+                "once_appends_per_request": round((fleet.log.tail - appends) / ONCE, 3),
+                "once_mean_ms": round(1000 * sum(once_s) / ONCE, 2),
+            }
+        finally:
+            fleet.stop()
+
+
+def _replay(jobs: int) -> float:
+    """Returns the seconds that a new replica takes to read a log with so many jobs."""
+    log = MemoryLog()
+    document = to_plain(Environment("bench", (Team("crew", 1.0, Quota()),)))
+    log.append(encode_entry(Entry("w", 1, (Promote(document, 0),))))
+    spec = JobSpec("check", JobKind.BATCH, TaskSize(1, 1))
+    for number in range(jobs):
+        event = AcceptJob("hobart", Job(f"hobart-{number}", "crew", spec, 0.0))
+        log.append(encode_entry(Entry("w", number + 2, (event,))))
+    replica = Replica(log, SystemClock())
+    began = time.perf_counter()
+    replica.catch_up()
+    return round(time.perf_counter() - began, 3)
--- /dev/null
+++ b/libs/bench/src/azurecleat_bench/_internal/commands/slopes.py
@@ -0,0 +1,369 @@
+"""Cost per unit of everything that grows, at three sizes or more, with a fitted line."""
+
+from __future__ import annotations
+
+import gc
+import json
+import random
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import numpy as np
+from azurecleat_coordination import Freshness, Knowledge, PeerStatus, Replica
+from azurecleat_coordination.records import (
+    AcceptJob,
+    EndTasks,
+    Entry,
+    Intend,
+    Promote,
+    decode_entry,
+    encode_entry,
+)
+from azurecleat_fakes import MemoryLog
+from azurecleat_model import (
+    Environment,
+    Job,
+    JobKind,
+    JobSpec,
+    ManualClock,
+    Quota,
+    Scheduling,
+    SystemClock,
+    TaskSize,
+    Team,
+    generate_key,
+    to_plain,
+)
+from azurecleat_peers.messages import Framed, Status, StatusAnswer, decode, encode
+from azurecleat_platform import ControlRequest
+from azurecleat_policy import Scheduler, TaskResult
+from cleo.helpers import option
+
+from azurecleat_bench._internal.base import COMMON_OPTIONS, Bench, rss_mb
+from azurecleat_bench._internal.commands.idle import measure_idle
+from azurecleat_bench._internal.fleet import WorkSource, add_teams, add_workers, starts
+
+REPEATS = 200
+IDLE_TARGETS = (10, 30, 60)
+IDLE_PEERS = 5
+IDLE_S = 10.0
+
+
+class Slope(NamedTuple):
+    """A measured line: ``value = base + slope * size``; ``residual`` is relative to the largest.
+
+    ``unit`` names what one step of ``size`` is.
+    """
+
+    name: str
+    unit: str
+    measure: str
+    sizes: tuple[int, ...]
+    values: tuple[float, ...]
+    slope: float
+    base: float
+    residual: float
+
+
+class SlopesCommand(Bench):
+    """Measures state, message sizes and processor time at several sizes."""
+
+    name = "slopes"
+    description = "Slopes that docs/CAPACITY.md is worked out from."
+    options = [
+        *COMMON_OPTIONS,
+        option("out", "o", "Write the JSON to this file, too.", flag=False),
+        option("plot", None, "Write a picture of slopes to this SVG file.", flag=False),
+    ]
+
+    def measure(self) -> dict[str, Any]:
+        """Measures all slopes."""
+        slopes = [fit(*row) for row in MEASUREMENTS] + _idle_slopes()
+        result = {"slopes": [slope._asdict() for slope in slopes], "rss_import_mb": rss_mb()}
+        if self.option("out"):
+            text = json.dumps(result, indent=1) + "\n"
+            Path(self.option("out")).write_text(text, encoding="utf-8")
+        if self.option("plot"):
+            plot(slopes, Path(self.option("plot")))
+        return result
+
+
+def fit(
+    name: str, unit: str, measure: str, sizes: tuple[int, ...], call: Callable[[int], float]
+) -> Slope:
+    """Measures at each size and fits a line by least squares."""
+    values = tuple(float(call(size)) for size in sizes)
+    slope, base = np.polyfit(sizes, values, 1)
+    errors = np.array(values) - (base + slope * np.array(sizes))
+    largest = max(abs(value) for value in values) or 1.0
+    residual = float(np.max(np.abs(errors)) / largest)
+    return Slope(name, unit, measure, sizes, values, float(slope), float(base), round(residual, 4))
+
+
+def _idle_slopes() -> list[Slope]:
+    """Measures whole idle processes with three numbers of targets."""
+    runs = {targets: measure_idle(targets, IDLE_PEERS, IDLE_S) for targets in IDLE_TARGETS}
+    rows = (("cpu_percent", "%"), ("rss_mb", "MiB"), ("bytes_per_s", "bytes/s"))
+    return [
+        fit(f"idle_{name}", "targets", unit, IDLE_TARGETS, lambda n, name=name: runs[n][name])
+        for name, unit in rows
+    ]
+
+
+def plot(slopes: list[Slope], path: Path) -> None:
+    """Draws the decision time and the state size against their sizes."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    matplotlib.rcParams["svg.hashsalt"] = "azurecleat"
+    from matplotlib import pyplot
+
+    shown = [slope for slope in slopes if slope.name in PLOTTED]
+    figure, axes = pyplot.subplots(1, len(shown), figsize=(4 * len(shown), 3.2))
+    for axis, slope in zip(axes, shown, strict=True):
+        line = [slope.base + slope.slope * size for size in slope.sizes]
+        axis.plot(slope.sizes, slope.values, "o", label="measured")
+        axis.plot(slope.sizes, line, "-", label="fitted")
+        axis.set_title(slope.name, fontsize=9)
+        axis.set_xlabel(slope.unit)
+        axis.set_ylabel(slope.measure)
+        axis.set_ylim(bottom=0)
+        axis.legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(path, metadata={"Date": None})
+
+
+def _decision_ms(workers: int, teams: int, queued: int) -> float:
+    scheduler = Scheduler(Scheduling())
+    add_teams(scheduler, teams)
+    add_workers(scheduler, workers)
+    source = WorkSource(1, teams)
+    running = []
+    while True:
+        for _ in range(200):
+            scheduler.submit(source.job(500.0))
+        new = starts(scheduler.decide(500.0))
+        running += [(start.job_id, start.index) for start in new]
+        if not new:
+            break
+    while scheduler.waiting_tasks < queued:
+        scheduler.submit(source.job(500.0))
+    scheduler.decide(999.0)
+    rng = random.Random(1)
+    seconds = 0.0
+    placed = 0
+    for step in range(REPEATS):
+        now = 1000.0 + step * 0.001
+        key = running.pop(rng.randrange(len(running)))
+        began = time.perf_counter()
+        scheduler.finish(*key, TaskResult.DONE, now)
+        new = starts(scheduler.decide(now))
+        seconds += time.perf_counter() - began
+        placed += len(new)
+        running += [(start.job_id, start.index) for start in new]
+    return 1000 * seconds / max(1, placed)
+
+
+def _memory_kb(build: Callable[[], Any]) -> float:
+    gc.collect()
+    before = rss_mb()
+    kept = build()
+    after = rss_mb()
+    assert kept is not None
+    return (after - before) * 1024
+
+
+def _queued_memory_kb(tasks: int) -> float:
+    def build() -> Scheduler:
+        scheduler = Scheduler(Scheduling())
+        add_teams(scheduler, 46)
+        source = WorkSource(1, 46)
+        while scheduler.waiting_tasks < tasks:
+            scheduler.submit(source.job(0.0))
+        return scheduler
+
+    return _memory_kb(build)
+
+
+def _running_memory_kb(tasks: int) -> float:
+    def build() -> Scheduler:
+        scheduler = Scheduler(Scheduling())
+        add_teams(scheduler, 46)
+        add_workers(scheduler, max(8, tasks // 10))
+        source = WorkSource(1, 46)
+        placed = 0
+        while placed < tasks:
+            for _ in range(100):
+                scheduler.submit(source.job(0.0))
+            placed += len(starts(scheduler.decide(0.0)))
+        return scheduler
+
+    return _memory_kb(build)
+
+
+def _log_with_jobs(jobs: int) -> MemoryLog:
+    log = MemoryLog()
+    document = to_plain(Environment("slopes", (Team("crew", 1.0, Quota()),)))
+    log.append(encode_entry(Entry("w", 1, (Promote(document, 0),))))
+    spec = JobSpec("check", JobKind.BATCH, TaskSize(1000, 1000), tasks=10)
+    for number in range(jobs):
+        event = AcceptJob("hobart", Job(f"hobart-{number:020d}", "crew", spec, 0.0))
+        log.append(encode_entry(Entry("w", number + 2, (event,))))
+    return log
+
+
+def _replay_ms(jobs: int) -> float:
+    log = _log_with_jobs(jobs)
+    replica = Replica(log, SystemClock())
+    began = time.perf_counter()
+    replica.catch_up()
+    return 1000 * (time.perf_counter() - began)
+
+
+def _replica_memory_kb(jobs: int) -> float:
+    log = _log_with_jobs(jobs)
+
+    def build() -> Replica:
+        replica = Replica(log, SystemClock())
+        replica.catch_up()
+        return replica
+
+    return _memory_kb(build)
+
+
+def _snapshot_bytes(jobs: int) -> float:
+    from azurecleat_coordination import to_chunks
+
+    replica = Replica(_log_with_jobs(jobs), SystemClock())
+    replica.catch_up()
+    return sum(len(chunk.data) for chunk in to_chunks("jobs/hobart", *replica.dump("jobs/hobart")))
+
+
+def _document(teams: int) -> dict[str, Any]:
+    entries = []
+    for number in range(teams):
+        key = generate_key(f"key-{number}")[1]
+        entries.append(Team(f"team-{number}", 1.0, Quota(tasks=100), keys=(key,)))
+    return to_plain(Environment("slopes", tuple(entries)))
+
+
+def _promote_bytes(teams: int) -> float:
+    return len(encode_entry(Entry("w", 1, (Promote(_document(teams), 0),))))
+
+
+def _promote_ms(teams: int) -> float:
+    log = MemoryLog()
+    for number in range(5):
+        log.append(encode_entry(Entry("w", number + 1, (Promote(_document(teams), number),))))
+    replica = Replica(log, SystemClock())
+    began = time.perf_counter()
+    replica.catch_up()
+    return 1000 * (time.perf_counter() - began) / 5
+
+
+def _group_commit_bytes(events: int) -> float:
+    many = tuple(Intend(f"crew/{number:032x}", 1e9) for number in range(events))
+    return len(encode_entry(Entry("w" * 32, 1, many)))
+
+
+def _end_tasks_bytes(events: int) -> float:
+    many = tuple(
+        EndTasks("hobart", 3, f"hobart-{number:020d}", done=((0, 9),)) for number in range(events)
+    )
+    return len(encode_entry(Entry("w" * 32, 1, many)))
+
+
+def _decode_ms(events: int) -> float:
+    many = tuple(Intend(f"crew/{number:032x}", 1e9) for number in range(events))
+    data = encode_entry(Entry("w" * 32, 1, many))
+    began = time.perf_counter()
+    for _ in range(20):
+        decode_entry(data)
+    return 1000 * (time.perf_counter() - began) / 20
+
+
+def _status_ms(peers: int) -> float:
+    """Encodes, decodes and judges one round of heartbeats with so many peers."""
+    clock = ManualClock()
+    freshness = Freshness("me", clock, 5.0, 0.5)
+    members = frozenset({"me", *(f"peer-{number}" for number in range(peers))})
+    knowledge = Knowledge(members, 3, 2, frozenset(), None)
+    began = time.perf_counter()
+    for _ in range(20):
+        for number in range(peers):
+            decode(encode(Framed(1, Status("me", "i" * 32))))
+            status = PeerStatus(f"peer-{number}", "i" * 32, -1.0, 3, 2, (), True)
+            answer = decode(encode(Framed(1, StatusAnswer(status)))).message
+            freshness.on_answer(clock.monotonic(), answer.status)
+        freshness.proof(knowledge)
+    return 1000 * (time.perf_counter() - began) / 20
+
+
+def _status_bytes(peers: int) -> float:
+    question = encode(Framed(1, Status("hobart-entry-1", "i" * 32)))
+    status = PeerStatus("hobart-entry-1", "i" * 32, 1.5, 12_345, 1234, (), True)
+    return peers * (len(question) + len(encode(Framed(1, StatusAnswer(status)))) + 8)
+
+
+def _control_bytes(targets: int) -> float:
+    from azurecleat_platform._internal.http_targets import _without_defaults
+
+    request = ControlRequest("hobart", 12, "hobart-entry-1", 18.0, since=1234)
+    body = len(json.dumps(_without_defaults(request), separators=(",", ":")))
+    # Request and answer lines and headers as http.client and a terse server send them.
+    request_head = len(
+        "POST /control HTTP/1.1\r\nHost: 10.0.0.100:8000\r\nAccept-Encoding: identity\r\n"
+        "Content-Length: 100\r\n\r\n"
+    )
+    answer = len('HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{"version":1234}')
+    return targets * (body + request_head + answer)
+
+
+def _scheduler_workers_kb(workers: int) -> float:
+    def build() -> Scheduler:
+        scheduler = Scheduler(Scheduling())
+        add_workers(scheduler, workers)
+        return scheduler
+
+    return _memory_kb(build)
+
+
+def _team_kb(teams: int) -> float:
+    def build() -> Scheduler:
+        scheduler = Scheduler(Scheduling())
+        add_teams(scheduler, teams)
+        return scheduler
+
+    return _memory_kb(build)
+
+
+MEASUREMENTS = (
+    (
+        "decision_by_workers",
+        "workers",
+        "ms",
+        (90, 180, 450, 900, 1800),
+        lambda n: _decision_ms(n, 46, 2000),
+    ),
+    ("decision_by_teams", "teams", "ms", (46, 115, 230, 460), lambda n: _decision_ms(180, n, 2000)),
+    ("decision_by_queued", "tasks", "ms", (2000, 8000, 20_000), lambda n: _decision_ms(180, 46, n)),
+    ("memory_by_workers", "workers", "KiB", (2000, 4000, 8000), _scheduler_workers_kb),
+    ("memory_by_teams", "teams", "KiB", (2000, 4000, 8000), _team_kb),
+    ("memory_by_queued", "tasks", "KiB", (20_000, 40_000, 80_000), _queued_memory_kb),
+    ("memory_by_running", "tasks", "KiB", (5000, 10_000, 20_000), _running_memory_kb),
+    ("memory_by_live_job", "jobs", "KiB", (4000, 8000, 16_000), _replica_memory_kb),
+    ("replay_by_jobs", "jobs", "ms", (1000, 4000, 16_000), _replay_ms),
+    ("snapshot_by_jobs", "jobs", "bytes", (1000, 4000, 16_000), _snapshot_bytes),
+    ("promote_by_teams", "teams", "ms", (46, 230, 460), _promote_ms),
+    ("promote_bytes_by_teams", "teams", "bytes", (46, 230, 460), _promote_bytes),
+    ("commit_bytes_by_intents", "intents", "bytes", (10, 50, 200), _group_commit_bytes),
+    ("commit_bytes_by_results", "jobs", "bytes", (10, 50, 200), _end_tasks_bytes),
+    ("decode_by_events", "events", "ms", (10, 50, 200), _decode_ms),
+    ("status_by_peers", "peers", "ms", (5, 15, 30), _status_ms),
+    ("status_bytes_by_peers", "peers", "bytes", (5, 15, 30), _status_bytes),
+    ("control_bytes_by_targets", "targets", "bytes", (20, 40, 60), _control_bytes),
+)
+
+PLOTTED = ("decision_by_workers", "decision_by_teams", "memory_by_queued", "replay_by_jobs")
--- /dev/null
+++ b/libs/bench/src/azurecleat_bench/_internal/commands/takeover.py
@@ -0,0 +1,66 @@
+"""Time without an owner after a kill, a pause and a graceful stop."""
+
+from __future__ import annotations
+
+import signal
+import time
+from typing import Any
+
+from azurecleat_cli._internal.client import ApiError, UnreachableError
+from cleo.helpers import option
+
+from azurecleat_bench._internal.base import COMMON_OPTIONS, Bench
+from azurecleat_bench._internal.processes import LEASE_S, Entry, Fleet, wait_until
+
+TIMEOUT_S = 40.0
+PROBE_S = 0.005
+
+
+class TakeoverCommand(Bench):
+    """Sends requests to the instance that stays, until its zone answers again."""
+
+    name = "takeover"
+    description = "Time without an owner after kill, pause and release."
+    options = [*COMMON_OPTIONS, option("rounds", None, "Rounds each.", flag=False, default="3")]
+
+    def measure(self) -> dict[str, Any]:
+        """Measures rounds of each kind and gives the worst."""
+        result: dict[str, Any] = {"lease_s": LEASE_S}
+        for name, number in (
+            ("kill_s", signal.SIGKILL),
+            ("pause_s", signal.SIGSTOP),
+            ("release_s", signal.SIGTERM),
+        ):
+            times = [self._round(number) for _ in range(self.number("rounds"))]
+            result[name] = round(max(times), 3)
+            result[f"{name}_all"] = [round(seconds, 3) for seconds in times]
+        return result
+
+    def _round(self, number: int) -> float:
+        fleet = Fleet(("hobart",), 2)
+        try:
+            fleet.start()
+            owner = fleet.owner_of("hobart")
+            other = fleet.others(owner)[0]
+            wait_until(lambda: _answers(fleet, other))
+            began = time.monotonic()
+            owner.signal(number)
+            # A draining owner still answers what it was sent; wait for the new one.
+            wait_until(lambda: _serves(fleet, other), TIMEOUT_S)
+            return time.monotonic() - began
+        finally:
+            fleet.stop()
+
+
+def _serves(fleet: Fleet, entry: Entry) -> bool:
+    status = fleet.status(entry)
+    return bool(status and status["serving"]) and _answers(fleet, entry)
+
+
+def _answers(fleet: Fleet, entry: Entry) -> bool:
+    try:
+        entry.client(fleet.token).call("POST", "/v1/requests", b"x", {"X-Deadline-Ms": "200"})
+    except (ApiError, UnreachableError):
+        time.sleep(PROBE_S)
+        return False
+    return True
--- a/libs/bench/src/azurecleat_bench/_internal/faults/world.py
+++ b/libs/bench/src/azurecleat_bench/_internal/faults/world.py
@@ -75,6 +75,7 @@
     list_s=0.2,
 )
 BOUNDS = Bounds(key_s=TIMING.key_bound_s, leaving_s=3.0, stall_s=MAX_STALL_S)
+OPEN_TEAM = "public"
 LIMITS = {"crew": (6, 3), "telco": (4, 2)}
 
 
@@ -219,6 +220,8 @@
             ),
         )
         node.core.membership.set_address(node.name)
+        # Hints are sent by threads, which would make runs differ; they only save time.
+        node.core.membership.spread_news = lambda zone="": None
 
     def _new_id(self) -> str:
         self._count += 1
@@ -270,7 +273,9 @@
         at = self.clock.monotonic()
         outcome, code, answer = "done", "", b""
         try:
-            team = node.core.admission.team(key.token)
+            is_open = key.team == OPEN_TEAM
+            admit = node.core.admission
+            team = admit.open_team(OPEN_TEAM) if is_open else admit.team(key.token)
             spec = RequestSpec(team, body, REQUEST_DEADLINE_S, not key_name, key_name)
             answer = node.core.router.run(spec)
         except RefusalError as refusal:
@@ -484,12 +489,13 @@
             return
         assert node.core is not None
         shown = node.core.operators.show()
-        for team in shown["document"]["teams"]:
+        limited = [t for t in shown["document"]["teams"] if t["name"] in LIMITS]
+        for team in limited:
             if self.rng.random() < 0.5:
                 team["limit"]["tasks"] += 1
                 team["limit"]["requests"] += 1
         # The larger limit may be used as soon as it is in the log, before the answer is here.
-        for team in shown["document"]["teams"]:
+        for team in limited:
             self._note_limit(team["name"], team["limit"]["tasks"], team["limit"]["requests"])
         try:
             node.core.operators.promote(json.dumps(shown["document"]), shown["version"])
@@ -513,6 +519,7 @@
             limit = Quota(tasks=tasks, requests=requests)
             teams.append(Team(name, 1.0, limit, keys=(key,)))
             self._note_limit(name, tasks, requests)
+        teams.append(Team(OPEN_TEAM, 1.0, open=True))
         node = next(iter(self.nodes.values()))
         assert node.core is not None
         document = json.dumps(to_plain(Environment("faults", tuple(teams))))
--- /dev/null
+++ b/libs/bench/src/azurecleat_bench/_internal/plain_policies.py
@@ -0,0 +1,55 @@
+"""Plain policies to compare with: no reservations, no preemption, no learning."""
+
+from __future__ import annotations
+
+from azurecleat_model import Scheduling
+from azurecleat_policy import Scheduler, dominant_share
+from azurecleat_policy._internal.jobs import Lane
+from azurecleat_policy._internal.teams import TeamState
+
+
+class PlainFairShare(Scheduler):
+    """Lowest dominant share over share first; nothing else."""
+
+    def __init__(self, scheduling: Scheduling) -> None:
+        super().__init__(scheduling._replace(waiting_weight=0.0))
+
+    def _key(self, lane: Lane) -> tuple | None:
+        job = lane.head()
+        team = self._teams[lane.team]
+        if job is None or not team.has_headroom(job):
+            return None
+        return (self._rank(team), *job.order)
+
+    def _rank(self, team: TeamState) -> float:
+        return dominant_share(team.held, self._workers.total) / team.entitled
+
+    def _reserve(self, now: float) -> None:
+        """Reserves nothing."""
+
+    def _on_blocked(self, job, now: float) -> list:
+        self._block(job, now)
+        return []
+
+    def _judge(self, worker, job, task, result, now: float) -> None:
+        """Learns nothing and suspects nobody."""
+
+
+class FirstComeFirstServed(PlainFairShare):
+    """Oldest first; a job that does not fit holds up all behind it."""
+
+    def _rank(self, team: TeamState) -> float:
+        return 0.0
+
+    def decide(self, now: float, max_starts: int = 1_000_000) -> list:
+        """Returns starts in order of arrival up to the first job that does not fit."""
+        self._is_held_up = False
+        self._index.unblock(lambda shape: shape.places)
+        return super().decide(now, max_starts)
+
+    def _next_lane(self):
+        return None if self._is_held_up else super()._next_lane()
+
+    def _on_blocked(self, job, now: float) -> list:
+        self._is_held_up = True
+        return super()._on_blocked(job, now)
--- a/libs/bench/src/azurecleat_bench/_internal/processes.py
+++ b/libs/bench/src/azurecleat_bench/_internal/processes.py
@@ -112,6 +112,7 @@
     :param limit: Fleet-wide limit of the team ``crew``.
     :param serve: Answers requests at the runners.
     :param timing: Timing settings that differ from the short ones used here.
+    :param targets_per_zone: Half of them runners, half workers.
     """
 
     def __init__(
@@ -122,6 +123,7 @@
         serve: Callable[[bytes], bytes] = lambda body: b"checked: " + body,
         key_bound_s: float = 2.0,
         timing: dict[str, float] | None = None,
+        targets_per_zone: int = 4,
     ) -> None:
         clock = SystemClock()
         self._timing = {
@@ -142,7 +144,7 @@
         self.servers = [self.log_server]
         targets = []
         for zone in zones:
-            for index in range(2):
+            for index in range(targets_per_zone // 2):
                 runner = StandInRunner(self._runner(zone, index), clock, self.history, serve)
                 server = serve_runner(runner).start()
                 targets.append(runner.target._replace(address=server.address))
--- /dev/null
+++ b/libs/bench/src/azurecleat_bench/_internal/replay.py
@@ -0,0 +1,297 @@
+"""Replays arrivals through decisions on a virtual clock.
+
+No cluster is modelled beyond workers that hold tasks for their true run times; the point is to
+compare policies on the same arrivals.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import time
+from collections import defaultdict
+from collections.abc import Callable
+from typing import NamedTuple
+
+from azurecleat_model import Job, JobKind, JobSpec, Quota, Resources, Scheduling, TaskSize
+from azurecleat_policy import (
+    Expire,
+    Reclaim,
+    ReclaimHow,
+    Scheduler,
+    Start,
+    TaskResult,
+    TeamPolicy,
+    WorkerPolicy,
+    dominant_share,
+)
+
+TICK_S = 0.5
+REPORT_LAG_S = 5.0
+BLACK_HOLE_FAIL_S = 1.0
+RACK_SIZE = 8
+
+
+class Profile(NamedTuple):
+    """Sizes and traffic of one of the two users. Rates are jobs a second per team."""
+
+    name: str
+    workers: int
+    capacity: Resources
+    teams: tuple[tuple[str, float, float], ...]
+    scheduling: Scheduling
+    length_s: float
+    burst: tuple[float, float, float]
+    deadline_s: float
+
+
+DUCTLINE = Profile(
+    "ductline",
+    24,
+    Resources(64_000, 256_000, 0),
+    (
+        ("telco-a", 3.0, 0.30),
+        ("telco-b", 3.0, 0.30),
+        ("franchise-a", 1.0, 0.12),
+        ("franchise-b", 1.0, 0.12),
+        ("council", 1.0, 0.06),
+        ("feeds", 1.0, 0.06),
+    ),
+    Scheduling(waiting_weight=1.0, usage_half_life_s=300.0),
+    1800.0,
+    (400.0, 700.0, 3.0),
+    900.0,
+)
+
+KLUBNET = Profile(
+    "klubnet",
+    24,
+    Resources(32_000, 64_000, 0),
+    (
+        ("almaty-big", 2.0, 0.30),
+        ("astana-big", 2.0, 0.25),
+        ("club-a", 1.0, 0.05),
+        ("club-b", 1.0, 0.05),
+        ("club-c", 1.0, 0.05),
+        ("club-d", 1.0, 0.05),
+    ),
+    Scheduling(waiting_weight=0.1, usage_half_life_s=300.0, reserve_after_s=60.0),
+    1800.0,
+    (400.0, 700.0, 3.0),
+    900.0,
+)
+
+PROFILES = {profile.name: profile for profile in (DUCTLINE, KLUBNET)}
+FAULTS = ("wrong-sizes", "black-hole", "cancel-wave", "flood", "impossible")
+
+
+class Arrival(NamedTuple):
+    """A job with what it truly needs, which its declaration may miss."""
+
+    at: float
+    job: Job
+    run_s: float
+    used: Resources
+    cancelled_at: float | None
+
+
+class Outcome(NamedTuple):
+    """Measures of one replay."""
+
+    waits: dict[tuple[str, str], list[float]]
+    share_errors: list[float]
+    packing: list[float]
+    decisions_s: list[float]
+    unfinished: int
+
+
+def arrivals(profile: Profile, faults: frozenset[str], seed: int) -> list[Arrival]:
+    """Makes the arrivals of a profile with its burst and faults."""
+    rng = random.Random(seed)
+    scale = profile.capacity.cpu_milli / 64_000
+    found: list[Arrival] = []
+    for team, _, rate in profile.teams:
+        now = 0.0
+        while True:
+            began, ended, factor = profile.burst
+            in_burst = began <= now < ended
+            flood = "flood" in faults and team == profile.teams[0][0] and now >= began
+            speed = rate * (factor if in_burst else 1.0) * (5.0 if flood else 1.0)
+            now += rng.expovariate(speed)
+            if now >= profile.length_s:
+                break
+            found.append(_arrival(rng, profile, faults, team, now, len(found), scale))
+    return sorted(found, key=lambda arrival: arrival.at)
+
+
+def _arrival(
+    rng: random.Random,
+    profile: Profile,
+    faults: frozenset[str],
+    team: str,
+    now: float,
+    number: int,
+    scale: float,
+) -> Arrival:
+    kind = rng.choices(list(JobKind), (5, 85, 10))[0]
+    tasks = rng.choice((1, 2, 4)) if kind is JobKind.BATCH else rng.choice((1, 2, 3))
+    cpu = int(rng.choice((2000, 4000, 8000, 16_000)) * scale)
+    memory = int(
+        cpu * rng.choice((2, 3.5)) * profile.capacity.memory_mb / profile.capacity.cpu_milli / 4
+    )
+    run_s = rng.choice((20.0, 60.0, 120.0)) * (10 if kind is JobKind.SERVICE else 1)
+    declared_run_s = run_s
+    used = Resources(cpu, memory, 0)
+    if "wrong-sizes" in faults:
+        declared_run_s = run_s * rng.choice((0.2, 1.0, 5.0))
+        factor = rng.choice((0.5, 1.0, 1.0, 1.6))
+        used = Resources(int(cpu * factor), int(memory * factor), 0)
+    if "impossible" in faults and rng.random() < 0.05:
+        cpu = profile.capacity.cpu_milli * 2
+    cancelled_at = None
+    if "cancel-wave" in faults and now < 700.0 and rng.random() < 0.5:
+        cancelled_at = max(now, 600.0)
+    spec = JobSpec(
+        f"{kind.value}-{cpu}-{int(run_s)}",
+        kind,
+        TaskSize(cpu, memory),
+        tasks,
+        run_s=declared_run_s,
+        urgent=rng.random() < 0.02 and kind is JobKind.BATCH,
+    )
+    return Arrival(now, Job(f"job-{number}", team, spec, now), run_s, used, cancelled_at)
+
+
+class Replay:
+    """One run of a policy over arrivals.
+
+    :param make: Makes the scheduler under test.
+    """
+
+    def __init__(
+        self,
+        profile: Profile,
+        faults: frozenset[str],
+        work: list[Arrival],
+        make: Callable[[Scheduling], Scheduler],
+    ) -> None:
+        self._profile = profile
+        self._faults = faults
+        self._work = work
+        self._by_id = {arrival.job.job_id: arrival for arrival in work}
+        self._scheduler = make(profile.scheduling)
+        self._ends: list[tuple[float, int, str, int, TaskResult]] = []
+        self._attempts: dict[tuple[str, int], int] = {}
+        self._counter = 0
+        self._first_start: dict[tuple[str, int], float] = {}
+        self._outcome = Outcome(defaultdict(list), [], [], [], 0)
+
+    def run(self) -> Outcome:
+        """Replays everything and returns the measures."""
+        self._set_up()
+        pending = list(reversed(self._work))
+        cancels = sorted(
+            (a.cancelled_at, a.job.job_id) for a in self._work if a.cancelled_at is not None
+        )
+        now = 0.0
+        while now < self._profile.length_s:
+            now += TICK_S
+            while pending and pending[-1].at <= now:
+                self._submit(pending.pop())
+            while cancels and cancels[0][0] <= now:
+                self._cancel(cancels.pop(0)[1], now)
+            self._end_tasks(now)
+            self._decide(now)
+            self._observe(now)
+        return self._finish(now)
+
+    def _set_up(self) -> None:
+        for team, share, _ in self._profile.teams:
+            self._scheduler.set_team(TeamPolicy(team, share, Quota(), 1_000_000))
+        for index in range(self._profile.workers):
+            name, rack = f"worker-{index}", f"rack-{index // RACK_SIZE}"
+            self._scheduler.add_worker(WorkerPolicy(name, rack, self._profile.capacity))
+
+    def _submit(self, arrival: Arrival) -> None:
+        if self._scheduler.check(arrival.job) is None:
+            self._scheduler.submit(arrival.job)
+
+    def _cancel(self, job_id: str, now: float) -> None:
+        for index, _ in self._scheduler.cancel(job_id):
+            self._attempts[(job_id, index)] = -1
+            self._scheduler.finish(job_id, index, TaskResult.STOPPED, now)
+
+    def _end_tasks(self, now: float) -> None:
+        while self._ends and self._ends[0][0] <= now:
+            at, attempt, job_id, index, result = heapq.heappop(self._ends)
+            if self._attempts.get((job_id, index)) == attempt:
+                self._scheduler.finish(job_id, index, result, at)
+
+    def _decide(self, now: float) -> None:
+        began = time.perf_counter()
+        decisions = self._scheduler.decide(now)
+        self._outcome.decisions_s.append(time.perf_counter() - began)
+        for decision in decisions:
+            match decision:
+                case Start():
+                    self._start(decision, now)
+                case Reclaim():
+                    self._reclaim(decision, now)
+                case Expire():
+                    pass
+
+    def _start(self, start: Start, now: float) -> None:
+        arrival = self._by_id[start.job_id]
+        key = (start.job_id, start.index)
+        if key not in self._first_start:
+            self._first_start[key] = now
+            kind = "urgent" if arrival.job.spec.urgent else arrival.job.spec.kind.value
+            self._outcome.waits[(arrival.job.team, kind)].append(now - arrival.at)
+        self._counter += 1
+        self._attempts[key] = self._counter
+        ends_at, result = now + arrival.run_s, TaskResult.DONE
+        if "black-hole" in self._faults and start.worker in ("worker-3", "worker-11"):
+            ends_at, result = now + BLACK_HOLE_FAIL_S, TaskResult.FAILED
+        heapq.heappush(self._ends, (ends_at, self._counter, *key, result))
+        if "wrong-sizes" in self._faults:
+            self._scheduler.report(*key, arrival.used)
+
+    def _reclaim(self, reclaim: Reclaim, now: float) -> None:
+        if reclaim.how is not ReclaimHow.THROTTLE:
+            self._attempts[(reclaim.job_id, reclaim.index)] = -1
+            result = TaskResult.CHECKPOINTED
+            self._scheduler.finish(reclaim.job_id, reclaim.index, result, now)
+
+    def _observe(self, now: float) -> None:
+        """Notes share error and packing while work waits that would fit an empty fleet."""
+        teams = self._scheduler.teams
+        waiting = [team for team in teams.values() if team.waiting]
+        if not waiting:
+            return
+        total = Resources(*(self._profile.workers * amount for amount in self._profile.capacity))
+        used = Resources(0, 0, 0)
+        for team in teams.values():
+            used = used.plus(team.held)
+        self._outcome.packing.append(dominant_share(used, total))
+        # Entitled: water-filling among teams that want more than their share.
+        held = {name: dominant_share(team.held, total) for name, team in teams.items()}
+        contending = [t for t in teams.values() if t.waiting]
+        idle = sum(held[name] for name, team in teams.items() if not team.waiting)
+        shares = sum(team.policy.share for team in contending)
+        room = max(0.0, dominant_share(used, total) - idle)
+        if len(contending) > 1:
+            errors = [abs(held[t.policy.name] - room * t.policy.share / shares) for t in contending]
+            self._outcome.share_errors.append(max(errors))
+
+    def _finish(self, now: float) -> Outcome:
+        """Counts work that never started as having waited until the end."""
+        for arrival in self._work:
+            job = self._scheduler.jobs.get(arrival.job.job_id)
+            if job is None:
+                continue
+            kind = "urgent" if arrival.job.spec.urgent else arrival.job.spec.kind.value
+            for index in job.waiting:
+                if (arrival.job.job_id, index) not in self._first_start:
+                    waited_s = now - arrival.at
+                    self._outcome.waits[(arrival.job.team, kind)].append(waited_s)
+        return self._outcome
--- a/libs/daemon/src/azurecleat_daemon/_internal/application.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/application.py
@@ -59,11 +59,15 @@
         self._parts = parts
         timing = settings.timing
         self._log_is_reached = True
+        self._seen_position = 0
+        self._tail = Periodic("log-tail", timing.poll_s, self._poll)
+        self._claims = Periodic("partitions", PARTITION_STEP_S, parts.core.partitions.step)
+        parts.core.membership.set_news_listener(self._tail.wake)
         self._periodics = [
-            Periodic("log-tail", timing.poll_s, self._poll),
+            self._tail,
+            self._claims,
             Periodic("instance-list", timing.list_s, self._list),
             Periodic("membership", min(timing.status_s, 1.0) / 2, parts.core.membership.step),
-            Periodic("partitions", PARTITION_STEP_S, parts.core.partitions.step),
             Periodic("limits", LIMIT_STEP_S, parts.core.router.borrow_limits),
             Periodic("snapshots", SNAPSHOT_STEP_S, parts.core.snapshots.step),
         ]
@@ -136,6 +140,7 @@
         self._parts.peer_server.stop()
         self._parts.network.close()
         self._parts.core.appender.stop()
+        self._parts.core.membership.close()
         self._http.close()
         self._http_thread.join(DRAIN_GRACE_S)
         for hook in self._parts.on_stop:
@@ -163,6 +168,9 @@
         if not self._log_is_reached:
             log_event(LOG_REACHED, offset=self._parts.core.replica.position)
         self._log_is_reached = True
+        if self._parts.core.replica.position != self._seen_position:
+            self._seen_position = self._parts.core.replica.position
+            self._claims.wake()
 
     def _list(self) -> None:
         try:
--- a/libs/daemon/src/azurecleat_daemon/_internal/engine.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/engine.py
@@ -138,6 +138,7 @@
             services.sleep,
             services.threaded,
             services.new_id,
+            self._wake,
         )
         self._stepper = Periodic(f"engine-{partition}", STEP_S, self.step)
         self._follow_configuration()
--- a/libs/daemon/src/azurecleat_daemon/_internal/membership.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/membership.py
@@ -5,6 +5,8 @@
 import json
 import random
 import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from enum import Enum
 from typing import NamedTuple
 
@@ -33,6 +35,7 @@
     FetchConfiguration,
     Goodbye,
     Message,
+    News,
     Status,
     StatusAnswer,
     Withdraw,
@@ -45,6 +48,7 @@
 EVICT_AFTER_S = 60.0
 RECORD_RETRY_S = 5.0
 JOIN_DEADLINE_S = 30.0
+HINT_THREADS = 4
 
 
 class _Eviction(NamedTuple):
@@ -119,6 +123,8 @@
         self._proof = Proof.NONE
         self._introduced: set[str] = set()
         self._is_introduced = False
+        self._on_news: Callable[[], None] = _ignore
+        self._hints = ThreadPoolExecutor(HINT_THREADS, thread_name_prefix="hint")
 
     @property
     def incarnation(self) -> str:
@@ -193,6 +199,9 @@
             case Goodbye():
                 self._on_goodbye(message)
                 return Acknowledged()
+            case News():
+                self._on_news()
+                return Acknowledged()
             case _:
                 return None
 
@@ -207,11 +216,29 @@
         for member in self.members().values():
             if member.instance != self._settings.instance:
                 told[self._tell(member, Withdraw(key_id))].append(member.instance)
-        recorded = self._record(key_id)
+        # Without the log the record is left to the retries: the operator need not wait for it.
+        recorded = self._proof is Proof.LOG and self._record(key_id)
         in_force = recorded or (self._is_introduced and not told[Told.UNSURE])
         log_event(KEY_WITHDRAWN, key=key_id, recorded=recorded)
         return Withdrawal(key_id, recorded, in_force, *(tuple(names) for names in told.values()))
 
+    def set_news_listener(self, listener: Callable[[], None]) -> None:
+        """Sets what is called when a peer hints at new log entries."""
+        self._on_news = listener
+
+    def spread_news(self, zone: str = "") -> None:
+        """Hints to the members, or to those of one zone, that the log has news.
+
+        Only saves them the rest of a poll period, so no answer is waited for.
+        """
+        for member in self.members().values():
+            if member.instance != self._settings.instance and zone in ("", member.zone):
+                self._hints.submit(self._tell, member, News())
+
+    def close(self) -> None:
+        """Ends the sending of hints."""
+        self._hints.shutdown(wait=False, cancel_futures=True)
+
     def leave(self) -> None:
         """Says goodbye to all peers and leaves the roster."""
         goodbye = Goodbye(self._settings.instance, self._incarnation)
@@ -419,3 +446,7 @@
             return self._appender.commit(WithdrawKey(key_id), 2.0).accepted
         except LogError:
             return False
+
+
+def _ignore() -> None:
+    """Does nothing with news; the next poll finds them."""
--- a/libs/daemon/src/azurecleat_daemon/_internal/metrics.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from azurecleat_model import TRAFFIC
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 WAIT_BUCKETS_S = (0.001, 0.005, 0.02, 0.1, 0.5, 1, 2, 5.5, 10, 30, 60, 300, 1800)
@@ -54,10 +55,18 @@
             ["proof"],
             registry=self.registry,
         )
+        self.traffic = Gauge(
+            "azurecleat_traffic_bytes",
+            "Bytes sent and received by this process, without callers' traffic",
+            ["role"],
+            registry=self.registry,
+        )
         self.takeovers = Counter(
             "azurecleat_takeovers", "Partitions taken over", registry=self.registry
         )
 
     def text(self) -> bytes:
         """Returns all metrics in the exposition format."""
+        for role, total in TRAFFIC.totals().items():
+            self.traffic.labels(role).set(total)
         return generate_latest(self.registry)
--- a/libs/daemon/src/azurecleat_daemon/_internal/operators.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/operators.py
@@ -160,7 +160,9 @@
 
     def _commit(self, event: RecordEvent, step: str) -> Applied:
         try:
-            return self._appender.commit(event, COMMIT_DEADLINE_S)
+            applied = self._appender.commit(event, COMMIT_DEADLINE_S)
+            self._membership.spread_news()
+            return applied
         except AppendUnknownError as error:
             raise RefusalError(
                 "outcome-unknown",
--- a/libs/daemon/src/azurecleat_daemon/_internal/partitions.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/partitions.py
@@ -173,16 +173,17 @@
                 # Workers keep what is not recorded, and tell the next owner.
                 break
         engine.release_targets()
-        with self._lock:
-            self._engines.pop(partition, None)
-        engine.stop()
         try:
             event = Release(partition, engine.epoch)
             self._services.appender.commit(event, RELEASE_DEADLINE_S)
+            self._membership.spread_news(self._settings.zone)
             log_event(PARTITION_RELEASED, partition=partition, epoch=engine.epoch)
         except LogError as error:
             # Without the record the next owner waits the lease out; nothing is lost.
             log_event(PARTITION_LOST, partition=partition, epoch=engine.epoch, reason=error)
+        with self._lock:
+            self._engines.pop(partition, None)
+        engine.stop()
 
     def _targets_of(self, partition: str) -> list[Target]:
         """Returns the targets of a partition: the zone's, spread over its partitions."""
--- a/libs/daemon/src/azurecleat_daemon/_internal/request_desk.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/request_desk.py
@@ -97,6 +97,7 @@
         sleep: Callable[[float], None],
         may_block: bool,
         new_id: Callable[[], str],
+        wake: Callable[[], None],
     ) -> None:
         self._partition = partition
         self._epoch = epoch
@@ -108,6 +109,7 @@
         self._sleep = sleep
         self._may_block = may_block
         self._new_id = new_id
+        self._wake = wake
         self._lock = threading.RLock()
         self._scheduler = Scheduler(environment.scheduling)
         self._links: dict[str, TargetLink] = {}
@@ -210,6 +212,7 @@
             self._scheduler.add_worker(WorkerPolicy(target.name, target.rack, capacity))
             self._scheduler.set_draining(target.name, target.leaving)
             self._pump()
+        self._wake()
 
     def on_target_listed(self, link: TargetLink) -> None:
         """Follows the instance list: a leaving runner gets nothing new."""
--- a/libs/fakes/src/azurecleat_fakes/_internal/http_server.py
+++ b/libs/fakes/src/azurecleat_fakes/_internal/http_server.py
@@ -6,6 +6,7 @@
 import json
 import threading
 import time
+import zlib
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
@@ -45,6 +46,7 @@
         self.query = {k: v[0] for k, v in parse_qs(parts.query).items()}
         self.body = body
         self.headers = headers
+        self.tag = ""
 
 
 class DropAnswerError(Exception):
@@ -131,12 +133,15 @@
     def _serve(self, method: str) -> None:
         body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
         try:
-            status, answer = self.standin.answer(method, _Call(self.path, body, self.headers))
+            call = _Call(self.path, body, self.headers)
+            status, answer = self.standin.answer(method, call)
         except DropAnswerError:
             self.close_connection = True
             return
         self.send_response(status)
         self.send_header("Content-Length", str(len(answer)))
+        if call.tag:
+            self.send_header("ETag", call.tag)
         self.end_headers()
         self.wfile.write(answer)
 
@@ -185,7 +190,9 @@
     """Returns a server for an instance list."""
 
     def listed(call: _Call) -> Answer:
-        return 200, _json({"targets": [to_plain(target) for target in instances.targets()]})
+        body = _json({"targets": [to_plain(target) for target in instances.targets()]})
+        call.tag = f'"{zlib.crc32(body):08x}"'
+        return (304, b"") if call.headers.get("If-None-Match") == call.tag else (200, body)
 
     return StandInServer({("GET", "/instances"): listed}, instances)
 
--- a/libs/model/src/azurecleat_model/__init__.py
+++ b/libs/model/src/azurecleat_model/__init__.py
@@ -24,6 +24,7 @@
     Resources,
     task_quota,
 )
+from azurecleat_model._internal.traffic import TRAFFIC
 from azurecleat_model._internal.work import (
     Job,
     JobKind,
@@ -37,6 +38,7 @@
 __all__ = [
     "NO_QUOTA",
     "REQUEST_QUOTA",
+    "TRAFFIC",
     "UNLIMITED",
     "ZERO",
     "Clock",
--- a/libs/peers/src/azurecleat_peers/_internal/codec.py
+++ b/libs/peers/src/azurecleat_peers/_internal/codec.py
@@ -98,6 +98,8 @@
             }
         case m.Goodbye():
             return "goodbye", message._asdict()
+        case m.News():
+            return "news", None
         case m.Acknowledged():
             return "acknowledged", None
         case m.FetchConfiguration():
@@ -137,6 +139,8 @@
             return _ask_limit(frame.askLimit)
         case "goodbye":
             return m.Goodbye(frame.goodbye.instance, frame.goodbye.incarnation)
+        case "news":
+            return m.News()
         case "acknowledged":
             return m.Acknowledged()
         case "fetchConfiguration":
--- a/libs/peers/src/azurecleat_peers/_internal/framing.py
+++ b/libs/peers/src/azurecleat_peers/_internal/framing.py
@@ -5,21 +5,22 @@
 import socket
 import struct
 
+from azurecleat_model import TRAFFIC
 from azurecleat_model.exceptions import FrameError
 
 MAX_FRAME_BYTES = 4 << 20
 _LENGTH = struct.Struct("!I")
 
 
-def send_frame(connection: socket.socket, data: bytes) -> int:
-    """Sends one frame and returns the bytes sent.
+def send_frame(connection: socket.socket, data: bytes) -> None:
+    """Sends one frame.
 
     :raises FrameError: The frame is too large; nothing was sent.
     """
     if len(data) > MAX_FRAME_BYTES:
         raise FrameError(f"frame of {len(data)} bytes is too large", step="peer.send")
     connection.sendall(_LENGTH.pack(len(data)) + data)
-    return _LENGTH.size + len(data)
+    TRAFFIC.add("peer", _LENGTH.size + len(data))
 
 
 def receive_frame(connection: socket.socket) -> bytes | None:
@@ -33,6 +34,7 @@
     (length,) = _LENGTH.unpack(head)
     if length > MAX_FRAME_BYTES:
         raise FrameError(f"frame of {length} bytes is too large", step="peer.receive")
+    TRAFFIC.add("peer", _LENGTH.size + length)
     return _receive_exactly(connection, length, may_end=False)
 
 
--- a/libs/peers/src/azurecleat_peers/_internal/messages.py
+++ b/libs/peers/src/azurecleat_peers/_internal/messages.py
@@ -102,6 +102,10 @@
     incarnation: str
 
 
+class News(NamedTuple):
+    """Hints that the log has entries that the receiver should read at once."""
+
+
 class Acknowledged(NamedTuple):
     """The message took effect."""
 
@@ -129,6 +133,7 @@
     | Unsupported
     | AskLimit
     | Goodbye
+    | News
     | Acknowledged
     | FetchConfiguration
     | ConfigurationAnswer
--- a/libs/peers/src/azurecleat_peers/_internal/network.py
+++ b/libs/peers/src/azurecleat_peers/_internal/network.py
@@ -51,7 +51,6 @@
         self._lock = threading.Lock()
         self._closed = False
         self._socket = self._open()
-        self.bytes = 0
         self._send(Framed(0, hello))
         threading.Thread(target=self._read, name=f"peer-{address}", daemon=True).start()
         log_event(PEER_CONNECTED, peer=address)
@@ -119,13 +118,12 @@
     def _send(self, framed: Framed) -> None:
         data = encode(framed)
         with self._lock:
-            self.bytes += send_frame(self._socket, data)
+            send_frame(self._socket, data)
 
     def _read(self) -> None:
         reason = "closed by peer"
         try:
             while (data := receive_frame(self._socket)) is not None:
-                self.bytes += len(data)
                 framed = decode(data)
                 future = self._waiting.get(framed.id)
                 if future is not None:
@@ -147,11 +145,6 @@
         self._locks: dict[str, threading.Lock] = {}
         self._lock = threading.Lock()
 
-    @property
-    def bytes(self) -> int:
-        """Bytes sent and received over the open connections."""
-        return sum(connection.bytes for connection in list(self._connections.values()))
-
     def call(self, address: str, message: Message, timeout_s: float) -> Message:
         """Sends a message and returns its answer."""
         return self._connection(address).call(message, timeout_s)
--- a/libs/peers/src/azurecleat_peers/_internal/peer.capnp
+++ b/libs/peers/src/azurecleat_peers/_internal/peer.capnp
@@ -21,6 +21,7 @@
     acknowledged @14 :Void;
     fetchConfiguration @15 :Void;
     configuration @16 :Data;
+    news @17 :Void;
   }
 }
 
--- a/libs/platform/src/azurecleat_platform/_internal/http_exchange.py
+++ b/libs/platform/src/azurecleat_platform/_internal/http_exchange.py
@@ -12,6 +12,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from azurecleat_model import TRAFFIC
+
 MAX_ANSWER_BYTES = 16 << 20
 
 
@@ -35,6 +37,14 @@
     """Bytes were sent and no whole answer came."""
 
 
+class _CountingConnection(http.client.HTTPConnection):
+    """Counts the bytes it sends."""
+
+    def send(self, data: bytes) -> None:
+        super().send(data)
+        TRAFFIC.add("platform", len(data))
+
+
 class HttpExchange:
     """Keeps idle connections to one server and makes calls over them, from any thread.
 
@@ -50,17 +60,11 @@
         self._idle: list[http.client.HTTPConnection] = []
         self._lock = threading.Lock()
         self._closed = False
-        self._bytes = 0
 
     @property
     def address(self) -> str:
         return self._address
 
-    @property
-    def body_bytes(self) -> int:
-        """Bytes of bodies sent and received so far."""
-        return self._bytes
-
     def call(
         self,
         method: str,
@@ -84,7 +88,7 @@
         except (OSError, http.client.HTTPException) as error:
             connection.close()
             raise AnswerLostError(f"{type(error).__name__}: {error}") from error
-        self._bytes += len(body) + len(answer.body)
+        TRAFFIC.add("platform", _wire_bytes(response, answer.body))
         self._keep(connection, response)
         return answer
 
@@ -107,7 +111,7 @@
             # The server closed it while idle; a request sent over it would be lost.
             connection.close()
         host, _, port = self._address.rpartition(":")
-        connection = http.client.HTTPConnection(host, int(port), timeout=self._connect_timeout_s)
+        connection = _CountingConnection(host, int(port), timeout=self._connect_timeout_s)
         try:
             connection.connect()
         except OSError as error:
@@ -138,3 +142,10 @@
     poll = select.poll()
     poll.register(connection.sock, select.POLLIN | select.POLLHUP)
     return bool(poll.poll(0))
+
+
+def _wire_bytes(response: http.client.HTTPResponse, body: bytes) -> int:
+    """Returns the length of an answer with its status line and headers."""
+    status_line = len(f"HTTP/1.1 {response.status} {response.reason}\r\n")
+    headers = sum(len(name) + len(value) + 4 for name, value in response.getheaders())
+    return status_line + headers + 2 + len(body)
--- a/libs/platform/src/azurecleat_platform/_internal/http_log.py
+++ b/libs/platform/src/azurecleat_platform/_internal/http_log.py
@@ -35,11 +35,6 @@
         self._exchange = HttpExchange(address)
         self._timeout_s = timeout_s
 
-    @property
-    def body_bytes(self) -> int:
-        """Bytes of bodies sent and received so far."""
-        return self._exchange.body_bytes
-
     def append(self, data: bytes) -> int:
         """Appends one entry and returns its offset."""
         try:
--- a/libs/platform/src/azurecleat_platform/_internal/http_targets.py
+++ b/libs/platform/src/azurecleat_platform/_internal/http_targets.py
@@ -29,6 +29,7 @@
 )
 
 STATUS_OK = 200
+STATUS_NOT_MODIFIED = 304
 CONTROL_TIMEOUT_S = 2.0
 
 
@@ -43,11 +44,6 @@
         self._name = name
         self._exchange = HttpExchange(address)
 
-    @property
-    def body_bytes(self) -> int:
-        """Bytes of bodies sent and received so far."""
-        return self._exchange.body_bytes
-
     def control(self, request: ControlRequest) -> ControlReply:
         """Renews the lease and hands over commands."""
         body = json.dumps(_without_defaults(request), separators=(",", ":")).encode()
@@ -93,16 +89,28 @@
     def __init__(self, address: str, timeout_s: float = 1.0) -> None:
         self._exchange = HttpExchange(address, connect_timeout_s=0.5)
         self._timeout_s = timeout_s
+        self._tag = ""
+        self._listed: list[Target] = []
 
     def targets(self) -> list[Target]:
-        """Returns the runners and workers listed now."""
+        """Returns the runners and workers listed now.
+
+        Most looks find nothing changed; an entity tag keeps those to a few bytes.
+        """
+        headers = {"If-None-Match": self._tag} if self._tag else {}
         try:
-            answer = self._exchange.call("GET", "/instances", timeout_s=self._timeout_s)
+            answer = self._exchange.call(
+                "GET", "/instances", headers=headers, timeout_s=self._timeout_s
+            )
         except (NotSentError, AnswerLostError) as error:
             raise self._unavailable(str(error)) from error
+        if answer.status == STATUS_NOT_MODIFIED:
+            return self._listed
         if answer.status != STATUS_OK:
             raise self._unavailable(f"status {answer.status}")
-        return [target_from_plain(value) for value in json.loads(answer.body)["targets"]]
+        self._listed = [target_from_plain(value) for value in json.loads(answer.body)["targets"]]
+        self._tag = answer.headers.get("ETag", "")
+        return self._listed
 
     def close(self) -> None:
         """Closes idle connections."""
--- a/libs/policy/src/azurecleat_policy/_internal/bookkeeping.py
+++ b/libs/policy/src/azurecleat_policy/_internal/bookkeeping.py
@@ -9,12 +9,25 @@
 import heapq
 from typing import NamedTuple
 
-from azurecleat_model import Job, JobKind, Quota, Resources, Scheduling, task_quota
+from azurecleat_model import (
+    ZERO,
+    Job,
+    JobKind,
+    Quota,
+    Resources,
+    Scheduling,
+    task_quota,
+)
 
 from azurecleat_policy._internal.admission import check_fits_limit, check_fits_workers
 from azurecleat_policy._internal.estimator import Estimator
 from azurecleat_policy._internal.jobs import Lane, PolicyJob, RunningTask, Shape
-from azurecleat_policy._internal.ranking import DECAY_STEP_S, score
+from azurecleat_policy._internal.ranking import (
+    DECAY_STEP_S,
+    coarse_rank,
+    dominant_share,
+    virtual_time,
+)
 from azurecleat_policy._internal.teams import TeamState
 from azurecleat_policy._internal.types import (
     Ended,
@@ -319,8 +332,13 @@
         team = self._teams[lane.team]
         if job is None or not team.has_headroom(job):
             return None
-        points = score(team.rank, job.job.submitted_at, self._scheduling.waiting_weight)
-        return (not job.shape.urgent, points, *job.order)
+        rank = coarse_rank(team.rank, self._scheduling.waiting_weight)
+        return (not job.shape.urgent, rank, self._virtual_time(job), job.sequence)
+
+    def _virtual_time(self, job: PolicyJob) -> float:
+        fraction = dominant_share(ZERO.plus(job.shape.size, job.places), self._workers.total)
+        weight = self._scheduling.waiting_weight
+        return virtual_time(job.job.submitted_at, fraction, job.shape.run_s, weight)
 
     def _place(self, job: PolicyJob, index: int, worker: Worker, now: float) -> RunningTask:
         task = RunningTask(job, index, worker.index, now)
--- a/libs/policy/src/azurecleat_policy/_internal/naive.py
+++ b/libs/policy/src/azurecleat_policy/_internal/naive.py
@@ -59,11 +59,9 @@
     def _block(self, job: PolicyJob, now: float) -> None:
         self._tried.add(job.shape)
 
-    def _oldest_blocked(self) -> PolicyJob | None:
+    def _blocked_lanes(self) -> list[Lane]:
         lanes = [lane for team in self._teams.values() for lane in team.lanes.values()]
-        blocked = [lane for lane in lanes if lane.shape in self._tried and self._key(lane)]
-        heads = [lane.head() for lane in blocked]
-        return min((h for h in heads if h is not None), key=lambda job: job.order, default=None)
+        return [lane for lane in lanes if lane.shape in self._tried and self._key(lane)]
 
     def _takes(self, worker: Worker, job: PolicyJob, now: float) -> bool:
         if not worker.is_open or not job.shape.size.fits_in(worker.free):
--- a/libs/policy/src/azurecleat_policy/_internal/ranking.py
+++ b/libs/policy/src/azurecleat_policy/_internal/ranking.py
@@ -7,15 +7,23 @@
 
 from __future__ import annotations
 
+import math
+
 from azurecleat_model import Resources
 
-WAIT_SCALE_S = 60.0
-"""Waiting this long weighs as much as being one entitled share ahead."""
+WORK_PENALTY_S = 3000.0
+"""Seconds by which a job that needs the whole fleet for a minute is put back, at full weight."""
+
+RANK_STEP = 1.25
+"""Width of a step of ranks at full weight of waiting time, in entitled shares."""
+
+MAX_RUN_COUNTED_S = 600.0
+"""Longer runs, services among them, are put back no further than this one."""
 
 DECAY_STEP_S = 5.0
 """Period in which averages of usage are brought forward."""
 
-CURRENT_USAGE_WEIGHT = 0.5
+CURRENT_USAGE_WEIGHT = 0.95
 """Weight of what a team holds now against its decayed average."""
 
 
@@ -41,10 +49,24 @@
     return usage / entitled
 
 
-def score(rank: float, submitted_at: float, waiting_weight: float) -> float:
-    """Returns the order of a waiting job: lower goes first.
+def coarse_rank(rank: float, waiting_weight: float) -> float:
+    """Returns a rank that treats teams as equal which are nearly equally far from their shares.
+
+    The larger the weight of waiting time, the wider the steps: teams within one step are ordered
+    by their jobs' virtual times alone.
+    """
+    step = RANK_STEP * waiting_weight
+    return math.floor(rank / step) * step if step else rank
+
+
+def virtual_time(
+    submitted_at: float, fleet_fraction: float, run_s: float, waiting_weight: float
+) -> float:
+    """Returns the time by which jobs of one team are ordered.
 
-    All jobs age at the same rate, so the age can be left out and only the time of submission
-    kept; the score then changes only when the team's usage does.
+    Heavy work is put back in proportion to the fleet time it takes, so that light work does not
+    wait behind it; since all jobs age alike, heavy work is overtaken only for that long. This is
+    where waiting time is won without touching what teams get.
     """
-    return (1.0 - waiting_weight) * rank + waiting_weight * submitted_at / WAIT_SCALE_S
+    penalty_s = WORK_PENALTY_S * fleet_fraction * min(run_s, MAX_RUN_COUNTED_S) / 60.0
+    return submitted_at + waiting_weight * penalty_s
--- a/libs/policy/src/azurecleat_policy/_internal/scheduler.py
+++ b/libs/policy/src/azurecleat_policy/_internal/scheduler.py
@@ -67,9 +67,8 @@
     def _block(self, job: PolicyJob, now: float) -> None:
         self._index.block(job.shape, self._missing)
 
-    def _oldest_blocked(self) -> PolicyJob | None:
-        heads = (lane.head() for lane in self._index.blocked_lanes())
-        return min((h for h in heads if h is not None), key=lambda job: job.order, default=None)
+    def _blocked_lanes(self) -> list[Lane]:
+        return self._index.blocked_lanes()
 
     def _spread(self, job: PolicyJob, fitting: np.ndarray, scores: np.ndarray) -> Worker:
         per_rack: dict[str, int] = {}
--- a/tests/unit/peers/test_codec.py
+++ b/tests/unit/peers/test_codec.py
@@ -23,6 +23,7 @@
     m.Unsupported(),
     m.AskLimit("hobart", "burnie", "crew", Quota(1, 2, 3, 4, 5), 2.5),
     m.Goodbye("a", "1"),
+    m.News(),
     m.Acknowledged(),
     m.FetchConfiguration(),
     m.ConfigurationAnswer(b"{}"),
