--- a/libs/bench/src/azurecleat_bench/_internal/commands/outage.py
+++ b/libs/bench/src/azurecleat_bench/_internal/commands/outage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from azurecleat_fakes import Faults
@@ -22,29 +23,31 @@
 
     def measure(self) -> dict[str, Any]:
         """Measures each row of the table in docs/design/outages.md."""
-        return {name: self._row(cut) for name, cut in CUTS.items()}
-
-    def _row(self, cut) -> dict[str, float]:
-        world = World(self.seed)
-        world.start()
-        world.stalls_on = False
-        cut(world)
-        world.run_for(SETTLE_S)
-        counts = {"open": 0, "repeatable": 0, "once": 0, "job": 0}
-        nodes = [node for node in world.nodes.values() if node.zone == "hobart"]
-        for number in range(TRIES):
-            node, key = nodes[number % len(nodes)], world.keys[0]
-            body = b"row-%d" % number
-            anyone = world.request(node, Key(OPEN_TEAM, "", ""), b"open-" + body)
-            counts["open"] += anyone.outcome == "done"
-            counts["repeatable"] += world.request(node, key, body).outcome == "done"
-            once = world.request(node, key, b"once-" + body, key_name=f"once-{number}")
-            counts["once"] += once.outcome == "done"
-            before = len(world.history.jobs)
-            world.submit(node, key, tasks=1, run_s=0.1, repeatable=True)
-            counts["job"] += len(world.history.jobs) > before
-            world.run_for(0.3)
-        return {kind: round(count / TRIES, 3) for kind, count in counts.items()}
+        return {name: measure_row(cut, self.seed, TRIES) for name, cut in CUTS.items()}
+
+
+def measure_row(cut: Callable[[World], None], seed: int, tries: int) -> dict[str, float]:
+    """Returns the share of tries served in the zone ``hobart`` under a cut, by kind of work."""
+    world = World(seed)
+    world.start()
+    world.stalls_on = False
+    cut(world)
+    world.run_for(SETTLE_S)
+    counts = {"open": 0, "repeatable": 0, "once": 0, "job": 0}
+    nodes = [node for node in world.nodes.values() if node.zone == "hobart"]
+    for number in range(tries):
+        node, key = nodes[number % len(nodes)], world.keys[0]
+        body = b"row-%d" % number
+        anyone = world.request(node, Key(OPEN_TEAM, "", ""), b"open-" + body)
+        counts["open"] += anyone.outcome == "done"
+        counts["repeatable"] += world.request(node, key, body).outcome == "done"
+        once = world.request(node, key, b"once-" + body, key_name=f"once-{number}")
+        counts["once"] += once.outcome == "done"
+        before = len(world.history.jobs)
+        world.submit(node, key, tasks=1, run_s=0.1, repeatable=True)
+        counts["job"] += len(world.history.jobs) > before
+        world.run_for(0.3)
+    return {kind: round(count / tries, 3) for kind, count in counts.items()}
 
 
 def _nothing(world: World) -> None:
--- a/libs/bench/src/azurecleat_bench/_internal/commands/policy.py
+++ b/libs/bench/src/azurecleat_bench/_internal/commands/policy.py
@@ -59,6 +59,7 @@
         "share_error_max": round(max(outcome.share_errors, default=0.0), 4),
         "packing": round(sum(outcome.packing) / len(outcome.packing), 4) if outcome.packing else 1,
         "decision_ms_p99": round(quantile(outcome.decisions_s, 0.99) * 1000, 2),
+        "given_up": outcome.given_up,
         "wait_p95_by_kind_s": {kind: _p95(outcome, 1, kind) for kind in kinds},
         "wait_p95_by_team_s": {team: _p95(outcome, 0, team) for team in teams},
     }
--- a/libs/bench/src/azurecleat_bench/_internal/replay.py
+++ b/libs/bench/src/azurecleat_bench/_internal/replay.py
@@ -102,7 +102,7 @@
     share_errors: list[float]
     packing: list[float]
     decisions_s: list[float]
-    unfinished: int
+    given_up: int
 
 
 def arrivals(profile: Profile, faults: frozenset[str], seed: int) -> list[Arrival]:
@@ -183,7 +183,8 @@
         self._ends: list[tuple[float, int, str, int, TaskResult]] = []
         self._attempts: dict[tuple[str, int], int] = {}
         self._counter = 0
-        self._first_start: dict[tuple[str, int], float] = {}
+        self._started_at: dict[tuple[str, int], float] = {}
+        self._given_up = 0
         self._outcome = Outcome(defaultdict(list), [], [], [], 0)
 
     def run(self) -> Outcome:
@@ -224,8 +225,15 @@
     def _end_tasks(self, now: float) -> None:
         while self._ends and self._ends[0][0] <= now:
             at, attempt, job_id, index, result = heapq.heappop(self._ends)
-            if self._attempts.get((job_id, index)) == attempt:
-                self._scheduler.finish(job_id, index, result, at)
+            if self._attempts.get((job_id, index)) != attempt:
+                continue
+            ended = self._scheduler.finish(job_id, index, result, at)
+            if ended.final is TaskResult.DONE:
+                self._note_wait(job_id, self._started_at.pop((job_id, index)))
+            elif ended.final is not None:
+                # Work that was given up counts as having waited to the end.
+                self._given_up += 1
+                self._note_wait(job_id, self._profile.length_s)
 
     def _decide(self, now: float) -> None:
         began = time.perf_counter()
@@ -243,10 +251,7 @@
     def _start(self, start: Start, now: float) -> None:
         arrival = self._by_id[start.job_id]
         key = (start.job_id, start.index)
-        if key not in self._first_start:
-            self._first_start[key] = now
-            kind = "urgent" if arrival.job.spec.urgent else arrival.job.spec.kind.value
-            self._outcome.waits[(arrival.job.team, kind)].append(now - arrival.at)
+        self._started_at[key] = now
         self._counter += 1
         self._attempts[key] = self._counter
         ends_at, result = now + arrival.run_s, TaskResult.DONE
@@ -283,15 +288,17 @@
             errors = [abs(held[t.policy.name] - room * t.policy.share / shares) for t in contending]
             self._outcome.share_errors.append(max(errors))
 
+    def _note_wait(self, job_id: str, until: float) -> None:
+        """Notes the wait of a task up to the start of the attempt that counts."""
+        arrival = self._by_id[job_id]
+        kind = "urgent" if arrival.job.spec.urgent else arrival.job.spec.kind.value
+        self._outcome.waits[(arrival.job.team, kind)].append(until - arrival.at)
+
     def _finish(self, now: float) -> Outcome:
-        """Counts work that never started as having waited until the end."""
-        for arrival in self._work:
-            job = self._scheduler.jobs.get(arrival.job.job_id)
-            if job is None:
-                continue
-            kind = "urgent" if arrival.job.spec.urgent else arrival.job.spec.kind.value
-            for index in job.waiting:
-                if (arrival.job.job_id, index) not in self._first_start:
-                    waited_s = now - arrival.at
-                    self._outcome.waits[(arrival.job.team, kind)].append(waited_s)
-        return self._outcome
+        """Counts work that is still waiting as having waited until the end."""
+        for job_id, job in self._scheduler.jobs.items():
+            for index in job.running:
+                self._note_wait(job_id, self._started_at[(job_id, index)])
+            for _ in job.waiting:
+                self._note_wait(job_id, now)
+        return self._outcome._replace(given_up=self._given_up)
--- a/libs/policy/src/azurecleat_policy/_internal/ranking.py
+++ b/libs/policy/src/azurecleat_policy/_internal/ranking.py
@@ -23,7 +23,7 @@
 DECAY_STEP_S = 5.0
 """Period in which averages of usage are brought forward."""
 
-CURRENT_USAGE_WEIGHT = 0.95
+CURRENT_USAGE_WEIGHT = 0.9
 """Weight of what a team holds now against its decayed average."""
 
 
--- /dev/null
+++ b/tests/unit/policy/test_golden.py
@@ -0,0 +1,93 @@
+"""Golden files of whole sessions, one for each of the two users.
+
+Set ``AZURECLEAT_WRITE_GOLDEN=1`` to write them anew after a change that is meant.
+"""
+
+from __future__ import annotations
+
+import os
+import unittest
+from pathlib import Path
+
+from azurecleat_bench._internal.faults.run import run_faults
+from azurecleat_bench._internal.replay import PROFILES, Replay, arrivals
+from azurecleat_policy import Decision, Expire, NaiveScheduler, Reclaim, Scheduler, Start
+
+DATA = Path(__file__).resolve().parents[2] / "data"
+LENGTH_S = 90.0
+BURST = (20.0, 60.0, 8.0)
+
+
+class RecordingReplay(Replay):
+    """Keeps each decision as a line."""
+
+    def __init__(self, *arguments) -> None:
+        super().__init__(*arguments)
+        self.lines: list[str] = []
+
+    def _start(self, start: Start, now: float) -> None:
+        self.lines.append(_line(now, start))
+        super()._start(start, now)
+
+    def _reclaim(self, reclaim: Reclaim, now: float) -> None:
+        self.lines.append(_line(now, reclaim))
+        super()._reclaim(reclaim, now)
+
+
+def _line(now: float, decision: Decision) -> str:
+    match decision:
+        case Start():
+            return f"{now:.1f} start {decision.job_id}.{decision.index} {decision.worker}"
+        case Reclaim():
+            return f"{now:.1f} {decision.how.value} {decision.job_id}.{decision.index}"
+        case Expire():
+            return f"{now:.1f} expire {decision.job_id}"
+
+
+def session(name: str, make) -> str:
+    """Returns the decisions of a short session with a burst and wrong sizes."""
+    profile = PROFILES[name]._replace(length_s=LENGTH_S, burst=BURST, workers=4)
+    faults = frozenset({"wrong-sizes"})
+    replay = RecordingReplay(profile, faults, arrivals(profile, faults, 7), make)
+    replay.run()
+    return "\n".join(replay.lines) + "\n"
+
+
+def fault_session() -> str:
+    """Returns what callers saw in one fault run."""
+    world, _ = run_faults(3, 120)
+    lines = [
+        f"{result.at:.1f} {result.instance} {result.team} {result.body.decode()} "
+        f"{result.outcome} {result.code}".rstrip()
+        for result in world.history.callers
+    ]
+    return "\n".join(lines) + "\n"
+
+
+class GoldenTest(unittest.TestCase):
+    """Sessions are the same as when they were last looked over."""
+
+    def check(self, name: str, text: str) -> None:
+        path = DATA / name
+        if os.environ.get("AZURECLEAT_WRITE_GOLDEN"):
+            path.write_text(text, encoding="utf-8")
+        self.assertEqual(text.splitlines(), path.read_text(encoding="utf-8").splitlines())
+
+    def test_decisions_of_each_user(self) -> None:
+        for name in PROFILES:
+            with self.subTest(profile=name):
+                text = session(name, Scheduler)
+                self.assertGreater(text.count("start"), 50)
+                self.check(f"golden-{name}.txt", text)
+
+    def test_naive_scheduler_writes_the_same_files(self) -> None:
+        for name in PROFILES:
+            with self.subTest(profile=name):
+                self.assertEqual(session(name, NaiveScheduler), session(name, Scheduler))
+
+    def test_what_callers_see_under_faults(self) -> None:
+        self.check("golden-faults.txt", fault_session())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/unit/policy/test_rules.py
@@ -0,0 +1,231 @@
+"""Single rules of the policy, each with the situation it is meant for."""
+
+from __future__ import annotations
+
+import unittest
+
+from azurecleat_model import Job, JobKind, JobSpec, Quota, Resources, Scheduling, TaskSize
+from azurecleat_policy import (
+    Reclaim,
+    ReclaimHow,
+    Scheduler,
+    Start,
+    TaskResult,
+    TeamPolicy,
+    WorkerPolicy,
+)
+
+
+class PolicyTest(unittest.TestCase):
+    """A scheduler with a few workers and two teams."""
+
+    def setUp(self) -> None:
+        self.scheduler = self.make()
+        self.count = 0
+
+    def make(self, workers: int = 3, **settings) -> Scheduler:
+        scheduler = Scheduler(Scheduling(**{"waiting_weight": 0.0, **settings}))
+        for team in ("ada", "bor"):
+            scheduler.set_team(TeamPolicy(team, 1.0, Quota(), 100_000))
+        for index in range(workers):
+            capacity = Resources(4000, 4000, 0)
+            scheduler.add_worker(WorkerPolicy(f"w{index}", f"r{index}", capacity))
+        return scheduler
+
+    def submit(self, now: float = 0.0, team: str = "ada", cpu: int = 1000, **fields) -> str:
+        self.count += 1
+        job_id = f"j{self.count}"
+        kind = fields.pop("kind", JobKind.BATCH)
+        name = fields.pop("name", "check")
+        spec = JobSpec(name, kind, TaskSize(cpu, cpu), **fields)
+        self.scheduler.submit(Job(job_id, team, spec, now))
+        return job_id
+
+    def started(self, now: float) -> list[Start]:
+        return [d for d in self.scheduler.decide(now) if isinstance(d, Start)]
+
+    def finish(self, start: Start, result: TaskResult, now: float):
+        return self.scheduler.finish(start.job_id, start.index, result, now)
+
+
+class PlacementTest(PolicyTest):
+    """Where tasks go."""
+
+    def test_batch_packs_tightly(self) -> None:
+        self.submit(tasks=4)
+        self.assertEqual(len({start.worker for start in self.started(1.0)}), 1)
+
+    def test_service_spreads_over_racks(self) -> None:
+        self.submit(kind=JobKind.SERVICE, tasks=3)
+        self.assertEqual(len({start.worker for start in self.started(1.0)}), 3)
+
+    def test_all_at_once_starts_all_or_none(self) -> None:
+        blocker = self.submit(tasks=1)
+        self.started(1.0)
+        self.submit(kind=JobKind.ALL_AT_ONCE, tasks=12)
+        self.assertEqual(self.started(2.0), [])
+        self.scheduler.finish(blocker, 0, TaskResult.DONE, 3.0)
+        self.assertEqual(len(self.started(3.0)), 12)
+
+    def test_accelerators_are_kept_for_those_that_need_them(self) -> None:
+        rich = WorkerPolicy("rich", "r9", Resources(4000, 4000, 2))
+        self.scheduler.add_worker(rich)
+        self.submit(tasks=12)
+        self.assertNotIn("rich", {start.worker for start in self.started(1.0)})
+
+
+class OrderTest(PolicyTest):
+    """Who goes first."""
+
+    def test_team_below_its_share_goes_first(self) -> None:
+        self.submit(tasks=30)
+        self.started(1.0)
+        self.submit(now=2.0, team="bor", tasks=5)
+        running = next(iter(self.scheduler.jobs.values())).running
+        self.scheduler.finish("j1", next(iter(running)), TaskResult.DONE, 3.0)
+        self.assertEqual([start.job_id for start in self.started(3.0)], ["j2"])
+
+    def test_past_usage_is_paid_back(self) -> None:
+        self.scheduler = self.make(workers=1, usage_half_life_s=100.0)
+        self.submit(tasks=4)
+        starts = self.started(1.0)
+        self.scheduler.decide(200.0)
+        for start in starts:
+            self.finish(start, TaskResult.DONE, 200.0)
+        for team in ("ada", "bor"):
+            self.submit(now=200.0, team=team, tasks=4)
+        self.assertEqual({start.job_id for start in self.started(200.0)[:1]}, {"j3"})
+
+    def test_flood_of_one_team_leaves_the_others_their_share(self) -> None:
+        self.submit(tasks=5000)
+        self.started(1.0)
+        waits = []
+        for step in range(40):
+            now = 2.0 + step
+            job = self.submit(now=now, team="bor", run_s=1.0)
+            for task in list(self.scheduler.workers["w0"].tasks)[:2]:
+                self.scheduler.finish(*task, TaskResult.DONE, now)
+            waits.append(job in {start.job_id for start in self.started(now)})
+        self.assertTrue(all(waits))
+
+    def test_blocked_job_is_not_starved_by_light_work(self) -> None:
+        big = self.submit(cpu=4000, tasks=3, kind=JobKind.ALL_AT_ONCE, run_s=10.0)
+        now = 0.0
+        running: list[tuple[float, Start]] = []
+        for _ in range(200):
+            now += 1.0
+            self.submit(now=now, team="bor", cpu=500, run_s=5.0, tasks=3)
+            for at, start in [entry for entry in running if entry[0] <= now]:
+                self.finish(start, TaskResult.DONE, now)
+                running.remove((at, start))
+            starts = self.started(now)
+            running += [(now + 5.0, start) for start in starts]
+            if big in {start.job_id for start in starts}:
+                return
+        self.fail("the large job never started")
+
+
+class UrgentTest(PolicyTest):
+    """Urgent work takes from preemptible work."""
+
+    def test_least_loss_first_by_checkpoint_then_stop(self) -> None:
+        self.scheduler = self.make(workers=1)
+        old = self.submit(tasks=2, run_s=1000.0)
+        self.started(1.0)
+        young = self.submit(now=50.0, tasks=2, run_s=1000.0)
+        self.started(50.0)
+        urgent = self.submit(now=60.0, team="bor", cpu=2000, urgent=True)
+        reclaims = [d for d in self.scheduler.decide(60.0) if isinstance(d, Reclaim)]
+        self.assertEqual({(r.job_id, r.how) for r in reclaims}, {(young, ReclaimHow.CHECKPOINT)})
+        self.scheduler.finish(young, 0, TaskResult.CHECKPOINTED, 60.5)
+        later = [d for d in self.scheduler.decide(62.0) if isinstance(d, Reclaim)]
+        self.assertEqual([(r.job_id, r.index, r.how) for r in later], [(young, 1, ReclaimHow.STOP)])
+        self.scheduler.finish(young, 1, TaskResult.STOPPED, 62.5)
+        self.assertEqual([start.job_id for start in self.started(62.5)], [urgent])
+        self.assertEqual(len(self.scheduler.jobs[old].running), 2)
+
+    def test_services_and_protected_work_are_left_alone(self) -> None:
+        self.scheduler = self.make(workers=1)
+        self.submit(tasks=4, preemptible=False)
+        self.started(1.0)
+        self.submit(now=2.0, team="bor", urgent=True)
+        self.assertEqual(self.scheduler.decide(2.0), [])
+
+
+class FaultTest(PolicyTest):
+    """Wrong declarations, bad workers, impossible jobs, waves of cancellations."""
+
+    def test_outgrown_worker_gets_capacity_back_and_the_job_a_larger_size(self) -> None:
+        self.scheduler = self.make(workers=1)
+        for name in ("fat", "thin"):
+            self.submit(name=name, tasks=1, cpu=2000)
+        self.started(1.0)
+        self.scheduler.report("j1", 0, Resources(2000, 3000, 0))
+        reclaim = [d for d in self.scheduler.decide(2.0) if isinstance(d, Reclaim)]
+        self.assertEqual([(r.job_id, r.how) for r in reclaim], [("j1", ReclaimHow.CHECKPOINT)])
+        self.scheduler.finish("j1", 0, TaskResult.CHECKPOINTED, 3.0)
+        self.scheduler.finish("j2", 0, TaskResult.DONE, 3.0)
+        self.assertEqual([s.size.memory_mb for s in self.started(3.0)], [3000])
+
+    def test_worker_that_fails_unlike_work_is_put_on_probation_and_comes_back(self) -> None:
+        self.scheduler = self.make(workers=1)
+        for number, team in enumerate(("ada", "bor", "ada")):
+            self.submit(team=team, name=f"name-{number}")
+        for start in self.started(1.0):
+            self.finish(start, TaskResult.FAILED, 2.0)
+        self.assertEqual(self.scheduler.take_suspects(), ["w0"])
+        self.assertEqual(self.started(3.0), [])
+        probe = self.started(33.0)
+        self.assertEqual(len(probe), 1)
+        self.finish(probe[0], TaskResult.DONE, 34.0)
+        self.assertEqual(len(self.started(34.0)), 2)
+
+    def test_job_that_always_fails_does_not_condemn_its_workers(self) -> None:
+        job = self.submit(name="broken")
+        finals = []
+        for step in range(5):
+            for start in self.started(step):
+                finals.append(self.finish(start, TaskResult.FAILED, step + 0.5).final)
+        self.assertEqual(finals, [None, None, TaskResult.FAILED])
+        self.assertNotIn(job, self.scheduler.jobs)
+        self.assertEqual(self.scheduler.take_suspects(), [])
+
+    def test_impossible_job_is_named_with_its_constraint_and_blocks_nobody(self) -> None:
+        spec = JobSpec("huge", JobKind.BATCH, TaskSize(9000, 10))
+        refused = self.scheduler.check(Job("x", "ada", spec, 0.0))
+        self.assertEqual(refused.code, "never-fits-worker")
+        self.assertIn("9000 cpu_milli", refused.detail)
+        job = self.submit(cpu=4000)
+        self.scheduler.remove_worker("w0", 0.0)
+        self.assertEqual(self.scheduler.impossible(), [])
+        self.assertEqual(self.scheduler.impossible({"ada": Quota(cpu_milli=10)})[0][0], job)
+
+    def test_half_of_a_hundred_thousand_tasks_cancelled_at_once(self) -> None:
+        jobs = [self.submit(team=("ada", "bor")[n % 2], tasks=10) for n in range(10_000)]
+        self.started(1.0)
+        for job in jobs[100::2]:
+            self.scheduler.cancel(job)
+        self.assertEqual(self.scheduler.waiting_tasks, 100_000 - 12 - 10 * len(jobs[100::2]))
+        self.assertEqual(len(self.started(2.0)), 0)
+        survivors = {job for job in self.scheduler.jobs if self.scheduler.jobs[job].waiting}
+        self.assertEqual(len(survivors & set(jobs[100::2])), 0)
+
+    def test_full_queue_and_deadline_are_refused_early(self) -> None:
+        self.scheduler.set_team(TeamPolicy("ada", 1.0, Quota(), 5))
+        self.submit(tasks=5, cpu=4000)
+        spec = JobSpec("check", JobKind.BATCH, TaskSize(1, 1), tasks=4)
+        self.assertEqual(self.scheduler.check(Job("x", "ada", spec, 0.0)).code, "queue-full")
+
+    def test_expired_work_never_starts(self) -> None:
+        self.scheduler = self.make(workers=1)
+        self.submit(cpu=4000, run_s=100.0)
+        self.started(1.0)
+        late = self.submit(now=1.0, cpu=4000, deadline_s=5.0)
+        self.scheduler.decide(7.0)
+        self.scheduler.finish("j1", 0, TaskResult.DONE, 8.0)
+        self.assertEqual(self.started(8.0), [])
+        self.assertNotIn(late, self.scheduler.jobs)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/unit/test_docs.py
@@ -0,0 +1,85 @@
+"""Docs and examples agree with the code."""
+
+from __future__ import annotations
+
+import json
+import re
+import unittest
+from pathlib import Path
+
+from azurecleat_bench._internal.capacity import slope_table, table
+from azurecleat_daemon import parse_settings
+from azurecleat_model import JobSpec, events, parse_environment, parse_jsonc, validate
+from azurecleat_model.exceptions import DocumentError
+from pydantic import TypeAdapter
+
+ROOT = Path(__file__).resolve().parents[2]
+DOCS = ROOT / "docs"
+EXAMPLES = ROOT / "examples"
+
+
+def read(path: Path) -> str:
+    return path.read_text(encoding="utf-8")
+
+
+class EventsTest(unittest.TestCase):
+    """The catalogue of log events."""
+
+    def test_catalogue_and_code_name_the_same_events(self) -> None:
+        code = {
+            (event.number, event.level, event.message)
+            for event in vars(events).values()
+            if isinstance(event, events.Event)
+        }
+        rows = re.findall(r"^\| E(\d+) \| (\w+) \| `(.*?)` \|", read(DOCS / "events.md"), re.M)
+        self.assertEqual({(int(n), level, text) for n, level, text in rows}, code)
+
+    def test_numbers_are_used_once(self) -> None:
+        numbers = [e.number for e in vars(events).values() if isinstance(e, events.Event)]
+        self.assertEqual(len(numbers), len(set(numbers)))
+
+
+class ExamplesTest(unittest.TestCase):
+    """Examples are accepted by the checks that users run."""
+
+    def test_environment_documents(self) -> None:
+        ductline = parse_environment(read(EXAMPLES / "ductline.jsonc"))
+        klubnet = parse_environment(read(EXAMPLES / "klubnet.jsonc"))
+        self.assertGreater(ductline.scheduling.waiting_weight, klubnet.scheduling.waiting_weight)
+
+    def test_settings_and_job(self) -> None:
+        self.assertEqual(parse_settings(read(EXAMPLES / "entry.jsonc")).instance, "hobart-1")
+        value = parse_jsonc(read(EXAMPLES / "job.jsonc"), "job")
+        self.assertEqual(validate(TypeAdapter(JobSpec), value, "job").tasks, 6)
+
+    def test_misspelt_limit_is_refused_by_name(self) -> None:
+        text = read(EXAMPLES / "klubnet.jsonc").replace('"requests"', '"requets"', 1)
+        with self.assertRaisesRegex(DocumentError, "requets"):
+            parse_environment(text)
+
+    def test_settings_that_cannot_work_are_refused(self) -> None:
+        good = read(EXAMPLES / "entry.jsonc")
+        for old, new, named in (
+            ('"127.0.0.1:8080"', '"localhost:8080"', "callers"),
+            ('"127.0.0.1:8080"', '"300.0.0.1:8080"', "300.0.0.1"),
+            ('"lease_s": 15', '"lease_s": -1', "lease_s"),
+            ('["hobart"]', "[]", "partitions"),
+            ('"log_read_lag_s": 0.5', '"log_read_lag_s": 9', "log_read_lag_s"),
+            ('"zone": "hobart",', "", "zone"),
+        ):
+            with self.subTest(new=new), self.assertRaisesRegex(DocumentError, named):
+                parse_settings(good.replace(old, new))
+
+
+class CapacityTest(unittest.TestCase):
+    """docs/CAPACITY.md is worked out from the committed measurement."""
+
+    def test_tables_are_those_of_the_committed_input(self) -> None:
+        result = json.loads(read(DOCS / "capacity.json"))
+        page = read(DOCS / "CAPACITY.md")
+        self.assertIn(table(result), page)
+        self.assertIn(slope_table(result), page)
+
+
+if __name__ == "__main__":
+    unittest.main()
