An answer cut within its headers is not taken for a whole one

Change: an answer without a length is lost, so its outcome is unknown. Tests of peers over TCP (late, crossed, duplicate, garbled, silent, strangers) and of the exchange at each step. Ruled out: the check of the remaining length, which holds once a length is known.

--- a/libs/platform/src/azurecleat_platform/_internal/http_exchange.py
+++ b/libs/platform/src/azurecleat_platform/_internal/http_exchange.py
@@ -120,6 +120,10 @@
         return connection
 
     def _read(self, response: http.client.HTTPResponse) -> HttpAnswer:
+        # http.client takes headers that were cut off for all of them; without a length, an
+        # answer cut there would pass for a whole one with an empty body.
+        if response.length is None and not response.chunked:
+            raise http.client.HTTPException("answer without a length")
         body = response.read(MAX_ANSWER_BYTES + 1)
         if len(body) > MAX_ANSWER_BYTES:
             raise http.client.HTTPException("answer too large")
--- /dev/null
+++ b/tests/unit/peers/test_network.py
@@ -0,0 +1,178 @@
+"""Peers over TCP: late, crossed and garbled answers, silence, and strangers."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import threading
+import unittest
+
+from azurecleat_model.exceptions import PeerAnswerLostError
+from azurecleat_peers import ConnectionRefusedByHostError, PeerServer, TcpPeerNetwork
+from azurecleat_peers.messages import (
+    Acknowledged,
+    Framed,
+    Hello,
+    Message,
+    RefusalAnswer,
+    RunAnswer,
+    RunRequest,
+    Withdraw,
+    decode,
+    encode,
+)
+
+HELLO = Hello("me", "1", "hobart")
+
+
+def request(body: bytes) -> RunRequest:
+    return RunRequest("hobart", "r", "crew", body, 5.0, True, "")
+
+
+def frame(framed: Framed) -> bytes:
+    data = encode(framed)
+    return struct.pack("!I", len(data)) + data
+
+
+class Script:
+    """A peer that reads frames and answers with whatever bytes a function returns."""
+
+    def __init__(self, answer) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._answer = answer
+        threading.Thread(target=self._run, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self._listener.getsockname()[1]}"
+
+    def close(self) -> None:
+        self._listener.close()
+
+    def _run(self) -> None:
+        try:
+            while True:
+                connection, _ = self._listener.accept()
+                threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+        except OSError:
+            return
+
+    def _serve(self, connection: socket.socket) -> None:
+        reader = connection.makefile("rb")
+        while head := reader.read(4):
+            framed = decode(reader.read(struct.unpack("!I", head)[0]))
+            for part in self._answer(framed):
+                connection.sendall(part)
+
+
+class NetworkTest(unittest.TestCase):
+    """Calls through :class:`TcpPeerNetwork`."""
+
+    def setUp(self) -> None:
+        self.network = TcpPeerNetwork(HELLO)
+        self.addCleanup(self.network.close)
+
+    def server(self, handler) -> PeerServer:
+        server = PeerServer("127.0.0.1:0", handler)
+        server.start()
+        self.addCleanup(server.stop)
+        return server
+
+    def script(self, answer) -> Script:
+        script = Script(answer)
+        self.addCleanup(script.close)
+        return script
+
+    def test_many_calls_at_once_get_their_own_answers(self) -> None:
+        server = self.server(lambda message: RunAnswer(message.body))
+        wrong = []
+
+        def call(number: int) -> None:
+            for step in range(50):
+                body = b"%d-%d" % (number, step)
+                answer = self.network.call(server.address, request(body), 5.0)
+                if answer != RunAnswer(body):
+                    wrong.append(answer)
+
+        threads = [threading.Thread(target=call, args=(n,)) for n in range(8)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(wrong, [])
+
+    def test_late_crossed_and_duplicate_answers_reach_their_caller_or_nobody(self) -> None:
+        held: list[Framed] = []
+
+        def answer(framed: Framed) -> list[bytes]:
+            if isinstance(framed.message, Hello):
+                return []
+            held.append(framed)
+            if len(held) == 1:
+                return []
+            # The second question: answer it, then the first one late, then both again.
+            late = [Framed(f.id, RunAnswer(f.message.body)) for f in (held[1], held[0])]
+            return [frame(f) for f in (late[0], late[1], late[1], late[0])]
+
+        script = self.script(answer)
+        with self.assertRaises(PeerAnswerLostError):
+            self.network.call(script.address, request(b"first"), 0.05)
+        second = self.network.call(script.address, request(b"second"), 5.0)
+        self.assertEqual(second, RunAnswer(b"second"))
+
+    def test_garbled_answer_is_lost_and_the_next_call_connects_anew(self) -> None:
+        answers = [[struct.pack("!I", 7) + b"\xff" * 7], None]
+
+        def answer(framed: Framed) -> list[bytes]:
+            if isinstance(framed.message, Hello):
+                return []
+            garbled = answers.pop(0)
+            return garbled or [frame(Framed(framed.id, Acknowledged()))]
+
+        script = self.script(answer)
+        with self.assertRaises(PeerAnswerLostError) as caught:
+            self.network.call(script.address, Withdraw("k"), 5.0)
+        self.assertEqual(caught.exception.peer, script.address)
+        self.assertEqual(self.network.call(script.address, Withdraw("k"), 5.0), Acknowledged())
+
+    def test_silent_peer_costs_its_callers_their_timeout_only(self) -> None:
+        script = self.script(lambda framed: [])
+        with self.assertRaises(PeerAnswerLostError):
+            self.network.call(script.address, Withdraw("k"), 0.05)
+        server = self.server(lambda message: Acknowledged())
+        self.assertEqual(self.network.call(server.address, Withdraw("k"), 5.0), Acknowledged())
+
+    def test_refused_connection_is_told_apart(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            address = f"127.0.0.1:{free.getsockname()[1]}"
+        with self.assertRaises(ConnectionRefusedByHostError):
+            self.network.call(address, Withdraw("k"), 1.0)
+
+    def test_strangers_and_noise_harm_no_other_peer(self) -> None:
+        server = self.server(lambda message: Acknowledged())
+        host, _, port = server.address.rpartition(":")
+        for noise in (
+            b"GET / HTTP/1.1\r\n\r\n",
+            struct.pack("!I", 1 << 31),
+            struct.pack("!I", 3) + b"\0\0\0",
+            frame(Framed(1, Withdraw("no hello first"))),
+            frame(Framed(0, HELLO)) + struct.pack("!I", 50) + b"half",
+        ):
+            with socket.create_connection((host, int(port))) as stranger:
+                stranger.sendall(noise)
+                stranger.shutdown(socket.SHUT_WR)
+                self.assertEqual(stranger.recv(100), b"")
+        self.assertEqual(self.network.call(server.address, Withdraw("k"), 5.0), Acknowledged())
+
+    def test_handler_error_is_answered_as_unknown(self) -> None:
+        def broken(message: Message) -> Message:
+            raise ZeroDivisionError
+
+        server = self.server(broken)
+        answer = self.network.call(server.address, Withdraw("k"), 5.0)
+        self.assertIsInstance(answer, RefusalAnswer)
+        self.assertEqual((answer.code, answer.ran), ("internal", "unknown"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/unit/platform/test_http_exchange.py
@@ -0,0 +1,135 @@
+"""A call knows whether anything was sent, whichever step the connection dies at."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import unittest
+
+from azurecleat_fakes import MemoryLog, serve_log
+from azurecleat_model.exceptions import (
+    AppendUnknownError,
+    LogUnavailableError,
+    NotRunError,
+    OffsetForgottenError,
+    OutcomeUnknownError,
+)
+from azurecleat_platform import (
+    AnswerLostError,
+    HttpExchange,
+    HttpLog,
+    HttpTarget,
+    NotSentError,
+)
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+
+
+class ScriptedServer:
+    """Accepts connections and sends a scripted answer after reading the request's head."""
+
+    def __init__(self, *answers: bytes) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._answers = list(answers)
+        self.requests = 0
+        threading.Thread(target=self._run, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self._listener.getsockname()[1]}"
+
+    def close(self) -> None:
+        self._listener.close()
+
+    def _run(self) -> None:
+        try:
+            for answer in self._answers:
+                connection, _ = self._listener.accept()
+                with connection:
+                    if b"\r\n\r\n" in connection.recv(65_536):
+                        self.requests += 1
+                    connection.sendall(answer)
+        except OSError:
+            return
+
+
+class ExchangeTest(unittest.TestCase):
+    """The connection is cut at each step of a call."""
+
+    def exchange(self, *answers: bytes) -> HttpExchange:
+        self.server = ScriptedServer(*answers)
+        self.addCleanup(self.server.close)
+        exchange = HttpExchange(self.server.address)
+        self.addCleanup(exchange.close)
+        return exchange
+
+    def test_nothing_listens(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            address = f"127.0.0.1:{free.getsockname()[1]}"
+        with self.assertRaises(NotSentError) as caught:
+            HttpExchange(address).call("POST", "/run", b"x")
+        self.assertTrue(caught.exception.refused)
+
+    def test_cut_at_each_byte_of_the_answer_is_lost_not_unsent(self) -> None:
+        for length in range(len(WHOLE)):
+            with self.subTest(length=length), self.assertRaises(AnswerLostError):
+                self.exchange(WHOLE[:length]).call("POST", "/run", b"x")
+
+    def test_whole_answer(self) -> None:
+        self.assertEqual(self.exchange(WHOLE).call("POST", "/run", b"x").body, b"hello")
+
+    def test_idle_connection_closed_by_the_server_is_not_used(self) -> None:
+        exchange = self.exchange(WHOLE, WHOLE)
+        for _ in range(2):
+            self.assertEqual(exchange.call("POST", "/run", b"x").body, b"hello")
+            # The scripted server closes after each answer although it promised to keep alive.
+            threading.Event().wait(0.05)
+        self.assertEqual(self.server.requests, 2)
+
+    def test_target_tells_the_same_as_typed_errors(self) -> None:
+        server = ScriptedServer(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", WHOLE[:-1])
+        self.addCleanup(server.close)
+        target = HttpTarget("runner-1", server.address)
+        with self.assertRaises(NotRunError) as refused:
+            target.run("r", 1, b"x", 1.0)
+        self.assertEqual(
+            (refused.exception.step, refused.exception.peer), ("runner.run", "runner-1")
+        )
+        with self.assertRaises(OutcomeUnknownError):
+            target.run("r", 1, b"x", 1.0)
+
+
+class HttpLogTest(unittest.TestCase):
+    """The log's adapter against the stand-in's server."""
+
+    def setUp(self) -> None:
+        self.memory = MemoryLog()
+        self.server = serve_log(self.memory).start()
+        self.addCleanup(self.server.stop)
+        self.log = HttpLog(self.server.address)
+        self.addCleanup(self.log.close)
+
+    def test_entries_survive_the_way(self) -> None:
+        data = bytes(range(256))
+        self.assertEqual(self.log.append(data), 0)
+        self.assertEqual(self.log.read(0, 10), self.memory.read(0, 10))
+
+    def test_faults_become_typed_errors(self) -> None:
+        self.memory.append(b"a")
+        self.memory.faults = self.memory.faults._replace(lose_answers=1)
+        with self.assertRaises(AppendUnknownError):
+            self.log.append(b"b")
+        self.assertEqual(self.memory.tail, 2, "the effect came before the loss")
+        self.memory.forget_before(1)
+        with self.assertRaises(OffsetForgottenError):
+            self.log.read(0, 10)
+        self.assertEqual(self.log.first_offset(), 1)
+        self.memory.faults = self.memory.faults._replace(down=True)
+        with self.assertRaises(LogUnavailableError):
+            self.log.append(b"c")
+        with self.assertRaises(LogUnavailableError):
+            self.log.read(1, 10)
+
+
+if __name__ == "__main__":
+    unittest.main()
