The fault world in small modules

Change: callers, injector, operators and node are modules of their own. The slopes bench stops with an error when its fleet is too small (it looped for ever when 5,000 tasks did not fit).

--- a/libs/bench/src/azurecleat_bench/_internal/commands/outage.py
+++ b/libs/bench/src/azurecleat_bench/_internal/commands/outage.py
@@ -8,8 +8,9 @@
 from azurecleat_fakes import Faults
 
 from azurecleat_bench._internal.base import Bench
+from azurecleat_bench._internal.faults.callers import OPEN_TEAM, Key
 from azurecleat_bench._internal.faults.connections import LOG
-from azurecleat_bench._internal.faults.world import OPEN_TEAM, Key, World
+from azurecleat_bench._internal.faults.world import World
 
 TRIES = 40
 SETTLE_S = 8.0
@@ -38,13 +39,13 @@
     for number in range(tries):
         node, key = nodes[number % len(nodes)], world.keys[0]
         body = b"row-%d" % number
-        anyone = world.request(node, Key(OPEN_TEAM, "", ""), b"open-" + body)
+        anyone = world.callers.request(node, Key(OPEN_TEAM, "", ""), b"open-" + body)
         counts["open"] += anyone.outcome == "done"
-        counts["repeatable"] += world.request(node, key, body).outcome == "done"
-        once = world.request(node, key, b"once-" + body, key_name=f"once-{number}")
+        counts["repeatable"] += world.callers.request(node, key, body).outcome == "done"
+        once = world.callers.request(node, key, b"once-" + body, key_name=f"once-{number}")
         counts["once"] += once.outcome == "done"
         before = len(world.history.jobs)
-        world.submit(node, key, tasks=1, run_s=0.1, repeatable=True)
+        world.callers.submit(node, key, tasks=1, run_s=0.1, repeatable=True)
         counts["job"] += len(world.history.jobs) > before
         world.run_for(0.3)
     return {kind: round(count / tries, 3) for kind, count in counts.items()}
--- a/libs/bench/src/azurecleat_bench/_internal/commands/slopes.py
+++ b/libs/bench/src/azurecleat_bench/_internal/commands/slopes.py
@@ -191,13 +191,16 @@
     def build() -> Scheduler:
         scheduler = Scheduler(Scheduling())
         add_teams(scheduler, 46)
-        add_workers(scheduler, max(8, tasks // 10))
+        add_workers(scheduler, max(8, tasks // 5))
         source = WorkSource(1, 46)
         placed = 0
         while placed < tasks:
             for _ in range(100):
                 scheduler.submit(source.job(0.0))
-            placed += len(starts(scheduler.decide(0.0)))
+            new = len(starts(scheduler.decide(0.0)))
+            if not new:
+                raise RuntimeError("the fleet is too small for the tasks")
+            placed += new
         return scheduler
 
     return _memory_kb(build)
--- a/libs/bench/src/azurecleat_bench/_internal/faults/scenarios.py
+++ b/libs/bench/src/azurecleat_bench/_internal/faults/scenarios.py
@@ -5,7 +5,8 @@
 from azurecleat_bench._internal.faults.checker import Violation, check
 from azurecleat_bench._internal.faults.connections import LOG
 from azurecleat_bench._internal.faults.history import Withdrawn
-from azurecleat_bench._internal.faults.world import BOUNDS, TIMING, Node, World
+from azurecleat_bench._internal.faults.node import Node
+from azurecleat_bench._internal.faults.world import BOUNDS, TIMING, World
 
 LONG_PAUSE_S = 4 * TIMING.lease_s
 
@@ -23,7 +24,7 @@
     world.history.withdrawn.append(Withdrawn(at, key.key_id, result.recorded, holders))
     world.run_for(TIMING.key_bound_s + 1.0)
     for number in range(5):
-        world.request(lonely, key, b"late-%d" % number)
+        world.callers.request(lonely, key, b"late-%d" % number)
         world.run_for(0.5)
     return world, check(world.history, BOUNDS)
 
@@ -38,8 +39,8 @@
     owner = owner_of(world, "hobart")
     for node in world.nodes.values():
         if node.zone == "hobart":
-            world.submit(node, world.keys[1], tasks=30, run_s=4.0, repeatable=True)
-            world.submit(node, world.keys[0], tasks=12, run_s=4.0, repeatable=False)
+            world.callers.submit(node, world.keys[1], tasks=30, run_s=4.0, repeatable=True)
+            world.callers.submit(node, world.keys[0], tasks=12, run_s=4.0, repeatable=False)
     world.run_for(1.0)
     isolate(world, owner)
     owner.paused_until = world.clock.monotonic() + LONG_PAUSE_S
@@ -52,13 +53,13 @@
     """Kills all instances at once after the log forgot what snapshots cover."""
     world = _started(seed)
     for node in world.nodes.values():
-        world.submit(node, world.keys[0], tasks=20, run_s=5.0, repeatable=True)
+        world.callers.submit(node, world.keys[0], tasks=20, run_s=5.0, repeatable=True)
     for number in range(80):
         for node in world.nodes.values():
             name = f"filler-{node.name}-{number}"
-            world.request(node, world.keys[1], name.encode(), key_name=name)
+            world.callers.request(node, world.keys[1], name.encode(), key_name=name)
         world.run_for(0.5)
-    world.forget_covered()
+    world.injector.forget_covered()
     for node in world.nodes.values():
         node.core = None
     for node in world.nodes.values():
