--- /dev/null
+++ b/libs/daemon/src/azurecleat_daemon/_internal/arbitration.py
@@ -0,0 +1,69 @@
+"""Which targets arbitrate a partition, changed through the log without losing a majority."""
+
+from __future__ import annotations
+
+import threading
+from concurrent.futures import Future
+
+from azurecleat_coordination import Appender, Applied, ControlLease, Replica
+from azurecleat_coordination.records import SetTargets
+from azurecleat_model.exceptions import AppendUnknownError, LogError
+
+
+class Arbitration:
+    """Keeps the lease's targets in step with the log.
+
+    While the fate of a change is open, the lease needs a majority of both sets.
+
+    :param targets: The targets that the accepted claim names.
+    """
+
+    def __init__(
+        self,
+        partition: str,
+        epoch: int,
+        replica: Replica,
+        appender: Appender,
+        lease: ControlLease,
+        targets: tuple[str, ...],
+    ) -> None:
+        self._partition = partition
+        self._epoch = epoch
+        self._replica = replica
+        self._appender = appender
+        self._lease = lease
+        self._lock = threading.Lock()
+        self._committed = targets
+        self._attempted: set[tuple[str, ...]] = set()
+
+    def follow(self, granted: tuple[str, ...]) -> None:
+        """Goes by the targets in the log, and proposes those that obey now.
+
+        :param granted: Names of the targets that obey, sorted; empty proposes no change.
+        """
+        with self._replica.lock:
+            owner = self._replica.fleet.ownership.owner(self._partition)
+        if owner is None or owner.epoch != self._epoch:
+            return
+        with self._lock:
+            if owner.targets != self._committed:
+                self._committed = owner.targets
+                self._attempted.clear()
+            wanted = granted or self._committed
+            is_new = wanted != self._committed and wanted not in self._attempted
+            if is_new:
+                self._attempted.add(wanted)
+            self._lease.set_targets(self._committed, *self._attempted)
+        if is_new:
+            event = SetTargets(self._partition, self._epoch, wanted)
+            future = self._appender.submit(event)
+            future.add_done_callback(lambda done: self._on_set(done, wanted))
+
+    def _on_set(self, future: Future[Applied], wanted: tuple[str, ...]) -> None:
+        try:
+            future.result()
+        except AppendUnknownError:
+            return
+        except LogError:
+            with self._lock:
+                self._attempted.discard(wanted)
--- a/libs/daemon/src/azurecleat_daemon/_internal/engine.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/engine.py
@@ -5,25 +5,23 @@
 import random
 import threading
 from collections.abc import Callable
-from concurrent.futures import Future
 from enum import Enum
 from typing import NamedTuple
 
 from azurecleat_coordination import (
     CLOCK_RATE_SKEW,
     Appender,
-    Applied,
     Backoff,
     ControlLease,
     Replica,
     has_majority,
 )
-from azurecleat_coordination.records import AcknowledgeLimits, SetTargets, Transfer
-from azurecleat_model import NO_QUOTA, Clock, Quota
-from azurecleat_model.exceptions import AppendUnknownError, LogError
+from azurecleat_model import Clock, Quota
 from azurecleat_platform import RunnerClient, Target, TargetKind
 
+from azurecleat_daemon._internal.arbitration import Arbitration
 from azurecleat_daemon._internal.lifecycle import Periodic
+from azurecleat_daemon._internal.limits import LimitKeeper
 from azurecleat_daemon._internal.link import LinkSettings, TargetLink
 from azurecleat_daemon._internal.metrics import Metrics
 from azurecleat_daemon._internal.request_desk import RequestDesk
@@ -62,13 +60,6 @@
     new_id: Callable[[], str]
 
 
-class Shortage(NamedTuple):
-    """Part of a limit that a team lacks in a partition, and how long its oldest work waits."""
-
-    amount: Quota
-    waited_s: float
-
-
 class TeamRow(NamedTuple):
     """A team in a partition, for status reports. ``usage_over_share`` is 1 at the share."""
 
@@ -105,14 +96,10 @@
         self._former_targets = former_targets
         self._clock = services.clock
         self._lease = ControlLease(services.clock, targets, services.lease_s, MAX_LIST_PAUSE_S)
-        self._committed_targets = targets
-        self._attempted_targets: set[tuple[str, ...]] = set()
         self._phase = Phase.RECOVERING
         self._began_at = self._clock.monotonic()
         self._links: dict[str, TargetLink] = {}
         self._threads: dict[str, Periodic] = {}
-        self._given: dict[str, Quota] = {}
-        self._acknowledged_version = -1
         self._lock = threading.RLock()
         environment = services.replica.fleet.configuration.environment
         self.tasks = TaskDesk(
@@ -140,8 +127,11 @@
             services.new_id,
             self._wake,
         )
+        parts = (partition, epoch, services.replica, services.appender, self._lease)
+        self.limits = LimitKeeper(*parts, self.tasks, self.requests)
+        self._arbitration = Arbitration(*parts, targets)
         self._stepper = Periodic(f"engine-{partition}", STEP_S, self.step)
-        self._follow_configuration()
+        self.limits.follow()
         self.tasks.load()
 
     @property
@@ -197,14 +187,14 @@
             self._phase = Phase.LOST
             self.requests.close()
             return
-        self._follow_configuration()
-        self._follow_targets()
+        self.limits.follow()
+        self._arbitration.follow(self._granted() if self._phase is Phase.SERVING else ())
         if self._phase is Phase.RECOVERING:
             self._try_to_serve()
         if self._phase is Phase.SERVING:
             self.tasks.step()
             self._wake_links()
-            self._acknowledge_limits()
+            self.limits.acknowledge()
 
     def set_targets(self, targets: list[Target]) -> None:
         """Takes over the instance list: new targets get a link, leaving ones nothing new."""
@@ -223,45 +213,7 @@
     def know_team(self, team: str) -> None:
         """Makes a team known that a configuration newer than the last step has added."""
         if team not in self.tasks.scheduler.teams:
-            self._follow_configuration()
-
-    def give_limit(self, team: str, need: Shortage, destination: str) -> bool:
-        """Transfers unused allotment to another partition; returns whether any was given.
-
-        If work waits for the limit here too, the longer wait goes first: without an order, two
-        jobs that each need more than a partition holds would wait for each other for ever. The
-        part given is set aside before the record is appended, so that it is never used on both
-        sides whatever becomes of the append.
-        """
-        with self._lock:
-            own = self.missing_limits().get(team)
-            goes_first = own is None or (own.waited_s, destination) < (
-                need.waited_s,
-                self._partition,
-            )
-            unused = self._allotted(team).minus(self._usage(team)).clamp()
-            part = Quota(*map(min, need.amount, unused))
-            may_give = self._phase is Phase.SERVING and self._lease.is_valid()
-            if part == NO_QUOTA or not goes_first or not may_give:
-                return False
-            self._given[team] = self._given.get(team, NO_QUOTA).plus(part)
-        self._follow_configuration()
-        event = Transfer(team, self._partition, self._epoch, destination, part)
-        future = self._services.appender.submit(event)
-        future.add_done_callback(lambda done: self._on_given(done, team, part))
-        return True
-
-    def missing_limits(self) -> dict[str, Shortage]:
-        """Returns what teams with waiting work lack here."""
-        missing: dict[str, Shortage] = {}
-        for team, need in self.tasks.blocked_by_limit().items():
-            lacking = self._usage(team).plus(need.quota).minus(self._allotted(team)).clamp()
-            missing[team] = Shortage(lacking, need.waited_s)
-        for team, need in self.requests.blocked_by_limit().items():
-            former = missing.get(team, Shortage(NO_QUOTA, 0.0))
-            lacking = former.amount._replace(requests=need.waiting_tasks)
-            missing[team] = Shortage(lacking, max(former.waited_s, need.waited_s))
-        return {team: need for team, need in missing.items() if need.amount != NO_QUOTA}
+            self.limits.follow()
 
     def running_on(self, target: Target) -> int:
         """Returns the number of tasks or requests on a target."""
@@ -287,7 +239,7 @@
                     requests.used.tasks if requests else 0,
                     requests.waiting if requests else 0,
                     round(team.rank, 3),
-                    self._allotted(name),
+                    self.limits.allotted(name),
                 )
             )
         return rows
@@ -336,6 +288,9 @@
     def _is_awaited(self, link: TargetLink) -> bool:
         return link.target.kind is TargetKind.RUNNER and self.requests.needs_control(link)
 
+    def _granted(self) -> tuple[str, ...]:
+        return tuple(sorted(name for name, link in self._links.items() if link.is_granted))
+
     # Recovery.
 
     def _try_to_serve(self) -> None:
@@ -363,86 +318,3 @@
             return True
         waited_s = self._clock.monotonic() - self._began_at
         return waited_s > 2 * self._services.lease_s * (1 + CLOCK_RATE_SKEW)
-
-    # Arbitrating targets.
-
-    def _follow_targets(self) -> None:
-        with self._services.replica.lock:
-            owner = self._services.replica.fleet.ownership.owner(self._partition)
-        if owner is None or owner.epoch != self._epoch:
-            return
-        with self._lock:
-            if owner.targets != self._committed_targets:
-                self._committed_targets = owner.targets
-                self._attempted_targets.clear()
-            wanted = tuple(sorted(n for n, link in self._links.items() if link.is_granted))
-            if self._phase is not Phase.SERVING or not wanted:
-                wanted = self._committed_targets
-            is_new = wanted != self._committed_targets and wanted not in self._attempted_targets
-            if is_new:
-                self._attempted_targets.add(wanted)
-            self._lease.set_targets(self._committed_targets, *self._attempted_targets)
-        if is_new:
-            event = SetTargets(self._partition, self._epoch, wanted)
-            future = self._services.appender.submit(event)
-            future.add_done_callback(lambda done: self._on_targets_set(done, wanted))
-
-    def _on_targets_set(self, future: Future[Applied], wanted: tuple[str, ...]) -> None:
-        try:
-            future.result()
-        except AppendUnknownError:
-            return
-        except LogError:
-            with self._lock:
-                self._attempted_targets.discard(wanted)
-
-    # Limits.
-
-    def _follow_configuration(self) -> None:
-        with self._services.replica.lock:
-            teams = list(self._services.replica.fleet.configuration.teams.values())
-            allotted = [(team, self._allotted(team.name)) for team in teams]
-        for team, amount in allotted:
-            self.tasks.set_team(team, amount)
-            self.requests.set_team(team, amount)
-        names = {team.name for team in teams}
-        self.tasks.remove_teams_except(names)
-        self.requests.remove_teams_except(names)
-
-    def _allotted(self, team: str) -> Quota:
-        ledger = self._services.replica.fleet.ledger
-        given = self._given.get(team, NO_QUOTA)
-        return ledger.allotment(team, self._partition).minus(given).clamp()
-
-    def _usage(self, team: str) -> Quota:
-        return self.tasks.team_usage(team)._replace(requests=self.requests.team_usage(team))
-
-    def _acknowledge_limits(self) -> None:
-        """Tells the log when reduced limits are kept here, so that others may use the rest."""
-        with self._services.replica.lock:
-            version = self._services.replica.fleet.configuration.version
-            teams = list(self._services.replica.fleet.configuration.teams)
-        if version == self._acknowledged_version:
-            return
-        if not all(self._allotted(team).covers(self._usage(team)) for team in teams):
-            return
-        self._acknowledged_version = version
-        event = AcknowledgeLimits(self._partition, self._epoch, version)
-        self._services.appender.submit(event).add_done_callback(self._on_acknowledged)
-
-    def _on_acknowledged(self, future: Future[Applied]) -> None:
-        try:
-            future.result()
-        except LogError:
-            self._acknowledged_version = -1
-
-    def _on_given(self, future: Future[Applied], team: str, part: Quota) -> None:
-        try:
-            future.result()
-        except AppendUnknownError:
-            # Kept aside for good under this epoch: the record may yet appear.
-            return
-        except LogError:
-            pass
-        with self._lock:
-            self._given[team] = self._given[team].minus(part)
--- /dev/null
+++ b/libs/daemon/src/azurecleat_daemon/_internal/evictions.py
@@ -0,0 +1,87 @@
+"""Removal of members that are dead for long."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from azurecleat_coordination import Appender, Member
+from azurecleat_coordination.records import Evict, Evicted
+from azurecleat_model import Clock
+from azurecleat_peers import PeerNetwork
+
+EVICT_AFTER_S = 60.0
+EVICT_SPREAD = 1.5
+"""Instances wait up to this much longer than one another, so that few evict at once."""
+
+
+class _Eviction(NamedTuple):
+    """An eviction begun by this instance; completed after the bound has passed."""
+
+    member: Member
+    began_at: float
+
+
+class Evictions:
+    """Evicts members in two steps.
+
+    From the first record on this instance does not vouch for the member, so the member's proof
+    of fresh keys ends within the bound; the second record follows after that.
+
+    :param bound_s: The bound on withdrawn keys in seconds.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        bound_s: float,
+        appender: Appender,
+        network: PeerNetwork,
+        clock: Clock,
+    ) -> None:
+        self._instance = instance
+        self._bound_s = bound_s
+        self._appender = appender
+        self._network = network
+        self._clock = clock
+        self._begun: dict[str, _Eviction] = {}
+
+    def concerns(self, instance: str) -> bool:
+        """Tells whether this instance is evicting a member."""
+        return instance in self._begun
+
+    def step(self, members: dict[str, Member], silence_s: Callable[[str], float | None]) -> None:
+        """Begins and completes evictions; called while the log is reached.
+
+        :param silence_s: Returns how long a member has been silent, None if it is alive.
+        """
+        now = self._clock.monotonic()
+        for member in members.values():
+            if member.instance == self._instance:
+                continue
+            begun = self._begun.get(member.instance)
+            if begun is not None and begun.member.incarnation == member.incarnation:
+                if now - begun.began_at > self._bound_s * 2:
+                    self._finish_eviction(begun)
+            elif not member.evicted_by and _is_long_dead(
+                member.instance, silence_s(member.instance)
+            ):
+                self._begun[member.instance] = _Eviction(member, now)
+                event = Evict(member.instance, member.incarnation, self._instance)
+                self._appender.submit(event)
+        for instance in set(self._begun) - set(members):
+            del self._begun[instance]
+
+    def _finish_eviction(self, begun: _Eviction) -> None:
+        member = begun.member
+        event = Evicted(member.instance, member.incarnation, self._instance)
+        self._appender.submit(event)
+        self._begun[member.instance] = begun._replace(began_at=self._clock.monotonic())
+        self._network.forget(member.address)
+
+
+def _is_long_dead(instance: str, silence_s: float | None) -> bool:
+    if silence_s is None:
+        return False
+    return silence_s > EVICT_AFTER_S * random.Random(instance).uniform(1.0, EVICT_SPREAD)
--- a/libs/daemon/src/azurecleat_daemon/_internal/membership.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/membership.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 import json
-import random
 import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from enum import Enum
-from typing import NamedTuple
 
 from azurecleat_coordination import (
     Appender,
@@ -19,12 +16,11 @@
     Proof,
     Replica,
 )
-from azurecleat_coordination.records import Evict, Evicted, Join, Leave, WithdrawKey
+from azurecleat_coordination.records import Join, Leave
 from azurecleat_model import Clock
 from azurecleat_model.events import (
     ADMISSION_RESUMED,
     ADMISSION_SUSPENDED,
-    KEY_WITHDRAWN,
     log_event,
 )
 from azurecleat_model.exceptions import LogError, PeerError
@@ -41,47 +37,16 @@
     Withdraw,
 )
 
+from azurecleat_daemon._internal.evictions import Evictions
 from azurecleat_daemon._internal.metrics import Metrics
 from azurecleat_daemon._internal.settings import EntrySettings
+from azurecleat_daemon._internal.withdrawals import Told, Withdrawal, Withdrawals
 
 CALL_TIMEOUT_S = 1.0
-EVICT_AFTER_S = 60.0
-RECORD_RETRY_S = 5.0
 JOIN_DEADLINE_S = 30.0
 HINT_THREADS = 4
 
 
-class _Eviction(NamedTuple):
-    """An eviction begun by this instance; completed after the bound has passed."""
-
-    member: Member
-    began_at: float
-
-
-class Withdrawal(NamedTuple):
-    """How far a withdrawal got.
-
-    Once ``in_force``, no instance takes work for the key after the bound. A withdrawal that is
-    not ``recorded`` yet is kept by the instances that ``confirmed`` it and by the one that took
-    it. The processes of those ``gone`` have ended; ``unsure`` ones did not answer.
-    """
-
-    key_id: str
-    recorded: bool
-    in_force: bool
-    confirmed: tuple[str, ...]
-    gone: tuple[str, ...]
-    unsure: tuple[str, ...]
-
-
-class Told(str, Enum):
-    """What became of a message to a member."""
-
-    CONFIRMED = "confirmed"
-    GONE = "gone"
-    UNSURE = "unsure"
-
-
 class Membership:
     """This instance among its peers.
 
@@ -114,8 +79,8 @@
         self._heard_at: dict[str, float] = {}
         self._asked_at: dict[str, float] = {}
         self._first_seen: dict[str, float] = {}
-        self._pending: dict[str, float] = {}
-        self._evictions: dict[str, _Eviction] = {}
+        self._withdrawals = Withdrawals(replica, appender, clock)
+        self._evictions = Evictions(settings.instance, timing.key_bound_s, appender, network, clock)
         self._said_goodbye: dict[str, str] = {}
         self._peer_address = ""
         self._joined = False
@@ -133,8 +98,7 @@
     @property
     def pending(self) -> frozenset[str]:
         """Ids of keys withdrawn through peers that are not in the log yet."""
-        with self._lock:
-            return frozenset(self._pending)
+        return self._withdrawals.pending
 
     @property
     def is_introduced(self) -> bool:
@@ -156,14 +120,19 @@
 
     def is_alive(self, instance: str) -> bool:
         """Tells whether an instance was heard from within a lease."""
+        return self._silence_s(instance) is None
+
+    def _silence_s(self, instance: str) -> float | None:
+        """Returns for how long a member has been silent, or None if it counts as alive."""
         if instance == self._settings.instance:
-            return True
+            return None
+        now = self._clock.monotonic()
         heard_at = self._heard_at.get(instance)
         if heard_at is None:
-            first = self._first_seen.setdefault(instance, self._clock.monotonic())
-            heard_at = first
-        silence_s = self._clock.monotonic() - heard_at
-        return silence_s < self._settings.timing.lease_s and instance not in self._said_goodbye
+            heard_at = self._first_seen.setdefault(instance, now)
+        silence_s = now - heard_at
+        is_alive = silence_s < self._settings.timing.lease_s
+        return None if is_alive and instance not in self._said_goodbye else silence_s
 
     def proof(self) -> Proof:
         """Returns what proves that the keys known here are fresh, if anything does."""
@@ -179,8 +148,10 @@
         for member in members.values():
             if member.instance != self._settings.instance and self._is_due(member):
                 self._ask(member)
-        self._evict_dead(members)
-        self._record_pending()
+        log_is_reached = self._proof is Proof.LOG
+        if log_is_reached:
+            self._evictions.step(members, self._silence_s)
+        self._withdrawals.step(log_is_reached)
         self.proof()
 
     def handle(self, message: Message) -> Message | None:
@@ -190,7 +161,7 @@
                 self._said_goodbye.pop(message.instance, None)
                 return StatusAnswer(self._status(message))
             case Withdraw():
-                self._note_withdrawn(message.key_id)
+                self._withdrawals.note(message.key_id)
                 return Acknowledged()
             case FetchConfiguration():
                 with self._replica.lock:
@@ -206,21 +177,12 @@
                 return None
 
     def withdraw(self, key_id: str) -> Withdrawal:
-        """Withdraws a key: spreads it to all members at once, and records it in the log.
-
-        In force without the log only if every member confirmed it. Every instance that may
-        take keyed work is known here: before it does, all members have to vouch for it.
-        """
-        self._note_withdrawn(key_id)
-        told: dict[Told, list[str]] = {Told.CONFIRMED: [], Told.GONE: [], Told.UNSURE: []}
-        for member in self.members().values():
-            if member.instance != self._settings.instance:
-                told[self._tell(member, Withdraw(key_id))].append(member.instance)
-        # Without the log the record is left to the retries: the operator need not wait for it.
-        recorded = self._proof is Proof.LOG and self._record(key_id)
-        in_force = recorded or (self._is_introduced and not told[Told.UNSURE])
-        log_event(KEY_WITHDRAWN, key=key_id, recorded=recorded)
-        return Withdrawal(key_id, recorded, in_force, *(tuple(names) for names in told.values()))
+        """Withdraws a key everywhere; see :meth:`Withdrawals.withdraw`."""
+        own = self._settings.instance
+        others = [member for member in self.members().values() if member.instance != own]
+        return self._withdrawals.withdraw(
+            key_id, others, self._tell, self._is_introduced, self._proof is Proof.LOG
+        )
 
     def set_news_listener(self, listener: Callable[[], None]) -> None:
         """Sets what is called when a peer hints at new log entries."""
@@ -288,7 +250,7 @@
 
     def _take(self, member: Member, status: PeerStatus, sent_at: float) -> None:
         for key_id in status.pending:
-            self._note_withdrawn(key_id)
+            self._withdrawals.note(key_id)
         with self._replica.lock:
             known_at = self._replica.fleet.configuration.changed_at
         if status.configuration_at > known_at:
@@ -331,7 +293,7 @@
             configuration_at,
             roster_at,
             tuple(sorted(self.pending)),
-            is_known and not known.evicted_by and question.instance not in self._evictions,
+            is_known and not known.evicted_by and not self._evictions.concerns(question.instance),
         )
 
     def _meet_all(self) -> bool:
@@ -366,7 +328,7 @@
         elif former is Proof.NONE:
             log_event(ADMISSION_RESUMED)
 
-    # Joining and evicting.
+    # Joining and leaving.
 
     def _join(self) -> None:
         if self._joined or self._joining or not self._replica.is_ready:
@@ -387,66 +349,6 @@
         if member is not None and member.incarnation == message.incarnation:
             self._said_goodbye[message.instance] = message.incarnation
 
-    def _evict_dead(self, members: dict[str, Member]) -> None:
-        if self._proof is not Proof.LOG:
-            return
-        now = self._clock.monotonic()
-        for member in members.values():
-            if member.instance == self._settings.instance:
-                continue
-            begun = self._evictions.get(member.instance)
-            if begun is not None and begun.member.incarnation == member.incarnation:
-                if now - begun.began_at > self._settings.timing.key_bound_s * 2:
-                    self._finish_eviction(begun)
-            elif not member.evicted_by and self._is_long_dead(member.instance, now):
-                self._evictions[member.instance] = _Eviction(member, now)
-                event = Evict(member.instance, member.incarnation, self._settings.instance)
-                self._appender.submit(event)
-        for instance in set(self._evictions) - set(members):
-            del self._evictions[instance]
-
-    def _finish_eviction(self, begun: _Eviction) -> None:
-        member = begun.member
-        event = Evicted(member.instance, member.incarnation, self._settings.instance)
-        self._appender.submit(event)
-        self._evictions[member.instance] = begun._replace(began_at=self._clock.monotonic())
-        self._network.forget(member.address)
-
-    def _is_long_dead(self, instance: str, now: float) -> bool:
-        if self.is_alive(instance):
-            return False
-        heard_at = self._heard_at.get(instance, self._first_seen.get(instance, now))
-        return now - heard_at > EVICT_AFTER_S * random.Random(instance).uniform(1.0, 1.5)
-
-    # Withdrawals.
-
-    def _note_withdrawn(self, key_id: str) -> None:
-        with self._replica.lock:
-            if key_id in self._replica.fleet.configuration.withdrawn:
-                return
-        with self._lock:
-            self._pending.setdefault(key_id, self._clock.monotonic())
-
-    def _record_pending(self) -> None:
-        with self._replica.lock:
-            recorded = self._replica.fleet.configuration.withdrawn
-        now = self._clock.monotonic()
-        with self._lock:
-            for key_id in set(self._pending) & recorded:
-                del self._pending[key_id]
-            due = [k for k, at in self._pending.items() if now - at > RECORD_RETRY_S]
-            for key_id in due:
-                self._pending[key_id] = now
-        if self._proof is Proof.LOG:
-            for key_id in due:
-                self._appender.submit(WithdrawKey(key_id))
-
-    def _record(self, key_id: str) -> bool:
-        try:
-            return self._appender.commit(WithdrawKey(key_id), 2.0).accepted
-        except LogError:
-            return False
-
 
 def _ignore() -> None:
     """Does nothing with news; the next poll finds them."""
--- a/libs/daemon/src/azurecleat_daemon/_internal/router.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/router.py
@@ -30,7 +30,8 @@
 )
 from pydantic import TypeAdapter
 
-from azurecleat_daemon._internal.engine import Engine, Shortage
+from azurecleat_daemon._internal.engine import Engine
+from azurecleat_daemon._internal.limits import Shortage
 from azurecleat_daemon._internal.membership import Membership
 from azurecleat_daemon._internal.metrics import Metrics
 from azurecleat_daemon._internal.partitions import PartitionManager
@@ -151,7 +152,7 @@
     def borrow_limits(self) -> None:
         """Asks other partitions for allotments that waiting work lacks here."""
         for partition, engine in self._partitions.engines.items():
-            for team, shortage in engine.missing_limits().items():
+            for team, shortage in engine.limits.missing().items():
                 self._borrow(partition, team, shortage)
 
     # Requests.
@@ -311,7 +312,7 @@
                 continue
             engine = self._partitions.engine(source)
             if engine is not None:
-                engine.give_limit(team, need, partition)
+                engine.limits.give(team, need, partition)
                 continue
             try:
                 message = AskLimit(source, partition, team, need.amount, need.waited_s)
@@ -322,7 +323,7 @@
     def _handle_ask(self, message: AskLimit) -> Message:
         engine = self._engine_here(message.source)
         need = Shortage(message.amount, message.waited_s)
-        if not engine.give_limit(message.team, need, message.destination):
+        if not engine.limits.give(message.team, need, message.destination):
             raise RefusalError("nothing-to-give", "no unused allotment")
         return Acknowledged()
 
--- /dev/null
+++ b/libs/daemon/src/azurecleat_daemon/_internal/withdrawals.py
@@ -0,0 +1,115 @@
+"""Withdrawn keys on their way to the log."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from enum import Enum
+from typing import NamedTuple
+
+from azurecleat_coordination import Appender, Member, Replica
+from azurecleat_coordination.records import WithdrawKey
+from azurecleat_model import Clock
+from azurecleat_model.events import KEY_WITHDRAWN, log_event
+from azurecleat_model.exceptions import LogError
+from azurecleat_peers.messages import Message, Withdraw
+
+RECORD_RETRY_S = 5.0
+RECORD_DEADLINE_S = 2.0
+
+
+class Withdrawal(NamedTuple):
+    """How far a withdrawal got.
+
+    Once ``in_force``, no instance takes work for the key after the bound. A withdrawal that is
+    not ``recorded`` yet is kept by the instances that ``confirmed`` it and by the one that took
+    it. The processes of those ``gone`` have ended; ``unsure`` ones did not answer.
+    """
+
+    key_id: str
+    recorded: bool
+    in_force: bool
+    confirmed: tuple[str, ...]
+    gone: tuple[str, ...]
+    unsure: tuple[str, ...]
+
+
+class Told(str, Enum):
+    """What became of a message to a member."""
+
+    CONFIRMED = "confirmed"
+    GONE = "gone"
+    UNSURE = "unsure"
+
+
+class Withdrawals:
+    """Withdrawals known here, with the time of the last try to record each."""
+
+    def __init__(self, replica: Replica, appender: Appender, clock: Clock) -> None:
+        self._replica = replica
+        self._appender = appender
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._pending: dict[str, float] = {}
+
+    @property
+    def pending(self) -> frozenset[str]:
+        """Ids of keys withdrawn through peers that are not in the log yet."""
+        with self._lock:
+            return frozenset(self._pending)
+
+    def withdraw(
+        self,
+        key_id: str,
+        members: list[Member],
+        tell: Callable[[Member, Message], Told],
+        knows_all: bool,
+        log_is_reached: bool,
+    ) -> Withdrawal:
+        """Withdraws a key: spreads it to all members at once, and records it in the log.
+
+        In force without the log only if every member confirmed it. Every instance that may
+        take keyed work is known here: before it does, all members have to vouch for it.
+
+        :param members: All other members.
+        :param tell: Tells a member something.
+        :param knows_all: Whether this instance itself may take keyed work.
+        """
+        self.note(key_id)
+        told: dict[Told, list[str]] = {Told.CONFIRMED: [], Told.GONE: [], Told.UNSURE: []}
+        for member in members:
+            told[tell(member, Withdraw(key_id))].append(member.instance)
+        # Without the log the record is left to the retries: the operator need not wait for it.
+        recorded = log_is_reached and self._record(key_id)
+        in_force = recorded or (knows_all and not told[Told.UNSURE])
+        log_event(KEY_WITHDRAWN, key=key_id, recorded=recorded)
+        return Withdrawal(key_id, recorded, in_force, *(tuple(names) for names in told.values()))
+
+    def note(self, key_id: str) -> None:
+        """Refuses a key from now on, until the log has its withdrawal."""
+        with self._replica.lock:
+            if key_id in self._replica.fleet.configuration.withdrawn:
+                return
+        with self._lock:
+            self._pending.setdefault(key_id, self._clock.monotonic())
+
+    def step(self, log_is_reached: bool) -> None:
+        """Drops what the log has by now, and records what it lacks."""
+        with self._replica.lock:
+            recorded = self._replica.fleet.configuration.withdrawn
+        now = self._clock.monotonic()
+        with self._lock:
+            for key_id in set(self._pending) & recorded:
+                del self._pending[key_id]
+            due = [k for k, at in self._pending.items() if now - at > RECORD_RETRY_S]
+            for key_id in due:
+                self._pending[key_id] = now
+        if log_is_reached:
+            for key_id in due:
+                self._appender.submit(WithdrawKey(key_id))
+
+    def _record(self, key_id: str) -> bool:
+        try:
+            return self._appender.commit(WithdrawKey(key_id), RECORD_DEADLINE_S).accepted
+        except LogError:
+            return False
