Weights, shares and ranks are refreshed before decisions, not with each change

Change: changes mark them stale; the next decision brings them up to date once. Differential, rule and golden tests agree.

--- a/libs/policy/src/azurecleat_policy/_internal/bookkeeping.py
+++ b/libs/policy/src/azurecleat_policy/_internal/bookkeeping.py
@@ -73,6 +73,8 @@
         self._on_probation: dict[str, Worker] = {}
         self._overcommitted: dict[str, Worker] = {}
         self._over_limit: dict[str, TeamState] = {}
+        self._ranks_are_stale = False
+        self._shares_are_stale = False
 
     @property
     def waiting_tasks(self) -> int:
@@ -105,7 +107,7 @@
         team = self._teams.get(policy.name)
         if team is None:
             self._teams[policy.name] = TeamState(policy)
-            self._share_out()
+            self._shares_are_stale = True
             return
         share_changed = team.policy.share != policy.share
         if team.policy == policy:
@@ -113,10 +115,8 @@
         team.policy = policy
         if not policy.limit.covers(team.used):
             self._over_limit[policy.name] = team
-        if share_changed:
-            self._share_out()
-        else:
-            self._team_changed(team)
+        self._shares_are_stale |= share_changed
+        self._team_changed(team)
 
     def remove_team(self, name: str) -> None:
         """Stops giving a team anything; its running tasks go on until they end."""
@@ -129,7 +129,7 @@
         if policy.name in self._workers.by_name:
             return
         worker = self._workers.add(policy)
-        self._all_ranks_changed()
+        self._ranks_are_stale = True
         self._capacity_freed(worker)
 
     def remove_worker(self, name: str, now: float) -> list[Ended]:
@@ -141,7 +141,7 @@
             self.finish(job_id, index, TaskResult.LOST, now) for job_id, index in list(worker.tasks)
         ]
         self._workers.remove(name)
-        self._all_ranks_changed()
+        self._ranks_are_stale = True
         self._worker_closed(worker)
         return ended
 
@@ -383,6 +383,16 @@
                 self._workers.sync(worker)
                 self._capacity_freed(worker)
 
+    def _refresh(self) -> None:
+        """Brings weights, shares and ranks up to date after changes of fleet or teams."""
+        self._workers.refresh()
+        if self._shares_are_stale:
+            self._shares_are_stale = self._ranks_are_stale = False
+            self._share_out()
+        elif self._ranks_are_stale:
+            self._ranks_are_stale = False
+            self._all_ranks_changed()
+
     def _share_out(self) -> None:
         shares = sum(team.policy.share for team in self._teams.values())
         for team in self._teams.values():
--- a/libs/policy/src/azurecleat_policy/_internal/decisions.py
+++ b/libs/policy/src/azurecleat_policy/_internal/decisions.py
@@ -51,6 +51,7 @@
         :param now: Current time in seconds.
         :param max_starts: Bound on the starts of this call.
         """
+        self._refresh()
         decisions: list[Decision] = [
             Expire(job.job.job_id, tuple(indexes)) for job, indexes in self._take_expired(now)
         ]
@@ -84,6 +85,7 @@
         job = self._jobs.get(job_id)
         if job is None:
             return None
+        self._refresh()
         reason, detail = self._reason(job, now)
         return Wait(job_id, len(job.waiting), len(job.running), reason, detail)
 
--- a/libs/policy/src/azurecleat_policy/_internal/workers.py
+++ b/libs/policy/src/azurecleat_policy/_internal/workers.py
@@ -60,6 +60,8 @@
         self.total = ZERO
         self.reserved = 0
         self._cpu_weight = _MEMORY_WEIGHT
+        self._is_stale = False
+        self._vacant: list[int] = []
         self._allocate(_GROWTH)
 
     def add(self, policy: WorkerPolicy) -> Worker:
@@ -67,20 +69,22 @@
         index = self._free_slot()
         worker = Worker(policy, index)
         self.slots[index] = worker
+        self.sync(worker)
         self.by_name[policy.name] = worker
         self.total = self.total.plus(policy.capacity)
-        self._reweigh()
+        self._is_stale = True
         return worker
 
     def remove(self, name: str) -> Worker:
         """Removes a worker and returns it."""
         worker = self.by_name.pop(name)
         self.slots[worker.index] = None
+        self._vacant.append(worker.index)
         self.total = self.total.plus(worker.policy.capacity, -1)
         if worker.reserved_for is not None:
             self.reserved -= 1
         self.open[worker.index] = False
-        self._reweigh()
+        self._is_stale = True
         return worker
 
     def live(self) -> list[Worker]:
@@ -137,9 +141,8 @@
         return [w for w in self.slots if w is not None and w.reserved_for == job_id]
 
     def _free_slot(self) -> int:
-        for index, worker in enumerate(self.slots):
-            if worker is None:
-                return index
+        if self._vacant:
+            return self._vacant.pop()
         self.slots.append(None)
         if len(self.slots) > len(self.open):
             self._grow()
@@ -159,8 +162,15 @@
         for worker in self.live():
             self.sync(worker)
 
-    def _reweigh(self) -> None:
-        """Weighs processors against memory by what the fleet has of each."""
+    def refresh(self) -> None:
+        """Weighs processors against memory by what the fleet has of each, if that changed.
+
+        Done before decisions rather than with each change: a take-over adds workers one by one,
+        and each weight change touches all of them.
+        """
+        if not self._is_stale:
+            return
+        self._is_stale = False
         if self.total.cpu_milli:
             self._cpu_weight = self.total.memory_mb * _MEMORY_WEIGHT // self.total.cpu_milli
         for worker in self.live():
