--- a/libs/bench/src/azurecleat_bench/_internal/capacity.py
+++ b/libs/bench/src/azurecleat_bench/_internal/capacity.py
@@ -65,7 +65,14 @@
 def rows(result: dict[str, Any]) -> list[Row]:
     """Returns all figures, worked out from the slopes."""
     slopes = Slopes(result)
-    return [*_owner(slopes), *_peer(slopes), *_reader(slopes), *_log(slopes), *_restart(slopes)]
+    return [
+        *_owner(slopes),
+        *_peer(slopes),
+        *_reader(slopes),
+        *_node(slopes),
+        *_log(slopes),
+        *_restart(slopes),
+    ]
 
 
 def _owner(slopes: Slopes) -> list[Row]:
@@ -228,6 +235,25 @@
     return jobs_per_s * (accept + result)
 
 
+def _node(slopes: Slopes) -> list[Row]:
+    far = INSTANCES - INSTANCES / ZONES
+    status = slopes.at("status_bytes_by_peers", 1)
+    log = _log_bytes_per_s(slopes, JOBS_PER_DAY / DAY_S) + _snapshot_bytes_per_s(slopes)
+    changes = CHANGES_PER_DAY * slopes.at("promote_bytes_by_teams", TEAMS) / DAY_S
+    idle = slopes.at("idle_bytes_per_s", WORKERS / INSTANCES)
+    total = idle + 2 * status * far / REMOTE_STATUS_S + (log + changes) * BASE64
+    return [
+        Row(
+            "node",
+            "traffic, all, mean day",
+            "idle + far peers + changes + jobs + snapshots",
+            total,
+            "bytes/s",
+            "budget 3,000",
+        )
+    ]
+
+
 def _snapshot_bytes_per_s(slopes: Slopes) -> float:
     entries_per_s = 2 * JOBS_PER_DAY / DAY_S
     return ZONES * slopes.at("snapshot_by_jobs", LIVE_JOBS / ZONES) * entries_per_s / SNAPSHOT_EVERY
--- a/libs/bench/src/azurecleat_bench/_internal/replay.py
+++ b/libs/bench/src/azurecleat_bench/_internal/replay.py
@@ -75,7 +75,7 @@
         ("club-c", 1.0, 0.05),
         ("club-d", 1.0, 0.05),
     ),
-    Scheduling(waiting_weight=0.1, usage_half_life_s=300.0, reserve_after_s=60.0),
+    Scheduling(waiting_weight=0.1, usage_half_life_s=300.0),
     1800.0,
     (400.0, 700.0, 3.0),
     900.0,
--- a/libs/policy/src/azurecleat_policy/_internal/candidates.py
+++ b/libs/policy/src/azurecleat_policy/_internal/candidates.py
@@ -108,15 +108,23 @@
                 if top is not None:
                     heapq.heappush(self._tops, (top[0], self._next(), queue))
 
-    def blocked_lanes(self) -> list[Lane]:
-        """Returns the lanes of blocked shapes that could otherwise start something."""
-        return [
-            entry[3]
-            for queue in self._shapes.values()
-            if queue.blocked
-            for entry in queue.heap
-            if entry[2] == entry[3].stamp
-        ]
+    def first_blocked(self, qualifies: Callable[[Lane], bool]) -> Lane | None:
+        """Returns the first qualifying lane, in the order of all decisions, that is set aside."""
+        best: Entry | None = None
+        for queue in self._shapes.values():
+            if not queue.blocked:
+                continue
+            entry = self._first_in(queue, qualifies)
+            if entry is not None and (best is None or entry[0] < best[0]):
+                best = entry
+        return best[3] if best is not None else None
+
+    def _first_in(self, queue: _ShapeQueue, qualifies: Callable[[Lane], bool]) -> Entry | None:
+        top = self._top(queue)
+        if top is None or qualifies(top[3]):
+            return top
+        current = (e for e in queue.heap if e[2] == e[3].stamp and qualifies(e[3]))
+        return min(current, key=lambda entry: entry[0], default=None)
 
     def rebuild(self, lanes: list[Lane]) -> None:
         """Computes all places anew and drops outdated entries."""
--- a/libs/policy/src/azurecleat_policy/_internal/decisions.py
+++ b/libs/policy/src/azurecleat_policy/_internal/decisions.py
@@ -125,8 +125,14 @@
         """Sets the shape of a job aside until capacity is freed."""
         raise NotImplementedError
 
-    def _blocked_lanes(self) -> list[Lane]:
-        """Returns the lanes that only wait for capacity."""
+    def _first_blocked(self, waited_since: float) -> PolicyJob | None:
+        """Returns the job that goes first among those blocked by capacity for long enough.
+
+        The order is that of all decisions, not of age: reserving for the oldest would serve a
+        full fleet first come, first served, whatever the shares.
+
+        :param waited_since: Jobs submitted later have not waited long enough.
+        """
         raise NotImplementedError
 
     # Steps of a decision.
@@ -242,7 +248,7 @@
     def _reserve(self, now: float) -> None:
         if self._reservation is not None:
             return
-        job = self._first_blocked(now)
+        job = self._first_blocked(now - self._scheduling.reserve_after_s)
         if job is None:
             return
         planned = plan_reservation(job, self._workers.live(), now)
@@ -254,20 +260,6 @@
             worker = self._workers.by_name[name]
             self._workers.reserve(worker, planned.job_id, planned.until)
 
-    def _first_blocked(self, now: float) -> PolicyJob | None:
-        """Returns the job that goes first among those that waited too long for capacity.
-
-        The order is that of all decisions, not of age: reserving for the oldest would serve a
-        full fleet first come, first served, whatever the shares.
-        """
-        waited_since = now - self._scheduling.reserve_after_s
-        found: list[tuple[tuple, PolicyJob]] = []
-        for lane in self._blocked_lanes():
-            job, key = lane.head(), self._key(lane)
-            if job is not None and key is not None and job.job.submitted_at <= waited_since:
-                found.append((key, job))
-        return min(found, key=lambda entry: entry[0])[1] if found else None
-
     def _release_holds(self, job_id: str) -> None:
         for name in self._urgent_holds.pop(job_id, ()):
             self._free_hold(name, job_id)
--- a/libs/policy/src/azurecleat_policy/_internal/naive.py
+++ b/libs/policy/src/azurecleat_policy/_internal/naive.py
@@ -59,9 +59,15 @@
     def _block(self, job: PolicyJob, now: float) -> None:
         self._tried.add(job.shape)
 
-    def _blocked_lanes(self) -> list[Lane]:
-        lanes = [lane for team in self._teams.values() for lane in team.lanes.values()]
-        return [lane for lane in lanes if lane.shape in self._tried and self._key(lane)]
+    def _first_blocked(self, waited_since: float) -> PolicyJob | None:
+        found: list[tuple[tuple, PolicyJob]] = []
+        for team in self._teams.values():
+            for lane in team.lanes.values():
+                job, key = lane.head(), self._key(lane)
+                is_blocked = job is not None and key is not None and lane.shape in self._tried
+                if is_blocked and job.job.submitted_at <= waited_since:
+                    found.append((key, job))
+        return min(found, key=lambda entry: entry[0])[1] if found else None
 
     def _takes(self, worker: Worker, job: PolicyJob, now: float) -> bool:
         if not worker.is_open or not job.shape.size.fits_in(worker.free):
--- a/libs/policy/src/azurecleat_policy/_internal/scheduler.py
+++ b/libs/policy/src/azurecleat_policy/_internal/scheduler.py
@@ -90,8 +90,13 @@
     def _block(self, job: PolicyJob, now: float) -> None:
         self._index.block(job.shape, self._missing)
 
-    def _blocked_lanes(self) -> list[Lane]:
-        return self._index.blocked_lanes()
+    def _first_blocked(self, waited_since: float) -> PolicyJob | None:
+        def has_waited(lane: Lane) -> bool:
+            job = lane.head()
+            return job is not None and job.job.submitted_at <= waited_since
+
+        lane = self._index.first_blocked(has_waited)
+        return lane.head() if lane is not None else None
 
     def _spread(self, job: PolicyJob, fitting: np.ndarray, scores: np.ndarray) -> Worker:
         per_rack: dict[str, int] = {}
