A slow log settles: late claims are begun, open transfers end

Change: (1) an instance begins the epoch that the log gives its incarnation, once; an epoch given up is claimed anew, not resumed. (2) AppendUnknownError names its entry; once a later entry of the same writer is applied, an earlier one has either been applied or never will be, and the part set aside is taken back. Ruled out: replay (all replicas agree), the scheduler (why named the limit).

--- a/libs/bench/src/azurecleat_bench/_internal/faults/connections.py
+++ b/libs/bench/src/azurecleat_bench/_internal/faults/connections.py
@@ -43,10 +43,41 @@
         return (source, destination) not in self._cut
 
 
+class SlowPath:
+    """Appends that are on their way for longer than anybody waits.
+
+    :param log: Where they arrive.
+    """
+
+    def __init__(self, log: MemoryLog, clock: ManualClock) -> None:
+        self._log = log
+        self._clock = clock
+        self._on_their_way: list[tuple[float, bytes]] = []
+        self.delay_s = 0.0
+
+    def send(self, data: bytes) -> None:
+        """Takes an entry that arrives after the delay."""
+        self._on_their_way.append((self._clock.monotonic() + self.delay_s, data))
+
+    def deliver(self) -> None:
+        """Appends what has arrived by now; the log may be down, then it waits on."""
+        now = self._clock.monotonic()
+        arrived = [entry for entry in self._on_their_way if entry[0] <= now]
+        for entry in arrived:
+            try:
+                self._log.append(entry[1])
+            except LogUnavailableError:
+                return
+            except AppendUnknownError:
+                pass
+            self._on_their_way.remove(entry)
+
+
 class CutLog:
     """The log as one instance reaches it."""
 
-    def __init__(self, log: MemoryLog, name: str, cuts: Cuts) -> None:
+    def __init__(self, log: MemoryLog, name: str, cuts: Cuts, slow: SlowPath) -> None:
+        self._slow = slow
         self._log = log
         self._name = name
         self._cuts = cuts
@@ -55,6 +86,9 @@
         """Appends one entry."""
         if not self._cuts.passes(self._name, LOG):
             raise LogUnavailableError("cut", step="log.append")
+        if self._slow.delay_s:
+            self._slow.send(data)
+            raise AppendUnknownError("no answer in time", step="log.append")
         offset = self._log.append(data)
         if not self._cuts.passes(LOG, self._name):
             raise AppendUnknownError("answer cut", step="log.append")
--- a/libs/bench/src/azurecleat_bench/_internal/faults/injector.py
+++ b/libs/bench/src/azurecleat_bench/_internal/faults/injector.py
@@ -66,6 +66,12 @@
             down=not self._world.log.faults.down
         )
 
+    def slow_log(self) -> None:
+        """Begins or ends a time in which appends take effect long after their writers gave up."""
+        self._world.faults += 1
+        path = self._world.slow_path
+        path.delay_s = 0.0 if path.delay_s else self._world.rng.choice((1.0, 4.0, 15.0))
+
     def lose_answers(self) -> None:
         """Drops the next answers of the log or of a target."""
         self._world.faults += 1
--- a/libs/bench/src/azurecleat_bench/_internal/faults/world.py
+++ b/libs/bench/src/azurecleat_bench/_internal/faults/world.py
@@ -33,6 +33,7 @@
     Cuts,
     CutTarget,
     LocalNetwork,
+    SlowPath,
 )
 from azurecleat_bench._internal.faults.history import (
     Execution,
@@ -74,6 +75,7 @@
         self.cuts = Cuts()
         self.history = new_history()
         self.log = MemoryLog()
+        self.slow_path = SlowPath(self.log, self.clock)
         self.nodes = {
             f"{zone}-{i}": Node(f"{zone}-{i}", zone)
             for zone in ZONES
@@ -109,6 +111,7 @@
         ends_at = self.clock.monotonic() + seconds
         while self.clock.monotonic() < ends_at:
             self.clock.advance(TICK_S)
+            self.slow_path.deliver()
             for node in self.nodes.values():
                 self._tick(node)
 
@@ -124,6 +127,7 @@
             (self.injector.revive, 3),
             (self.injector.pause, 2),
             (self.injector.log_outage, 1),
+            (self.injector.slow_log, 1),
             (self.injector.lose_answers, 2),
             (self.operators.give_key, 1),
             (self.operators.withdraw_key, 1),
@@ -142,6 +146,7 @@
         self.stalls_on = False
         self.cuts.heal()
         self.log.faults = Faults()
+        self.slow_path.delay_s = 0.0
         for target in self.targets.values():
             target.faults = Faults()
         for name in list(self.leaving):
@@ -167,7 +172,7 @@
         node.core = wire_core(
             self._settings(node),
             Surroundings(
-                CutLog(self.log, node.name, self.cuts),
+                CutLog(self.log, node.name, self.cuts, self.slow_path),
                 CutList(self.list, node.name, self.cuts),
                 lambda target: CutTarget(
                     self.targets[target.name], node.name, self.cuts, self._stall
--- a/libs/coordination/src/azurecleat_coordination/__init__.py
+++ b/libs/coordination/src/azurecleat_coordination/__init__.py
@@ -3,7 +3,7 @@
 See this library's README for what each part promises and for a runnable example.
 """
 
-from azurecleat_coordination._internal.appender import AppendCounts, Appender
+from azurecleat_coordination._internal.appender import AppendCounts, Appender, Outcome
 from azurecleat_coordination._internal.fleet import FleetSection
 from azurecleat_coordination._internal.freshness import Freshness, Knowledge, PeerStatus, Proof
 from azurecleat_coordination._internal.jobs import JobState, to_ranges
@@ -37,6 +37,7 @@
     "Knowledge",
     "Log",
     "Member",
+    "Outcome",
     "Owner",
     "PeerStatus",
     "Proof",
--- a/libs/coordination/src/azurecleat_coordination/_internal/appender.py
+++ b/libs/coordination/src/azurecleat_coordination/_internal/appender.py
@@ -5,6 +5,7 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import Future, InvalidStateError
+from enum import Enum
 from typing import NamedTuple
 
 from azurecleat_model import Clock
@@ -27,6 +28,14 @@
     future: Future[Applied]
 
 
+class Outcome(str, Enum):
+    """What became of an entry whose answer was lost for good."""
+
+    OPEN = "open"
+    APPLIED = "applied"
+    NEVER = "never"
+
+
 class _Batch:
     """Events that share one entry, until the outcome of each is decided."""
 
@@ -85,6 +94,8 @@
         self._wakeup = threading.Condition()
         self._stopping = False
         self._batch: _Batch | None = None
+        self._undecided: set[int] = set()
+        self._applied_late: set[int] = set()
         self._last_append_at = clock.monotonic() - min_interval_s
         self._counts = AppendCounts()
         self._thread: threading.Thread | None = None
@@ -94,6 +105,16 @@
     def counts(self) -> AppendCounts:
         return self._counts
 
+    def outcome(self, sequence: int) -> Outcome:
+        """Returns what became of an entry that an :class:`AppendUnknownError` names.
+
+        Replicas ignore an entry once they have applied a later one of the same writer. So as soon
+        as a later entry is seen, an earlier one is either applied or never will be.
+        """
+        if sequence in self._undecided:
+            return Outcome.OPEN
+        return Outcome.APPLIED if sequence in self._applied_late else Outcome.NEVER
+
     def start(self) -> None:
         """Starts the appending thread."""
         self._thread = threading.Thread(target=self._run, name="appender", daemon=True)
@@ -196,8 +217,13 @@
             return
 
     def _on_applied(self, writer: str, sequence: int, results: list[Applied]) -> None:
+        if writer != self._writer:
+            return
+        if sequence in self._undecided:
+            self._applied_late.add(sequence)
+        self._undecided = {open_one for open_one in self._undecided if open_one > sequence}
         batch = self._batch
-        if writer != self._writer or batch is None or batch.sequence != sequence:
+        if batch is None or batch.sequence != sequence:
             return
         for pending, result in zip(batch.pending, results, strict=True):
             _resolve(pending.future.set_result, result)
@@ -211,7 +237,10 @@
                 _resolve(pending.future.set_exception, error)
             batch.pending = [pending for pending in batch.pending if not pending.future.done()]
         elif len(expired) == len(batch.pending):
-            unknown = AppendUnknownError("no answer in time", step="log.append")
+            self._undecided.add(batch.sequence)
+            unknown = AppendUnknownError(
+                "no answer in time", step="log.append", sequence=batch.sequence
+            )
             for pending in expired:
                 _resolve(pending.future.set_exception, unknown)
 
--- a/libs/daemon/src/azurecleat_daemon/_internal/limits.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/limits.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import threading
+from collections import defaultdict
 from concurrent.futures import Future
 from typing import NamedTuple
 
-from azurecleat_coordination import Appender, Applied, ControlLease, Replica
+from azurecleat_coordination import Appender, Applied, ControlLease, Outcome, Replica
 from azurecleat_coordination.records import AcknowledgeLimits, Transfer
 from azurecleat_model import NO_QUOTA, Quota
 from azurecleat_model.exceptions import AppendUnknownError, LogError
@@ -48,6 +49,7 @@
         self._requests = requests
         self._lock = threading.RLock()
         self._given: dict[str, Quota] = {}
+        self._open: defaultdict[int, list[tuple[str, Quota]]] = defaultdict(list)
         self._acknowledged_version = -1
 
     def give(self, team: str, need: Shortage, destination: str) -> bool:
@@ -90,6 +92,7 @@
 
     def follow(self) -> None:
         """Takes over shares, limits and allotments as the log has them now."""
+        self._settle_open()
         with self._replica.lock:
             teams = list(self._replica.fleet.configuration.teams.values())
             allotted = [(team, self.allotted(team.name)) for team in teams]
@@ -131,10 +134,26 @@
     def _on_given(self, future: Future[Applied], team: str, part: Quota) -> None:
         try:
             future.result()
-        except AppendUnknownError:
-            # Kept aside for good under this epoch: the record may yet appear.
+        except AppendUnknownError as error:
+            with self._lock:
+                self._open[error.sequence].append((team, part))
             return
         except LogError:
             pass
+        self._take_back(team, part)
+
+    def _settle_open(self) -> None:
+        """Ends setting aside what transfers of unknown fate moved, once their fate is known."""
+        with self._lock:
+            if not self._open:
+                return
+            settled = [n for n in self._open if self._appender.outcome(n) is not Outcome.OPEN]
+            parts = [entry for number in settled for entry in self._open.pop(number)]
+            # A later entry of this instance settles the rest, so one is appended.
+            self._acknowledged_version = -1
+        for team, part in parts:
+            self._take_back(team, part)
+
+    def _take_back(self, team: str, part: Quota) -> None:
         with self._lock:
             self._given[team] = self._given[team].minus(part)
--- a/libs/daemon/src/azurecleat_daemon/_internal/partitions.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/partitions.py
@@ -38,6 +38,7 @@
         self._replica: Replica = services.replica
         self._clock = services.clock
         self._engines: dict[str, Engine] = {}
+        self._begun: dict[str, int] = {}
         self._targets: list[Target] = []
         self._lock = threading.RLock()
         self._is_leaving = False
@@ -70,6 +71,9 @@
             engine = self._engines.get(partition)
             if engine is not None:
                 self._check(partition, engine)
+            elif not self._is_leaving and (epoch := self._unbegun_epoch(partition)):
+                # A claim whose answer was lost, and that arrived after all.
+                self._begin(partition, epoch)
             elif not self._is_leaving and self._should_claim(partition):
                 self._claim(partition)
 
@@ -94,6 +98,18 @@
         elif engine.phase is Phase.LOST:
             self._drop(partition, engine, "a target obeys a higher epoch")
 
+    def _unbegun_epoch(self, partition: str) -> int:
+        """Returns the epoch that the log gives this incarnation and it has not begun, or 0."""
+        with self._replica.lock:
+            owner = self._replica.fleet.ownership.owner(partition)
+        if owner is None or owner.released or self._replica.jobs(partition) is None:
+            return 0
+        is_own = owner.incarnation == self._membership.incarnation
+        return owner.epoch if is_own and not self._has_begun(owner) else 0
+
+    def _has_begun(self, owner: Owner) -> bool:
+        return owner.epoch <= self._begun.get(owner.partition, 0)
+
     def _should_claim(self, partition: str) -> bool:
         if not self._replica.is_ready or self._replica.jobs(partition) is None:
             return False
@@ -113,8 +129,9 @@
         if owner.released:
             return True
         if owner.instance == self._settings.instance:
-            # An earlier incarnation of this instance: its process is gone.
-            return owner.incarnation != self._membership.incarnation
+            # An earlier incarnation's process is gone, and an epoch given up is not resumed.
+            is_own = owner.incarnation == self._membership.incarnation
+            return not is_own or self._has_begun(owner)
         member = self._membership.members().get(owner.instance)
         if member is not None and member.incarnation != owner.incarnation:
             return True
@@ -150,6 +167,7 @@
             owner = self._replica.fleet.ownership.owner(partition)
         if owner is None or owner.epoch != epoch:
             return
+        self._begun[partition] = epoch
         former = () if owner.former_released else owner.former_targets
         engine = Engine(self._services, partition, epoch, owner.targets, former)
         engine.set_targets(self._targets_of(partition))
--- a/libs/model/src/azurecleat_model/_internal/exceptions.py
+++ b/libs/model/src/azurecleat_model/_internal/exceptions.py
@@ -55,7 +55,20 @@
 
 
 class AppendUnknownError(LogError):
-    """The answer to an append was lost: the record may or may not be in the log."""
+    """The answer to an append was lost: the record may or may not be in the log.
+
+    :param sequence: Number of the entry among those of its writer, -1 if not known.
+    """
+
+    def __init__(
+        self, message: str, *, step: str = "", peer: str = "", hint: str = "", sequence: int = -1
+    ) -> None:
+        super().__init__(message, step=step, peer=peer, hint=hint)
+        self._sequence = sequence
+
+    @property
+    def sequence(self) -> int:
+        return self._sequence
 
 
 class OffsetForgottenError(LogError):
--- a/tests/unit/bench/test_faults.py
+++ b/tests/unit/bench/test_faults.py
@@ -28,8 +28,8 @@
 from azurecleat_model import Quota, Ran
 from azurecleat_policy import Scheduler
 
-STEPS = 250
-SEEDS = (1, 12, 24, 121, 213, 227, 327)
+STEPS = 300
+SEEDS = (1, 12, 20, 24, 121, 122, 213, 227, 307, 327)
 MUTATION_SEEDS = range(12)
 
 
--- a/tests/unit/coordination/test_replica.py
+++ b/tests/unit/coordination/test_replica.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from azurecleat_coordination import Appender, Backoff, Replica, to_chunks
+from azurecleat_coordination import Appender, Backoff, Outcome, Replica, to_chunks
 from azurecleat_coordination.records import (
     AcceptJob,
     Claim,
@@ -96,6 +96,38 @@
         with self.assertRaises(AppendUnknownError):
             instance.appender.commit(Promote(DOCUMENT, 0))
 
+    def test_fate_of_a_lost_append_is_settled_by_a_later_one(self) -> None:
+        class SlowLog(MemoryLog):
+            """Loses answers, and lets entries in later or never."""
+
+            held: list[bytes] = []
+            is_slow = True
+
+            def append(self, data: bytes) -> int:
+                if not self.is_slow:
+                    return super().append(data)
+                self.held.append(data)
+                raise AppendUnknownError("late", step="log.append")
+
+        for arrives, fate in ((True, Outcome.APPLIED), (False, Outcome.NEVER)):
+            log = SlowLog()
+            log.held = []
+            instance = Instance(log, "one")
+            with self.subTest(arrives=arrives):
+                with self.assertRaises(AppendUnknownError) as caught:
+                    instance.appender.commit(Intend("k1", 0.0))
+                number = caught.exception.sequence
+                self.assertEqual(instance.appender.outcome(number), Outcome.OPEN)
+                log.is_slow = False
+                if arrives:
+                    log.append(log.held[0])
+                instance.appender.commit(Intend("k2", 0.0))
+                # What comes after a later entry has no effect any more.
+                log.append(log.held[0])
+                instance.replica.catch_up()
+                self.assertEqual(instance.appender.outcome(number), fate)
+                self.assertEqual("k1" in instance.replica.fleet.intents, arrives)
+
     def test_events_submitted_together_share_an_entry(self) -> None:
         futures = [self.one.appender.submit(Intend(f"k{i}", 0.0)) for i in range(50)]
         self.one.appender.step()
--- a/tests/unit/peers/test_network.py
+++ b/tests/unit/peers/test_network.py
@@ -62,7 +62,10 @@
         while head := reader.read(4):
             framed = decode(reader.read(struct.unpack("!I", head)[0]))
             for part in self._answer(framed):
-                connection.sendall(part)
+                try:
+                    connection.sendall(part)
+                except OSError:
+                    return
 
 
 class NetworkTest(unittest.TestCase):
