--- a/tests/functional/test_standalone.py
+++ b/tests/functional/test_standalone.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 import threading
 import time
 import unittest
@@ -110,6 +111,21 @@
                 problem = self.refusal(self.client, "POST", path, body)
                 self.assertEqual((problem["code"], problem["ran"]), (code, "not-run"))
 
+    def test_half_requests_and_noise_disturb_no_one(self) -> None:
+        host, _, port = self.system.application.callers_address.rpartition(":")
+        pieces = (
+            b"POST /v1/requests HTTP/1.1\r\nContent-Length: 100\r\n\r\nhalf",
+            b"POST /v1/requests HTTP/1.1\r\nContent-Le",
+            b"\x16\x03\x01\x02\x00 noise " * 50,
+            b"GET /" + b"a" * 300_000 + b" HTTP/1.1\r\n\r\n",
+        )
+        held = [socket.create_connection((host, int(port))) for _ in pieces]
+        for connection, piece in zip(held, pieces, strict=True):
+            self.addCleanup(connection.close)
+            connection.sendall(piece)
+        answer = self.client.call("POST", "/v1/requests", b"whole")
+        self.assertEqual(answer.body, b"checked: whole")
+
     def test_too_large_body_is_refused_as_not_run(self) -> None:
         problem = self.refusal(self.client, "POST", "/v1/requests", b"x" * (257 << 10))
         self.assertEqual(problem["code"], "too-large")
