--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -63,6 +63,7 @@
             ('"127.0.0.1:8080"', '"localhost:8080"', "callers"),
             ('"127.0.0.1:8080"', '"300.0.0.1:8080"', "300.0.0.1"),
             ('"lease_s": 15', '"lease_s": -1', "lease_s"),
+            ('"lease_s": 15', '"list_s": 2', "list_s"),
             ('["hobart"]', "[]", "partitions"),
             ('"log_read_lag_s": 0.5', '"log_read_lag_s": 9', "log_read_lag_s"),
             ('"zone": "hobart",', "", "zone"),
