--- a/tests/unit/bench/test_outages.py
+++ b/tests/unit/bench/test_outages.py
@@ -5,6 +5,8 @@
 import unittest
 
 from azurecleat_bench._internal.commands.outage import CUTS, measure_row
+from azurecleat_bench._internal.faults.scenarios import owner_of
+from azurecleat_bench._internal.faults.world import World
 
 EVERYTHING = {"open", "repeatable", "once", "job"}
 
@@ -30,6 +32,24 @@
                     {kind for kind, share in row.items() if share == 0.0}, EVERYTHING - served
                 )
 
+    def test_accepted_work_goes_on_in_each_row(self) -> None:
+        for name, cut in CUTS.items():
+            with self.subTest(cut=name):
+                world = World(2)
+                world.start()
+                world.stalls_on = False
+                owner = owner_of(world, "hobart")
+                world.callers.submit(owner, world.keys[0], tasks=4, run_s=5.0, repeatable=True)
+                job = world.history.jobs[-1].job_id
+                cut(world)
+                world.run_for(30.0)
+                done = {
+                    seen.subject.rsplit(".", 1)[0]
+                    for seen in world.history.observations
+                    if seen.what == "done" and seen.subject.startswith(job)
+                }
+                self.assertEqual(done, {f"{job}.{index}" for index in range(4)})
+
 
 if __name__ == "__main__":
     unittest.main()
