--- /dev/null
+++ b/libs/base/src/azurecleat_base/__init__.py
@@ -0,0 +1,37 @@
+"""Values, errors, clocks and HTTP calls without third-party imports."""
+
+from azurecleat_base._internal.clock import Clock, ManualClock, SystemClock
+from azurecleat_base._internal.http_exchange import (
+    AnswerLostError,
+    HttpAnswer,
+    HttpExchange,
+    NotSentError,
+)
+from azurecleat_base._internal.resources import (
+    NO_QUOTA,
+    REQUEST_QUOTA,
+    UNLIMITED,
+    ZERO,
+    Quota,
+    Resources,
+    task_quota,
+)
+from azurecleat_base._internal.traffic import TRAFFIC
+
+__all__ = [
+    "NO_QUOTA",
+    "REQUEST_QUOTA",
+    "TRAFFIC",
+    "UNLIMITED",
+    "ZERO",
+    "AnswerLostError",
+    "Clock",
+    "HttpAnswer",
+    "HttpExchange",
+    "ManualClock",
+    "NotSentError",
+    "Quota",
+    "Resources",
+    "SystemClock",
+    "task_quota",
+]
--- a/libs/platform/src/azurecleat_platform/_internal/http_exchange.py
+++ b/libs/base/src/azurecleat_base/_internal/http_exchange.py
@@ -12,7 +12,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from azurecleat_model import TRAFFIC
+from azurecleat_base._internal.traffic import TRAFFIC
 
 MAX_ANSWER_BYTES = 16 << 20
 
--- /dev/null
+++ b/libs/cluster/src/azurecleat_cluster/__init__.py
@@ -0,0 +1,24 @@
+"""The cluster core: accepts jobs through a replicated log and runs their tasks on targets.
+
+Instances are alike and keep nothing. One of them owns the jobs at a time; see
+``docs/design/platform.md``.
+"""
+
+from azurecleat_cluster._internal.application import Instance, InstancePorts, InstanceSettings
+from azurecleat_cluster._internal.eventlog import EventLog
+from azurecleat_cluster._internal.front.desk import Admitted, Caller, FrontDesk, FrontLimits
+from azurecleat_cluster._internal.owner.placement import Preferences
+from azurecleat_cluster._internal.owner.service import OwnerSettings
+
+__all__ = [
+    "Admitted",
+    "Caller",
+    "EventLog",
+    "FrontDesk",
+    "FrontLimits",
+    "Instance",
+    "InstancePorts",
+    "InstanceSettings",
+    "OwnerSettings",
+    "Preferences",
+]
--- /dev/null
+++ b/libs/cluster/src/azurecleat_cluster/_internal/application.py
@@ -0,0 +1,167 @@
+"""Composition root and life-cycle of one instance."""
+
+from __future__ import annotations
+
+import secrets
+import threading
+from typing import NamedTuple
+
+from azurecleat_base import Clock
+from azurecleat_base.exceptions import AzurecleatError, LogError
+
+from azurecleat_cluster._internal import eventlog
+from azurecleat_cluster._internal.configuration import ConfigurationView
+from azurecleat_cluster._internal.eventlog import EventLog
+from azurecleat_cluster._internal.front.desk import FrontDesk, FrontLimits
+from azurecleat_cluster._internal.metrics import Metrics
+from azurecleat_cluster._internal.owner.service import OwnerPorts, OwnerService, OwnerSettings
+from azurecleat_cluster._internal.owner.term import Connect
+from azurecleat_cluster._internal.peers import OwnerPeer, Peer, PeerAdviser, PeerApplication
+from azurecleat_cluster._internal.ports import (
+    CONFIGURATION,
+    JOBS,
+    PROGRESS,
+    Adviser,
+    Decoder,
+    Log,
+)
+from azurecleat_cluster._internal.replica import records as r
+from azurecleat_cluster._internal.replica.appender import GroupAppender
+from azurecleat_cluster._internal.replica.follower import Follower
+from azurecleat_cluster._internal.replica.jobs import JobReplica
+
+CONFIGURATION_WAIT_S = 0.8
+"""Longest wait of a read of the configuration. Twice this and an answer's time stay under the
+bound on stale configuration."""
+
+RELEASE_TIMEOUT_S = 3.0
+VACANT_TIMEOUT_S = 0.2
+REGISTER_TIMEOUT_S = 1.5
+
+
+class InstanceSettings(NamedTuple):
+    """What an instance has to know; ``peer_address`` is where other instances reach it."""
+
+    node: str
+    zone: str
+    peer_address: str
+    front: FrontLimits
+    owner: OwnerSettings
+
+
+class InstancePorts(NamedTuple):
+    """The systems around an instance."""
+
+    log: Log
+    decoder: Decoder
+    connect: Connect
+    adviser: Adviser | None
+
+
+class Instance:
+    """One instance: wires its parts, starts and stops them in order."""
+
+    def __init__(
+        self, settings: InstanceSettings, ports: InstancePorts, clock: Clock, events: EventLog
+    ) -> None:
+        self._settings = settings
+        self._ports = ports
+        self._clock = clock
+        self._events = events
+        self._stopping = threading.Event()
+        self.name = f"{settings.node}#{secrets.token_hex(3)}"
+        self.metrics = Metrics()
+        self.configuration = ConfigurationView(ports.decoder, events)
+        self.replica = JobReplica()
+        self._config_follower = Follower(ports.log, CONFIGURATION, self.configuration.apply, clock)
+        self._jobs_follower = Follower(ports.log, JOBS, self.replica.apply_job, clock)
+        self._progress_follower = Follower(ports.log, PROGRESS, self.replica.apply_progress, clock)
+        self._appender = GroupAppender(ports.log, JOBS)
+        self.owner = OwnerService(
+            self.name,
+            settings.peer_address,
+            settings.owner,
+            OwnerPorts(ports.log, ports.decoder, ports.connect, ports.adviser, PeerAdviser),
+            self.replica,
+            self._jobs_follower,
+            self._progress_follower,
+            self.configuration,
+            clock,
+            events,
+            self.metrics,
+            self._tell_vacancy,
+        )
+        self.desk = FrontDesk(
+            self.configuration,
+            self._config_follower,
+            self.replica,
+            self._jobs_follower,
+            self._appender,
+            OwnerPeer(self.name, self.replica),
+            settings.front,
+            clock,
+            events,
+            self.metrics,
+        )
+        self.peer_application = PeerApplication(self.replica, self.owner, ports.adviser)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new connections should come here."""
+        return (
+            not self._stopping.is_set()
+            and self.configuration.current is not None
+            and self._config_follower.age() < self._settings.front.keyed_age_s
+        )
+
+    def start(self) -> None:
+        """Begins to follow the log; serving begins with the first configuration."""
+        self._appender.start()
+        threading.Thread(
+            target=self._config_follower.run,
+            args=(self._stopping, CONFIGURATION_WAIT_S, self._on_follow_error),
+            name="follow-configuration",
+            daemon=True,
+        ).start()
+        threading.Thread(target=self._register, name="register", daemon=True).start()
+        self.owner.start()
+        self._events.write(
+            eventlog.STARTED, zone=self._settings.zone, address=self._settings.peer_address
+        )
+
+    def drain(self) -> None:
+        """Gives up ownership and readiness; callers are still answered."""
+        self._stopping.set()
+        self.owner.stop(RELEASE_TIMEOUT_S)
+
+    def stop(self) -> None:
+        """Finishes what was accepted and ends."""
+        self._stopping.set()
+        self._appender.stop()
+
+    def _register(self) -> None:
+        """Tells other instances where this one is, until the log has taken it."""
+        record = (r.INSTANCE + self._settings.node, self._settings.peer_address.encode())
+        while not self._stopping.is_set():
+            try:
+                self._ports.log.append(JOBS, [record], REGISTER_TIMEOUT_S)
+                return
+            except LogError as error:
+                self._on_follow_error(JOBS, error)
+                self._stopping.wait(0.3)
+
+    def _on_follow_error(self, stream: str, error: LogError) -> None:
+        self.metrics.log_errors.labels(stream).inc()
+
+    def _tell_vacancy(self) -> None:
+        """Lets the other instances know that ownership is free."""
+        for address in set(self.replica.instances.values()):
+            if address == self._settings.peer_address:
+                continue
+            peer = Peer(address)
+            try:
+                peer.ask("vacant", {}, VACANT_TIMEOUT_S)
+            except AzurecleatError:
+                pass  # Standbys see the release with their next read.
+            finally:
+                peer.close()
--- /dev/null
+++ b/libs/cluster/src/azurecleat_cluster/_internal/configuration.py
@@ -0,0 +1,99 @@
+"""The configuration in force at this instance, and how fresh it is."""
+
+from __future__ import annotations
+
+import threading
+from typing import NamedTuple
+
+from azurecleat_base.exceptions import DocumentError
+
+from azurecleat_cluster._internal import eventlog
+from azurecleat_cluster._internal.eventlog import EventLog
+from azurecleat_cluster._internal.ports import CONFIGURATION, Decoder, LogRecord
+from azurecleat_cluster._internal.values import Configuration, Queue, Team
+
+
+class _View(NamedTuple):
+    """A configuration with what lookups need, replaced as a whole."""
+
+    configuration: Configuration
+    by_host: dict[str, list[Queue]]
+    by_name: dict[str, Queue]
+    by_key: dict[str, Team]
+
+
+class ConfigurationView:
+    """Looks up queues and teams in the newest configuration; versions never go back."""
+
+    def __init__(self, decoder: Decoder, events: EventLog) -> None:
+        self._decoder = decoder
+        self._events = events
+        self._view: _View | None = None
+        self._changed = threading.Condition()
+
+    @property
+    def current(self) -> Configuration | None:
+        view = self._view
+        return None if view is None else view.configuration
+
+    @property
+    def version(self) -> int:
+        view = self._view
+        return 0 if view is None else view.configuration.version
+
+    def apply(self, record: LogRecord) -> None:
+        """Takes a record of the configuration stream; a version that is not newer is left."""
+        if record.value is None:
+            return
+        try:
+            configuration = self._decoder.configuration(record)
+        except DocumentError as error:
+            self._events.write(
+                eventlog.RECORD_UNREADABLE,
+                stream=CONFIGURATION,
+                key=record.key,
+                error=error,
+            )
+            return
+        if configuration is None or configuration.version <= self.version:
+            return
+        self._view = _index(configuration)
+        self._events.write(
+            eventlog.CONFIGURATION_IN_FORCE,
+            version=configuration.version,
+            queues=len(configuration.queues),
+            teams=len(configuration.teams),
+        )
+
+    def queue_for(self, host: str, path: str) -> Queue | None:
+        """Returns the queue of a host with the longest prefix of the path."""
+        view = self._view
+        if view is None:
+            return None
+        for queue in view.by_host.get(host, ()):
+            if path.startswith(queue.prefix):
+                return queue
+        return None
+
+    def queue_named(self, name: str) -> Queue | None:
+        view = self._view
+        return None if view is None else view.by_name.get(name)
+
+    def team_of_key(self, key: str) -> Team | None:
+        view = self._view
+        return None if view is None else view.by_key.get(key)
+
+    def team_named(self, name: str) -> Team | None:
+        view = self._view
+        return None if view is None else view.configuration.teams.get(name)
+
+
+def _index(configuration: Configuration) -> _View:
+    by_host: dict[str, list[Queue]] = {}
+    for queue in configuration.queues:
+        by_host.setdefault(queue.host, []).append(queue)
+    for queues in by_host.values():
+        queues.sort(key=lambda queue: -len(queue.prefix))
+    by_name = {queue.name: queue for queue in configuration.queues}
+    by_key = {key: team for team in configuration.teams.values() for key in team.keys}
+    return _View(configuration, by_host, by_name, by_key)
--- /dev/null
+++ b/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
@@ -0,0 +1,142 @@
+"""Structured log: one JSON object a line, bounded, written by a thread of its own.
+
+A reader that stops reading costs lines, which are counted, and never delays a decision. The
+catalogue in ``docs/events.md`` lists every event.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+import threading
+import time
+from collections import deque
+from typing import Any, NamedTuple, TextIO
+
+MAX_QUEUED_LINES = 4096
+"""Lines kept for the writer: two seconds of the busiest traffic at some 200 bytes each."""
+
+MAX_LINES_PER_S = 2000
+"""Lines a second beyond which debug events are left out."""
+
+
+class LogEvent(NamedTuple):
+    """One kind of log line: a stable number, a name and the names of its fields."""
+
+    number: int
+    name: str
+    fields: str
+
+
+class EventLog:
+    """Writes log events to a stream.
+
+    :param instance: Name that every line carries.
+    :param output: Text stream, standard output if not given.
+    """
+
+    def __init__(self, instance: str, output: TextIO | None = None) -> None:
+        self._instance = instance
+        self._output = output or sys.stdout
+        self._lines: deque[tuple[float, LogEvent, dict[str, Any]]] = deque()
+        self._wanted = threading.Event()
+        self._left_out = 0
+        self._stopping = False
+        self._thread = threading.Thread(target=self._write_all, name="event-log", daemon=True)
+
+    @property
+    def left_out(self) -> int:
+        """Lines that were not written because the reader was slow."""
+        return self._left_out
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def stop(self, timeout_s: float = 0.2) -> None:
+        """Writes what is queued, for at most the given time."""
+        self._stopping = True
+        self._wanted.set()
+        if self._thread.is_alive():
+            self._thread.join(timeout_s)
+
+    def write(self, event: LogEvent, **fields: Any) -> None:
+        """Queues one line; never blocks."""
+        if len(self._lines) >= MAX_QUEUED_LINES:
+            self._left_out += 1
+            return
+        self._lines.append((time.time(), event, fields))
+        if len(self._lines) >= FLUSH_LINES:
+            self._wanted.set()
+
+    def _write_all(self) -> None:
+        told = 0
+        while True:
+            self._wanted.wait(FLUSH_S)
+            self._wanted.clear()
+            stopping = self._stopping
+            batch = []
+            while self._lines:
+                batch.append(self._format(*self._lines.popleft()))
+            if self._left_out > told:
+                told = self._left_out
+                batch.append(self._format(time.time(), LINES_LEFT_OUT, {"total": told}))
+            if batch:
+                try:
+                    self._output.write("".join(batch))
+                    self._output.flush()
+                except (OSError, ValueError):
+                    self._left_out += len(batch)
+            if stopping:
+                return
+
+    def _format(self, at: float, event: LogEvent, fields: dict[str, Any]) -> str:
+        line = {
+            "at": round(at, 3),
+            "event": event.number,
+            "name": event.name,
+            "instance": self._instance,
+            **fields,
+        }
+        return json.dumps(line, separators=(",", ":"), default=str) + "\n"
+
+
+FLUSH_S = 0.25
+"""Longest time that a line stays queued."""
+
+FLUSH_LINES = 256
+
+LINES_LEFT_OUT = LogEvent(700, "log.lines_left_out", "total")
+STARTED = LogEvent(701, "instance.started", "zone, address")
+STOPPING = LogEvent(702, "instance.stopping", "signal")
+STOPPED = LogEvent(703, "instance.stopped", "seconds")
+RELOADED = LogEvent(704, "settings.reloaded", "changed")
+RELOAD_REFUSED = LogEvent(705, "settings.reload_refused", "error")
+FAILED = LogEvent(706, "component.failed", "component, error")
+DEPENDENCY_LOST = LogEvent(710, "dependency.lost", "dependency, step, error")
+DEPENDENCY_BACK = LogEvent(711, "dependency.back", "dependency, after_s")
+CONFIGURATION_IN_FORCE = LogEvent(720, "configuration.in_force", "version, queues, teams")
+RECORD_UNREADABLE = LogEvent(721, "record.unreadable", "stream, key, error")
+JOB_ACCEPTED = LogEvent(730, "job.accepted", "job, queue, team, tasks, config, age_s, took_s")
+JOB_REFUSED = LogEvent(731, "job.refused", "job, status, reason, config, age_s, took_s")
+JOB_CANCELLED = LogEvent(732, "job.cancelled", "job, status, took_s")
+JOB_SEEN = LogEvent(733, "job.seen", "job, epoch, offset")
+JOB_ENDED = LogEvent(734, "job.ended", "job, outcome, age_s, epoch")
+OWNER_CLAIMED = LogEvent(740, "owner.claimed", "epoch, silent_s, reason")
+OWNER_SERVING = LogEvent(741, "owner.serving", "epoch, jobs, targets, took_s")
+OWNER_ENDED = LogEvent(742, "owner.ended", "epoch, reason")
+CLAIM_LOST = LogEvent(743, "owner.claim_lost", "epoch, winner")
+TARGET_ADDED = LogEvent(750, "target.added", "target, address, born, reason")
+TARGET_LOST = LogEvent(751, "target.lost", "target, step, error, runs")
+TARGET_BACK = LogEvent(752, "target.back", "target, after_s, runs")
+TARGET_GONE = LogEvent(753, "target.gone", "target, reason, runs")
+TARGET_SUSPECT = LogEvent(754, "target.suspect", "target, reason, for_s")
+TARGET_DRAINING = LogEvent(755, "target.draining", "target, remaining_ms")
+RUN_STARTED = LogEvent(760, "run.started", "task, run, target, epoch, waited_s")
+RUN_REFUSED = LogEvent(761, "run.refused", "task, run, target, reason")
+RUN_UNCERTAIN = LogEvent(762, "run.uncertain", "task, run, target, error")
+RUN_ENDED = LogEvent(763, "run.ended", "task, run, target, kind, took_s")
+RUN_LOST = LogEvent(764, "run.lost", "task, run, target, reason")
+RUN_STOPPED = LogEvent(765, "run.stop_sent", "task, run, target, reason")
+RUN_ADOPTED = LogEvent(766, "run.adopted", "task, run, target, percent")
+ADVICE_GIVEN = LogEvent(770, "advice.given", "step, adviser, allowed, waited_s, took_s")
+ADVICE_FAILED = LogEvent(771, "advice.failed", "step, adviser, error")
--- /dev/null
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/desk.py
@@ -0,0 +1,234 @@
+"""Decides on callers' requests: submissions, cancellations, states and counts."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+from azurecleat_base import Clock
+from azurecleat_base.exceptions import AppendUnknownError, LogError, LogUnavailableError
+
+from azurecleat_cluster._internal import eventlog
+from azurecleat_cluster._internal.configuration import ConfigurationView
+from azurecleat_cluster._internal.eventlog import EventLog
+from azurecleat_cluster._internal.front.answers import (
+    Accepted,
+    Answer,
+    NoJob,
+    NoQueue,
+    PendingOf,
+    Refused,
+    StateOf,
+    Unauthorized,
+    Undecided,
+)
+from azurecleat_cluster._internal.metrics import Metrics
+from azurecleat_cluster._internal.replica import records as r
+from azurecleat_cluster._internal.replica.appender import GroupAppender
+from azurecleat_cluster._internal.replica.follower import Follower
+from azurecleat_cluster._internal.replica.jobs import JobReplica
+from azurecleat_cluster._internal.values import JobSpec, JobState, Queue, Team
+
+RETRY_AFTER_S = 1.0
+"""Hint with refusals: another instance or the log's return is a matter of a second."""
+
+APPEND_TIMEOUT_S = 2.0
+"""Longest wait for one append: a slow log answers within half a second when it answers."""
+
+APPEND_RETRY_PAUSE_S = 0.05
+
+MIN_APPEND_S = 0.15
+"""No further append is tried with less time than this left."""
+
+
+class FrontLimits(NamedTuple):
+    """Bounds on what a front may answer from its own view.
+
+    ``keyed_age_s`` is the age of the configuration up to which keys are accepted;
+    ``denial_age_s`` the age up to which an unknown key or queue is denied.
+    """
+
+    keyed_age_s: float
+    denial_age_s: float
+
+
+class Caller(NamedTuple):
+    """Who calls, and until when they wait (on the instance's own clock)."""
+
+    host: str
+    path: str
+    key: str
+    deadline: float
+
+
+class Admitted(NamedTuple):
+    """A call that the configuration allows."""
+
+    queue: Queue
+    team: Team | None
+    rest: str
+
+
+class OwnerCalls:
+    """Questions that the owner answers best; each returns None if it cannot be asked."""
+
+    def state(self, job: str) -> JobState | None:
+        return None
+
+    def pending(self, queue: str) -> int | None:
+        return None
+
+
+class FrontDesk:
+    """Answers callers of one instance."""
+
+    def __init__(
+        self,
+        configuration: ConfigurationView,
+        config_follower: Follower,
+        jobs: JobReplica,
+        jobs_follower: Follower,
+        appender: GroupAppender,
+        owner: OwnerCalls,
+        limits: FrontLimits,
+        clock: Clock,
+        events: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self._configuration = configuration
+        self._config_follower = config_follower
+        self._jobs = jobs
+        self._jobs_follower = jobs_follower
+        self._appender = appender
+        self._owner = owner
+        self._limits = limits
+        self._clock = clock
+        self._events = events
+        self._metrics = metrics
+
+    def admit(self, caller: Caller) -> Admitted | Answer:
+        """Checks queue and key against a configuration that is fresh enough."""
+        age_s = self._config_follower.age()
+        if self._configuration.current is None:
+            return Refused("no configuration yet", RETRY_AFTER_S)
+        queue = self._configuration.queue_for(caller.host, caller.path)
+        if queue is None:
+            if age_s > self._limits.denial_age_s:
+                return Refused("configuration out of date", RETRY_AFTER_S)
+            return NoQueue()
+        team = self._configuration.team_of_key(caller.key) if caller.key else None
+        if not queue.is_open:
+            if age_s > self._limits.keyed_age_s:
+                return Refused("configuration out of date", RETRY_AFTER_S)
+            if team is None:
+                if age_s > self._limits.denial_age_s:
+                    return Refused("configuration out of date", RETRY_AFTER_S)
+                return Unauthorized()
+        return Admitted(queue, team, caller.path[len(queue.prefix) :])
+
+    def submit(self, admitted: Admitted, job: str, spec: JobSpec, caller: Caller) -> Answer:
+        """Accepts a job once it is in the log; a repeat of an accepted one is the same job."""
+        started_at = self._clock.monotonic()
+        config, age_s = self._configuration.version, self._config_follower.age()
+        if self._jobs.knows(job):
+            answer: Answer = Accepted()
+        else:
+            team = admitted.team.name if admitted.team else ""
+            value = r.encode_submission(r.Submission(job, team, admitted.queue, spec))
+            is_there: Callable[[], bool] = lambda: self._jobs.knows(job)  # noqa: E731
+            answer = self._append(r.SUBMISSION + job, value, caller.deadline, is_there)
+        took_s = round(self._clock.monotonic() - started_at, 4)
+        if isinstance(answer, Accepted):
+            self._metrics.accept_s.observe(took_s)
+            self._events.write(
+                eventlog.JOB_ACCEPTED,
+                job=job,
+                queue=admitted.queue.name,
+                team=admitted.team.name if admitted.team else "",
+                tasks=sum(step.count for step in spec.steps),
+                config=config,
+                age_s=round(age_s, 3),
+                took_s=took_s,
+            )
+        return answer
+
+    def cancel(self, job: str, caller: Caller) -> Answer:
+        """Records the cancellation of a known job."""
+        if not self._is_known(job):
+            return self._no_job()
+        if self._jobs.is_cancelled(job):
+            return Accepted()
+        is_there: Callable[[], bool] = lambda: self._jobs.is_cancelled(job)  # noqa: E731
+        return self._append(r.CANCELLATION + job, b"1", caller.deadline, is_there)
+
+    def state(self, job: str) -> Answer:
+        """Returns a job's state, from the owner where it may have changed meanwhile."""
+        state = self._jobs.state(job)
+        if state is None or not state.is_final:
+            state = self._owner.state(job) or self._jobs.state(job)
+        if state is None and self._is_known(job):
+            state = self._jobs.state(job)
+        return self._no_job() if state is None else StateOf(state)
+
+    def pending(self, queue: Queue) -> Answer:
+        """Returns how many jobs of a queue have not begun."""
+        count = self._owner.pending(queue.name)
+        if count is None:
+            if self._jobs_follower.age() > STALE_COUNT_S:
+                return Refused("jobs out of date", RETRY_AFTER_S)
+            count = self._jobs.pending(queue.name)
+        return PendingOf(count)
+
+    def _is_known(self, job: str) -> bool:
+        """Tells whether a job is known, after reading the log to its end if need be."""
+        if not self._jobs.knows(job):
+            try:
+                self._jobs_follower.catch_up()
+            except LogError:
+                pass  # The age of the view decides what may be said.
+        return self._jobs.knows(job)
+
+    def _no_job(self) -> Answer:
+        if self._jobs_follower.age() > STALE_COUNT_S:
+            return Refused("jobs out of date", RETRY_AFTER_S)
+        return NoJob()
+
+    def _append(
+        self, key: str, value: bytes, deadline: float, is_there: Callable[[], bool]
+    ) -> Answer:
+        """Appends until it is sure that the record is in the log, or that it never will be."""
+        may_be_there = False
+        pause = threading.Event()
+        while True:
+            left_s = deadline - self._clock.monotonic()
+            if left_s < MIN_APPEND_S:
+                break
+            try:
+                self._appender.append(key, value, min(APPEND_TIMEOUT_S, left_s - 0.1))
+                return Accepted()
+            except AppendUnknownError as error:
+                may_be_there = True
+                reason = str(error)
+                self._metrics.retries.labels("append_unknown").inc()
+            except LogUnavailableError as error:
+                reason = str(error)
+                if not may_be_there:
+                    return Refused(f"log unavailable: {reason}", RETRY_AFTER_S)
+                self._metrics.retries.labels("append_refused").inc()
+            if is_there():
+                return Accepted()
+            if left_s < UNDECIDED_LEFT_S:
+                break
+            pause.wait(APPEND_RETRY_PAUSE_S)
+        if may_be_there:
+            return Undecided("the log gave no answer in time")
+        return Refused("too little time left", RETRY_AFTER_S)
+
+
+STALE_COUNT_S = 2.5
+"""Age of the view of jobs beyond which a job is not called unknown: under the visibility bound."""
+
+UNDECIDED_LEFT_S = 1.2
+"""With less than this left, an unanswered append is given back, so that the caller's next
+attempt still has time at another instance."""
--- /dev/null
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/link.py
@@ -0,0 +1,276 @@
+"""Connection of an owner to one life of a target: a thread for holds, a few for orders."""
+
+from __future__ import annotations
+
+import math
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Protocol
+
+from azurecleat_base import Clock
+from azurecleat_base.exceptions import FencedError, NotRunError, OutcomeUnknownError, TargetError
+
+from azurecleat_cluster._internal.exceptions import TargetReplacedError
+from azurecleat_cluster._internal.owner.authority import Authority
+from azurecleat_cluster._internal.owner.work import Run, TargetWork
+from azurecleat_cluster._internal.ports import StartOrder, StartResult, TargetClient
+from azurecleat_cluster._internal.values import TargetReport
+
+HOLD_WAIT_S = 1.0
+"""How long a target keeps a hold back until a run ends: a fifth of the lease."""
+
+IDLE_WAIT_S = 2.0
+"""The same for a target that runs nothing; the longest that targets allow."""
+
+ANSWER_TIMEOUT_S = 0.7
+"""Longest wait for a target's answer beside its wait: far above any distance."""
+
+RETRY_PAUSE_S = 0.25
+"""Pause after a failed call to a target."""
+
+RECORD_WAIT_S = 0.5
+"""How long the next hold waits for the log to take the ends of the one before."""
+
+ORDER_THREADS = 3
+"""Orders on the way to one target at one time: one without an answer holds up no other."""
+
+
+class LinkObserver(Protocol):
+    """Receives what a link learns; called from the link's threads."""
+
+    def on_report(self, link: TargetLink, report: TargetReport, sent_at: float) -> None: ...
+
+    def on_silent(self, link: TargetLink, error: TargetError) -> None: ...
+
+    def on_replaced(self, link: TargetLink, reason: str) -> None: ...
+
+    def on_fenced(self, link: TargetLink, epoch: int) -> None: ...
+
+    def on_start(self, run: Run, result: StartResult) -> None: ...
+
+    def on_start_failed(self, run: Run, error: TargetError, may_run: bool) -> None: ...
+
+    def on_stop(self, run: Run) -> None: ...
+
+
+class TargetClock:
+    """Estimates a target's clock from its answers, never ahead of it."""
+
+    def __init__(self) -> None:
+        self._sample: tuple[float, float] | None = None
+
+    def note(self, clock_ms: float, received_at: float) -> None:
+        self._sample = (clock_ms, received_at)
+
+    def until_ms(self, now: float, lease_s: float) -> int | None:
+        """Returns the target's time in ``lease_s`` seconds from now, None if it is unknown."""
+        if self._sample is None:
+            return None
+        clock_ms, received_at = self._sample
+        return math.floor(clock_ms + (now - received_at + lease_s) * 1000.0)
+
+
+class TargetLink:
+    """Holds a target's runs and sends it orders while the owner may act."""
+
+    def __init__(
+        self,
+        work: TargetWork,
+        client: TargetClient,
+        authority: Authority,
+        observer: LinkObserver,
+        clock: Clock,
+    ) -> None:
+        self.work = work
+        self._client = client
+        self._authority = authority
+        self._observer = observer
+        self._clock = clock
+        self._target_clock = TargetClock()
+        self._changed = threading.Condition()
+        self._stopping = False
+        self._acknowledged = 0
+        self._processed = 0
+        self._failing = False
+        self._renewed_at = float("-inf")
+        self._orders = ThreadPoolExecutor(ORDER_THREADS, thread_name_prefix=f"order-{work.id}")
+        self._thread = threading.Thread(target=self._run, name=f"hold-{work.id}", daemon=True)
+
+    @property
+    def lease_end(self) -> float:
+        """Own time after which no lease given by this owner still holds there."""
+        return self._authority.lease_end(self._renewed_at)
+
+    @property
+    def processed(self) -> int:
+        """Number of the last end that was taken in."""
+        return self._processed
+
+    @processed.setter
+    def processed(self, number: int) -> None:
+        self._processed = number
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Sends nothing more; orders on their way finish."""
+        with self._changed:
+            self._stopping = True
+            self._changed.notify_all()
+        self._orders.shutdown(wait=False, cancel_futures=True)
+
+    def join(self, timeout_s: float) -> None:
+        """Waits for orders on their way."""
+        if self._thread.is_alive():
+            self._thread.join(timeout_s)
+        self._orders.shutdown(wait=True)
+        self._client.close()
+
+    def acknowledge(self, number: int) -> None:
+        """Lets the target forget ends up to a number: they are in the log."""
+        with self._changed:
+            self._acknowledged = max(self._acknowledged, number)
+            self._changed.notify_all()
+
+    def order_start(self, run: Run, payload: str, ticket: str) -> None:
+        self._submit(self._start_run, run, payload, ticket)
+
+    def order_stop(self, run: Run) -> None:
+        self._submit(self._stop_run, run)
+
+    def order_pace(self, run: Run, percent: int) -> None:
+        self._submit(self._pace_run, run, percent)
+
+    def _submit(self, call: Callable, *arguments: object) -> None:
+        try:
+            self._orders.submit(call, *arguments)
+        except RuntimeError:
+            pass  # The link has stopped: the term, or the target's life, is over.
+
+    def _run(self) -> None:
+        while not self._stopping:
+            try:
+                if not self._authority.may_act():
+                    self._pause(RETRY_PAUSE_S)
+                    continue
+                self._hold()
+                self._failing = False
+            except FencedError as error:
+                self._observer.on_fenced(self, error.epoch)
+                self._pause(RETRY_PAUSE_S)
+            except TargetReplacedError as error:
+                self._observer.on_replaced(self, str(error))
+                return
+            except TargetError as error:
+                self._failing = True
+                self._observer.on_silent(self, error)
+                self._pause(RETRY_PAUSE_S)
+
+    def _hold(self) -> None:
+        sent_at = self._clock.monotonic()
+        until_ms = None if self._failing else self._lease(sent_at)
+        # The first holds only look: they learn the clock and what runs.
+        is_settled = until_ms is not None and self._acknowledged >= self._processed
+        busy = bool(self.work.runs)
+        wait_s = (HOLD_WAIT_S if busy else IDLE_WAIT_S) if is_settled else 0.0
+        report = self._client.hold(
+            self._authority.fence,
+            self._acknowledged,
+            until_ms,
+            wait_s,
+            wait_s + ANSWER_TIMEOUT_S,
+        )
+        self._target_clock.note(report.clock_ms, self._clock.monotonic())
+        self._observer.on_report(self, report, sent_at)
+        self._await_record()
+
+    def _await_record(self) -> None:
+        """Waits until the ends taken in are in the log, or until the lease wants renewing."""
+        deadline = self._clock.monotonic() + RECORD_WAIT_S
+        with self._changed:
+            while self._acknowledged < self._processed and not self._stopping:
+                left_s = deadline - self._clock.monotonic()
+                if left_s <= 0:
+                    return
+                self._changed.wait(left_s)
+
+    def _lease(self, now: float) -> int | None:
+        until_ms = self._target_clock.until_ms(now, self._authority.lease_s)
+        if until_ms is not None:
+            self._renewed_at = now
+        return until_ms
+
+    def _start_run(self, run: Run, payload: str, ticket: str) -> None:
+        if not self._authority.may_act() or self._stopping:
+            error = NotRunError("no right to act", step="run.start", peer=self.work.id)
+            self._observer.on_start_failed(run, error, may_run=False)
+            return
+        now = self._clock.monotonic()
+        until_ms = self._lease(now)
+        if until_ms is None:
+            error = NotRunError("target clock unknown", step="run.start", peer=self.work.id)
+            self._observer.on_start_failed(run, error, may_run=False)
+            return
+        run.until = self._authority.lease_end(now)
+        order = StartOrder(
+            run.task,
+            run.number,
+            payload,
+            until_ms,
+            self._authority.fence,
+            run.checkpoint,
+            ticket,
+        )
+        try:
+            result = self._client.start(order, ANSWER_TIMEOUT_S)
+        except FencedError as error:
+            self._observer.on_start_failed(run, error, may_run=False)
+            self._observer.on_fenced(self, error.epoch)
+        except TargetReplacedError as error:
+            self._observer.on_start_failed(run, error, may_run=False)
+            self._observer.on_replaced(self, str(error))
+        except OutcomeUnknownError as error:
+            self._observer.on_start_failed(run, error, may_run=True)
+        except TargetError as error:
+            self._observer.on_start_failed(run, error, may_run=False)
+        else:
+            if result.clock_ms:
+                self._target_clock.note(result.clock_ms, self._clock.monotonic())
+            self._observer.on_start(run, result)
+
+    def _stop_run(self, run: Run) -> None:
+        """Repeats the stop until it is answered: an unanswered start may arrive after it."""
+        while not self._stopping and run.key in self.work.runs:
+            if self._authority.may_act():
+                try:
+                    self._client.stop(run.task, run.number, self._authority.fence, ANSWER_TIMEOUT_S)
+                    self._observer.on_stop(run)
+                    return
+                except FencedError as error:
+                    self._observer.on_fenced(self, error.epoch)
+                    return
+                except TargetReplacedError as error:
+                    self._observer.on_replaced(self, str(error))
+                    return
+                except TargetError:
+                    pass  # The next holds tell whether the target answers at all.
+            self._pause(RETRY_PAUSE_S)
+
+    def _pace_run(self, run: Run, percent: int) -> None:
+        if not self._authority.may_act():
+            return
+        try:
+            self._client.pace(
+                run.task, run.number, percent, self._authority.fence, ANSWER_TIMEOUT_S
+            )
+        except FencedError as error:
+            self._observer.on_fenced(self, error.epoch)
+        except TargetError:
+            run.pace = -1  # Unknown; the next look at the target sends it again.
+
+    def _pause(self, seconds: float) -> None:
+        with self._changed:
+            if not self._stopping:
+                self._changed.wait(seconds)
--- /dev/null
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/progress.py
@@ -0,0 +1,143 @@
+"""Writes the owner's progress to the log, in groups and under its epoch."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+
+from azurecleat_base import Clock
+from azurecleat_base.exceptions import FencedError, LogError
+
+from azurecleat_cluster._internal.metrics import Metrics
+from azurecleat_cluster._internal.ports import PROGRESS, Log, Writer
+from azurecleat_cluster._internal.replica import records as r
+
+WRITER = "owner"
+
+HEARTBEAT_S = 0.7
+"""Longest pause between appends: a successor waits for three of them to be missing."""
+
+GATHER_S = 0.01
+"""Time for which records are gathered before an append, about as long as one takes."""
+
+APPEND_TIMEOUT_S = 1.5
+RETRY_PAUSE_S = 0.1
+
+Record = tuple[str, bytes | None]
+Committed = Callable[[], None]
+
+
+class ProgressWriter:
+    """Appends records of one term in order.
+
+    :param on_proof: Called with the time at which an append was sent that took effect.
+    :param on_fenced: Called once a writer with a higher epoch was seen.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        epoch: int,
+        clock: Clock,
+        metrics: Metrics,
+        on_proof: Callable[[float], None],
+        on_fenced: Callable[[str], None],
+    ) -> None:
+        self._log = log
+        self._epoch = epoch
+        self._sequence = 0
+        self._clock = clock
+        self._metrics = metrics
+        self._on_proof = on_proof
+        self._on_fenced = on_fenced
+        self._changed = threading.Condition()
+        self._records: dict[str, Callable[[], bytes | None]] = {}
+        self._committed: list[Committed] = []
+        self._stopping = False
+        self._thread = threading.Thread(target=self._run, name="progress", daemon=True)
+
+    def fence(self) -> None:
+        """Sets the epoch, so that a former owner can append nothing more.
+
+        :raises FencedError: A higher epoch was seen.
+        :raises LogError: The log gave no answer.
+        """
+        sent_at = self._clock.monotonic()
+        writer = Writer(WRITER, self._epoch, self._sequence)
+        self._log.append(PROGRESS, (), APPEND_TIMEOUT_S, writer)
+        self._on_proof(sent_at)
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def stop(self, timeout_s: float) -> None:
+        """Appends what is left, for at most the given time."""
+        with self._changed:
+            self._stopping = True
+            self._changed.notify_all()
+        if self._thread.is_alive():
+            self._thread.join(timeout_s)
+
+    def put(
+        self, key: str, encode: Callable[[], bytes | None], committed: Committed | None = None
+    ) -> None:
+        """Queues a record; ``encode`` is called when it is about to be appended."""
+        with self._changed:
+            self._records[key] = encode
+            if committed is not None:
+                self._committed.append(committed)
+            self._changed.notify_all()
+
+    def after(self, committed: Committed) -> None:
+        """Calls back once everything queued so far is in the log."""
+        with self._changed:
+            self._committed.append(committed)
+            self._changed.notify_all()
+
+    def _run(self) -> None:
+        while True:
+            with self._changed:
+                if not self._committed and not self._records and not self._stopping:
+                    self._changed.wait(HEARTBEAT_S)
+                stopping = self._stopping
+            if not stopping:
+                threading.Event().wait(GATHER_S)
+            with self._changed:
+                records, self._records = self._records, {}
+                committed, self._committed = self._committed, []
+            if stopping and not records and not committed:
+                return
+            batch = [(key, encode()) for key, encode in records.items()]
+            if not self._append(batch or [(r.HEARTBEAT, b"1")]):
+                return
+            for call in committed:
+                call()
+
+    def _append(self, batch: list[Record]) -> bool:
+        """Appends until it is sure that the batch is in the log; False if that can't be."""
+        self._sequence += 1
+        writer = Writer(WRITER, self._epoch, self._sequence)
+        deadline = None
+        while True:
+            sent_at = self._clock.monotonic()
+            try:
+                # A repeat with the same sequence number is recognised by the log.
+                self._log.append(PROGRESS, batch, APPEND_TIMEOUT_S, writer)
+            except FencedError as error:
+                self._on_fenced(str(error))
+                return False
+            except LogError:
+                self._metrics.retries.labels("progress").inc()
+                if self._stopping:
+                    deadline = deadline or sent_at + STOP_S
+                    if sent_at > deadline:
+                        return False
+                threading.Event().wait(RETRY_PAUSE_S)
+            else:
+                self._metrics.record_s.observe(self._clock.monotonic() - sent_at)
+                self._on_proof(sent_at)
+                return True
+
+
+STOP_S = 1.0
+"""How long a stopping writer repeats a failed append."""
--- /dev/null
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
@@ -0,0 +1,389 @@
+"""Stands by, claims ownership when nobody holds it, and serves a term."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+from azurecleat_base import Clock
+from azurecleat_base.exceptions import DocumentError, FencedError, LogError
+
+from azurecleat_cluster._internal import eventlog
+from azurecleat_cluster._internal.configuration import ConfigurationView
+from azurecleat_cluster._internal.eventlog import EventLog
+from azurecleat_cluster._internal.metrics import Metrics
+from azurecleat_cluster._internal.owner.advice import AdvicePool
+from azurecleat_cluster._internal.owner.authority import Authority
+from azurecleat_cluster._internal.owner.dispatch import Dispatcher
+from azurecleat_cluster._internal.owner.placement import Preferences
+from azurecleat_cluster._internal.owner.progress import ProgressWriter
+from azurecleat_cluster._internal.owner.term import Connect, OwnerTerm
+from azurecleat_cluster._internal.ports import JOBS, TARGETS, Adviser, Decoder, Log, LogRecord
+from azurecleat_cluster._internal.replica import records as r
+from azurecleat_cluster._internal.replica.follower import Follower
+from azurecleat_cluster._internal.replica.jobs import JobReplica
+from azurecleat_cluster._internal.values import TargetEntry, TargetState
+
+POLL_S = 0.6
+"""Pause between a standby's reads."""
+
+SILENCE_S = 2.2
+"""Silence of an owner after which its place is claimed: three heartbeats."""
+
+GAP_S = 1.5
+"""A pause between two reads beyond which silence is counted anew: nothing could be heard."""
+
+CLAIM_TIMEOUT_S = 1.5
+FENCE_TRIES = 3
+HOUSEKEEPING_S = 0.5
+RELEASE_TIMEOUT_S = 0.8
+
+
+class OwnerSettings(NamedTuple):
+    """Figures of the deployment that an owner needs."""
+
+    lease_s: float
+    kept_s: float
+    preferences: Preferences
+
+
+class OwnerPorts(NamedTuple):
+    """The systems that an owner talks to."""
+
+    log: Log
+    decoder: Decoder
+    connect: Connect
+    adviser: Adviser | None
+    connect_adviser: Callable[[str], Adviser]
+
+
+class OwnerService:
+    """Takes part in ownership for one instance.
+
+    :param instance: This life of the instance; ``node`` is the same in its next life.
+    :param on_released: Called after this instance gave up ownership.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        address: str,
+        settings: OwnerSettings,
+        ports: OwnerPorts,
+        replica: JobReplica,
+        jobs_follower: Follower,
+        progress_follower: Follower,
+        configuration: ConfigurationView,
+        clock: Clock,
+        events: EventLog,
+        metrics: Metrics,
+        on_released: Callable[[], None],
+    ) -> None:
+        self._instance = instance
+        self._address = address
+        self._settings = settings
+        self._ports = ports
+        self._replica = replica
+        self._jobs = jobs_follower
+        self._progress = progress_follower
+        self._configuration = configuration
+        self._clock = clock
+        self._events = events
+        self._metrics = metrics
+        self._on_released = on_released
+        self._stopping = threading.Event()
+        self._nudged = threading.Event()
+        self._lost = threading.Event()
+        self._term: OwnerTerm | None = None
+        self._served = 0
+        self._polled_at = float("-inf")
+        self._heard_at = float("-inf")
+        self._heard = (0, 0)
+        self._failing_since: float | None = None
+        self._thread = threading.Thread(target=self._run, name="owner", daemon=True)
+
+    @property
+    def term(self) -> OwnerTerm | None:
+        """The term that this instance serves, None while it stands by."""
+        return self._term
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def stop(self, timeout_s: float) -> None:
+        """Gives up ownership, so that another instance takes over without waiting."""
+        self._stopping.set()
+        self._nudged.set()
+        self._lost.set()
+        if self._thread.is_alive():
+            self._thread.join(timeout_s)
+
+    def nudge(self) -> None:
+        """Lets a standby look at the log at once: the owner has given up its place."""
+        self._nudged.set()
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                self._stand_by()
+            except LogError as error:
+                self._note_log_error(error)
+                self._stopping.wait(0.1)
+            except Exception as error:  # A bug in a term must not end the standby.
+                self._events.write(eventlog.FAILED, component="owner", error=repr(error))
+                self._stopping.wait(0.5)
+
+    def _note_log_error(self, error: LogError) -> None:
+        self._metrics.log_errors.labels("standby").inc()
+        if self._failing_since is None:
+            self._failing_since = self._clock.monotonic()
+            self._events.write(
+                eventlog.DEPENDENCY_LOST, dependency="log", step=error.step, error=error
+            )
+
+    def _note_log_back(self) -> None:
+        if self._failing_since is not None:
+            after_s = round(self._clock.monotonic() - self._failing_since, 3)
+            self._failing_since = None
+            self._events.write(eventlog.DEPENDENCY_BACK, dependency="log", after_s=after_s)
+
+    def _stand_by(self) -> None:
+        self._jobs.poll()
+        self._progress.poll()
+        self._note_log_back()
+        now = self._clock.monotonic()
+        heard = (self._progress.applied, self._replica.claim.epoch)
+        if heard != self._heard or now - self._polled_at > GAP_S:
+            self._heard, self._heard_at = heard, now
+        self._polled_at = now
+        self._metrics.epoch.set(self._replica.claim.epoch)
+        if reason := self._vacancy(now):
+            epoch = self._claim(reason, now)
+            if epoch:
+                self._serve(epoch, reason == RELEASED)
+                return
+        self._nudged.wait(POLL_S)
+        self._nudged.clear()
+
+    def _vacancy(self, now: float) -> str:
+        """Returns why ownership may be claimed, empty if it is held."""
+        claim = self._replica.claim
+        if self._configuration.current is None or self._stopping.is_set():
+            return ""
+        if claim.released:
+            return RELEASED
+        if claim.instance == self._instance:
+            return "own term ended" if claim.epoch <= self._served else OWN_CLAIM
+        if _node(claim.instance) == _node(self._instance):
+            return RELEASED  # An earlier life of this process: it has surely ended.
+        return "silent" if now - self._heard_at > SILENCE_S else ""
+
+    def _claim(self, reason: str, now: float) -> int:
+        """Claims the next epoch; returns it if the claim was the first, 0 otherwise."""
+        if reason == OWN_CLAIM:
+            return self._replica.claim.epoch
+        claim = r.Claim(self._replica.claim.epoch + 1, self._instance, self._address)
+        self._events.write(
+            eventlog.OWNER_CLAIMED,
+            epoch=claim.epoch,
+            silent_s=round(now - self._heard_at, 3),
+            reason=reason,
+        )
+        record = (r.claim_key(claim), r.encode_claim(claim))
+        self._ports.log.append(JOBS, [record], CLAIM_TIMEOUT_S)
+        self._jobs.catch_up()
+        winner = self._replica.claim
+        if winner != claim:
+            self._events.write(eventlog.CLAIM_LOST, epoch=claim.epoch, winner=winner.instance)
+            return 0
+        return claim.epoch
+
+    def _serve(self, epoch: int, former_gone: bool) -> None:
+        started_at = self._clock.monotonic()
+        self._served = epoch
+        self._lost.clear()
+        authority = Authority(epoch, self._settings.lease_s, self._clock)
+        writer = ProgressWriter(
+            self._ports.log,
+            epoch,
+            self._clock,
+            self._metrics,
+            authority.proved_by_log,
+            lambda reason: term.lose(reason),
+        )
+        term = OwnerTerm(
+            authority,
+            self._replica,
+            self._configuration,
+            writer,
+            self._ports.connect,
+            self._clock,
+            self._events,
+            self._metrics,
+            self._on_lost,
+        )
+        try:
+            self._fence(writer)
+        except FencedError as error:
+            self._events.write(eventlog.OWNER_ENDED, epoch=epoch, reason=str(error))
+            return
+        self._jobs.catch_up()
+        self._progress.catch_up()
+        self._run_term(term, writer, started_at, former_gone)
+
+    def _fence(self, writer: ProgressWriter) -> None:
+        for attempt in range(FENCE_TRIES):
+            try:
+                writer.fence()
+                return
+            except FencedError:
+                raise
+            except LogError:
+                if attempt == FENCE_TRIES - 1:
+                    raise
+
+    def _run_term(
+        self, term: OwnerTerm, writer: ProgressWriter, started_at: float, former_gone: bool
+    ) -> None:
+        epoch = term.authority.fence
+        advice = AdvicePool(
+            self._clock,
+            self._events,
+            self._metrics,
+            lambda step, answer: dispatcher.on_advice(step, answer),
+        )
+        dispatcher = Dispatcher(
+            term, advice, self._settings.preferences, self._clock, self._events, self._metrics
+        )
+        listener: Callable[[LogRecord], None] = lambda record: term.on_job_record(  # noqa: E731
+            record.key
+        )
+        targets = Follower(self._ports.log, TARGETS, self._target_applier(term), self._clock)
+        ended = threading.Event()
+        former = self._replica.targets_in_use
+        with term.lock:
+            self._replica.subscribe(listener)
+            term.take_over(former, former_gone)
+        try:
+            writer.start()
+            targets.poll()
+            self._add_former(term, former)
+            self._start_followers(targets, ended)
+            dispatcher.start()
+            self._term = term
+            self._metrics.owning.set(1)
+            self._events.write(
+                eventlog.OWNER_SERVING,
+                epoch=epoch,
+                jobs=len(term.jobs),
+                targets=len(term.links),
+                took_s=round(self._clock.monotonic() - started_at, 3),
+            )
+            while not self._lost.wait(HOUSEKEEPING_S):
+                self._keep_house(term, advice)
+        finally:
+            self._term = None
+            self._metrics.owning.set(0)
+            ended.set()
+            self._replica.unsubscribe(listener)
+            term.stop()
+            advice.stop()
+            dispatcher.join(RELEASE_TIMEOUT_S)
+            term.join(RELEASE_TIMEOUT_S)
+            writer.stop(RELEASE_TIMEOUT_S)
+            self._end(term)
+
+    def _end(self, term: OwnerTerm) -> None:
+        epoch = term.authority.fence
+        reason = term.authority.lost_reason
+        self._events.write(eventlog.OWNER_ENDED, epoch=epoch, reason=reason or "stopping")
+        if reason:
+            return
+        try:
+            record = (f"{r.RELEASE}{epoch}", b"1")
+            self._ports.log.append(JOBS, [record], RELEASE_TIMEOUT_S)
+        except LogError as error:
+            self._note_log_error(error)
+            return
+        self._on_released()
+
+    def _on_lost(self, reason: str) -> None:
+        self._lost.set()
+
+    def _start_followers(self, targets: Follower, ended: threading.Event) -> None:
+        for follower in (self._jobs, targets):
+            threading.Thread(
+                target=follower.run,
+                args=(ended, FOLLOW_WAIT_S, self._on_follow_error),
+                name="follow",
+                daemon=True,
+            ).start()
+
+    def _on_follow_error(self, stream: str, error: LogError) -> None:
+        self._metrics.log_errors.labels(stream).inc()
+
+    def _target_applier(self, term: OwnerTerm) -> Callable[[LogRecord], None]:
+        def apply(record: LogRecord) -> None:
+            if record.value is None:
+                term.on_target_gone(record.key)
+                return
+            try:
+                entry = self._ports.decoder.target(record)
+            except DocumentError as error:
+                # An entry of another writer names no target; a known one keeps its last.
+                self._events.write(
+                    eventlog.RECORD_UNREADABLE, stream=TARGETS, key=record.key, error=error
+                )
+                return
+            if entry.pool in (term.configuration.current.pools):
+                term.on_target(entry)
+
+        return apply
+
+    def _add_former(self, term: OwnerTerm, former: dict[str, str]) -> None:
+        """Adds targets that the former owner used and that have no entry any more."""
+        for name, value in former.items():
+            try:
+                address, pool, born_ms = r.load(value)
+            except ValueError as error:
+                self._events.write(
+                    eventlog.RECORD_UNREADABLE, stream="progress", key=name, error=error
+                )
+                continue
+            entry = TargetEntry(
+                name, pool, address, "", TargetState.DRAINING, born_ms, r.NO_RESOURCES
+            )
+            term.add_former_target(entry)
+
+    def _keep_house(self, term: OwnerTerm, advice: AdvicePool) -> None:
+        """Opens due occurrences, drops old jobs, keeps the callers of the adviser."""
+        with term.lock:
+            for job in term.jobs.values():
+                term.open_due_occurrences(job)
+        self._metrics.active.set(sum(len(link.work.runs) for link in term.links.values()))
+        if self._ports.adviser is not None:
+            peers = self._replica.instances
+            advice.add_caller(self._instance, self._ports.adviser, short_only=True)
+            for node, address in peers.items():
+                if node != _node(self._instance):
+                    advice.add_caller(node, self._ports.connect_adviser(address))
+        expired = term.expire(self._settings.kept_s)
+        if expired:
+            kinds = (r.SUBMISSION, r.CANCELLATION)
+            keys = [(kind + job, None) for job in expired for kind in kinds]
+            try:
+                self._ports.log.append(JOBS, keys, CLAIM_TIMEOUT_S)
+            except LogError as error:
+                self._note_log_error(error)
+
+
+RELEASED = "released"
+OWN_CLAIM = "own claim"
+
+FOLLOW_WAIT_S = 1.0
+"""Longest wait of a read: a connection may go silent for good."""
+
+
+def _node(instance: str) -> str:
+    return instance.partition("#")[0]
--- /dev/null
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -0,0 +1,698 @@
+"""One term of ownership: what is known, and what follows from each report.
+
+All state is guarded by one lock. Threads of links, of the log and of the adviser bring events;
+the dispatcher, woken by them, chooses what starts next.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+
+from azurecleat_base import Clock
+from azurecleat_base.exceptions import TargetError
+
+from azurecleat_cluster._internal import eventlog
+from azurecleat_cluster._internal.configuration import ConfigurationView
+from azurecleat_cluster._internal.eventlog import EventLog
+from azurecleat_cluster._internal.metrics import Metrics
+from azurecleat_cluster._internal.owner.authority import Authority, Succession
+from azurecleat_cluster._internal.owner.link import TargetLink
+from azurecleat_cluster._internal.owner.progress import ProgressWriter
+from azurecleat_cluster._internal.owner.suspicion import Suspicions
+from azurecleat_cluster._internal.owner.work import (
+    JobWork,
+    Run,
+    RunState,
+    StepWork,
+    TargetWork,
+    TeamUse,
+)
+from azurecleat_cluster._internal.ports import StartResult, TargetClient
+from azurecleat_cluster._internal.replica import records as r
+from azurecleat_cluster._internal.replica.jobs import JobReplica
+from azurecleat_cluster._internal.values import (
+    EndKind,
+    JobState,
+    RunEnd,
+    RunStatus,
+    TargetEntry,
+    TargetReport,
+    TargetState,
+    TaskId,
+)
+
+ENDS_A_PAGE = 500
+"""Ends that a target reports at most; with fewer, the report is complete."""
+
+LASTING_PAUSE_S = 0.2
+"""Pause before a long-running task that ended by itself is started again."""
+
+Connect = Callable[[TargetEntry], TargetClient]
+
+
+class OwnerTerm:
+    """State of one term and its transitions.
+
+    :param connect: Makes a client of one life of a target.
+    :param on_lost: Called once when the term has to end.
+    """
+
+    def __init__(
+        self,
+        authority: Authority,
+        replica: JobReplica,
+        configuration: ConfigurationView,
+        writer: ProgressWriter,
+        connect: Connect,
+        clock: Clock,
+        events: EventLog,
+        metrics: Metrics,
+        on_lost: Callable[[str], None],
+    ) -> None:
+        self.lock = threading.RLock()
+        self.changed = threading.Condition(self.lock)
+        self.authority = authority
+        self.configuration = configuration
+        self.jobs: dict[str, JobWork] = {}
+        self.links: dict[str, TargetLink] = {}
+        self.use = TeamUse()
+        self.suspicions = Suspicions(events)
+        self.succession: Succession | None = None
+        self.dirty = True
+        self._replica = replica
+        self._writer = writer
+        self._connect = connect
+        self._clock = clock
+        self._events = events
+        self._metrics = metrics
+        self._on_lost = on_lost
+        self._stopping = False
+
+    # -- life cycle ---------------------------------------------------------------------------
+
+    def take_over(self, targets: dict[str, str], former_gone: bool) -> None:
+        """Begins the term with the jobs of the replica and a former owner's targets."""
+        now = self._clock.monotonic()
+        with self.lock:
+            self.succession = Succession(set(targets), self.authority, now, former_gone)
+            for job in self._replica.job_ids():
+                self._add_job(job, before_claim=bool(targets))
+
+    def stop(self) -> None:
+        """Sends nothing more."""
+        with self.changed:
+            self._stopping = True
+            links = list(self.links.values())
+            self.changed.notify_all()
+        for link in links:
+            link.stop()
+
+    def join(self, timeout_s: float) -> None:
+        for link in list(self.links.values()):
+            link.join(timeout_s)
+
+    @property
+    def stopping(self) -> bool:
+        return self._stopping
+
+    def wake(self) -> None:
+        """Lets the dispatcher look for work."""
+        with self.changed:
+            self.dirty = True
+            self.changed.notify_all()
+
+    def lose(self, reason: str) -> None:
+        """Ends the term: another owner has control."""
+        with self.changed:
+            if self.authority.lost_reason:
+                return
+            self.authority.lose(reason)
+            self.changed.notify_all()
+        self._on_lost(reason)
+
+    # -- jobs ---------------------------------------------------------------------------------
+
+    def on_job_record(self, key: str) -> None:
+        """Takes in a record of the jobs stream that the replica has applied."""
+        kind, _, name = key.partition("/")
+        match kind + "/":
+            case r.SUBMISSION:
+                with self.lock:
+                    self._add_job(name, before_claim=False)
+            case r.CANCELLATION:
+                with self.lock:
+                    if name in self.jobs:
+                        self._cancel(self.jobs[name])
+            case r.CLAIM | r.RELEASE:
+                claim = self._replica.claim
+                if claim.epoch > self.authority.fence:
+                    self.lose(f"epoch {claim.epoch} was claimed by {claim.instance}")
+                return
+            case _:
+                return
+        self.wake()
+
+    def _add_job(self, name: str, before_claim: bool) -> None:
+        if name in self.jobs or not self._replica.knows(name):
+            return
+        try:
+            submission = self._replica.submission(name)
+            progress = self._replica.progress(name)
+        except ValueError as error:
+            self._events.write(eventlog.RECORD_UNREADABLE, stream="jobs", key=name, error=error)
+            return
+        now = self._clock.monotonic()
+        job = JobWork(submission, now, before_claim)
+        if not submission.spec.repeats:
+            job.open_occurrence(0)
+        if progress is not None:
+            job.restore(progress)
+        self.jobs[name] = job
+        self.open_due_occurrences(job)
+        if job.outcome:
+            job.finished_at = now
+        self._events.write(eventlog.JOB_SEEN, job=name, epoch=self.authority.fence)
+        if self._replica.is_cancelled(name):
+            self._cancel(job)
+
+    def open_due_occurrences(self, job: JobWork) -> float | None:
+        """Opens occurrences whose time has come; returns seconds until the next, if any."""
+        spec = job.submission.spec
+        while spec.repeats and job.occurrences_open < spec.occurrences and job.is_open:
+            due_ms = spec.first_ms + job.occurrences_open * spec.interval_ms
+            left_s = due_ms / 1000.0 - time.time()
+            if left_s > 0:
+                return left_s
+            job.open_occurrence(job.occurrences_open)
+        return None
+
+    def _cancel(self, job: JobWork) -> None:
+        if job.cancelled:
+            return
+        job.cancelled = True
+        job.finished_at = self._clock.monotonic()
+        self._stop_runs(job, "cancelled")
+
+    def _finish(self, job: JobWork, outcome: JobState) -> None:
+        if job.outcome:
+            return
+        job.outcome = outcome.value
+        job.finished_at = self._clock.monotonic()
+        self._events.write(
+            eventlog.JOB_ENDED,
+            job=job.id,
+            outcome=outcome.value,
+            age_s=round(job.finished_at - job.seen_at, 3),
+            epoch=self.authority.fence,
+        )
+        self._stop_runs(job, outcome.value)
+
+    def _stop_runs(self, job: JobWork, reason: str) -> None:
+        for step in job.steps.values():
+            for run in list(step.active.values()):
+                self.stop_run(run, reason)
+
+    def record(self, job: JobWork) -> None:
+        """Queues a job's progress for the log."""
+        self._writer.put(r.JOB + job.id, lambda: self._encode(job))
+
+    def _encode(self, job: JobWork) -> bytes:
+        with self.lock:
+            return r.encode_progress(job.progress())
+
+    # -- targets ------------------------------------------------------------------------------
+
+    def on_target(self, entry: TargetEntry) -> None:
+        """Takes in a target's entry."""
+        with self.lock:
+            link = self.links.get(entry.id)
+            if link is not None and _same_life(link.work.entry, entry):
+                self._update_entry(link.work, entry)
+            else:
+                if link is not None:
+                    self._forget(link, "another life registered under its id")
+                self._drop_former_at(entry)
+                self._add_target(entry)
+        self.wake()
+
+    def on_target_gone(self, target: str) -> None:
+        """Notes that a target's entry is no longer there."""
+        with self.lock:
+            link = self.links.get(target)
+            if link is not None and link.work.listed:
+                link.work.listed = False
+                link.work.unlisted_at = self._clock.monotonic()
+
+    def add_former_target(self, entry: TargetEntry) -> None:
+        """Adds a target that a former owner used and that has no entry now."""
+        with self.lock:
+            if entry.id not in self.links:
+                self._add_target(entry)
+                work = self.links[entry.id].work
+                work.listed, work.unlisted_at = False, float("-inf")
+
+    def _update_entry(self, work: TargetWork, entry: TargetEntry) -> None:
+        was_ready = work.entry.state is TargetState.READY
+        work.entry = entry
+        work.listed = True
+        if was_ready and entry.state is TargetState.DRAINING:
+            self._events.write(
+                eventlog.TARGET_DRAINING, target=entry.id, remaining_ms=entry.remaining_ms
+            )
+            self.evacuate(work)
+
+    def evacuate(self, work: TargetWork) -> None:
+        """Stops what would be lost with a leaving target and can go on elsewhere."""
+        for run in list(work.runs.values()):
+            spec = run.step.spec
+            if spec.long_running or spec.checkpointing:
+                self.stop_run(run, "target leaves")
+
+    def _drop_former_at(self, entry: TargetEntry) -> None:
+        """Another life at the same address proves that the former one has ended."""
+        for link in list(self.links.values()):
+            if link.work.entry.address == entry.address:
+                self._forget(link, f"{entry.id} is at its address")
+
+    def _add_target(self, entry: TargetEntry) -> None:
+        work = TargetWork(entry)
+        link = TargetLink(work, self._connect(entry), self.authority, self, self._clock)
+        self.links[entry.id] = link
+        self._events.write(
+            eventlog.TARGET_ADDED,
+            target=entry.id,
+            address=entry.address,
+            born=entry.born_ms,
+            reason=entry.state.value,
+        )
+        # Registered before its first order: a successor has to reach it or wait for its lease.
+        encoded = r.dump([entry.address, entry.pool, entry.born_ms])
+        self._writer.put(r.TARGET + entry.id, lambda: encoded, lambda: self._begin(link))
+
+    def _begin(self, link: TargetLink) -> None:
+        with self.lock:
+            if self._stopping or self.links.get(link.work.id) is not link:
+                return
+            self.authority.add_target(link.work.id)
+        link.start()
+
+    def _forget(self, link: TargetLink, reason: str) -> None:
+        """Drops a life of a target that has surely ended, and all that it ran."""
+        work = link.work
+        if self.links.get(work.id) is not link:
+            return
+        del self.links[work.id]
+        self._events.write(eventlog.TARGET_GONE, target=work.id, reason=reason, runs=len(work.runs))
+        self._lose_runs(work, reason)
+        self.authority.remove_target(work.id)
+        if self.succession is not None:
+            self.succession.reached(work.id, self._clock.monotonic())
+        self._writer.put(r.TARGET + work.id, lambda: None)
+        link.stop()
+
+    def _lose_runs(self, work: TargetWork, reason: str) -> None:
+        for run in list(work.runs.values()):
+            self._events.write(
+                eventlog.RUN_LOST,
+                task=run.task,
+                run=run.number,
+                target=work.id,
+                reason=reason,
+            )
+            self._release(run)
+
+    # -- reports of links ---------------------------------------------------------------------
+
+    def on_report(self, link: TargetLink, report: TargetReport, sent_at: float) -> None:
+        """Takes in what runs and what ended on a target."""
+        work = link.work
+        now = self._clock.monotonic()
+        with self.lock:
+            if self.links.get(work.id) is not link:
+                return
+            if report.born_ms and work.entry.born_ms and report.born_ms != work.entry.born_ms:
+                self._forget(link, "another life answers under its id")
+                reborn = work.entry._replace(born_ms=report.born_ms)
+                self._add_target(reborn)
+                return
+            self.authority.proved_by_target(work.id, sent_at)
+            if self.succession is not None:
+                self.succession.reached(work.id, now)
+            if not work.answering and work.reached:
+                self._events.write(eventlog.TARGET_BACK, target=work.id, runs=len(work.runs))
+            ended = {(end.task, end.run) for end in report.ended}
+            for end in report.ended:
+                if end.number > link.processed:
+                    self._take_end(work, end, now)
+                    link.processed = end.number
+            for status in report.running:
+                self._take_status(work, status, now)
+            if len(report.ended) < ENDS_A_PAGE:
+                running = {(status.task, status.run) for status in report.running}
+                self._drop_missing(work, running | ended, sent_at)
+            work.reached = work.answering = True
+            if link.processed:
+                number = link.processed
+                self._writer.after(lambda: link.acknowledge(number))
+            self.suspicions.examine(work, now)
+        self.wake()
+
+    def _take_status(self, work: TargetWork, status: RunStatus, now: float) -> None:
+        run = work.runs.get((status.task, status.run))
+        if run is None:
+            run = self._adopt(work, status)
+            if run is None:
+                return
+        if run.state is RunState.STARTING:
+            run.state = RunState.RUNNING
+            run.settled_at = run.settled_at or now
+        if status.percent != run.percent or not run.progressed_at:
+            run.progressed_at = now
+        run.percent = status.percent
+        run.load = status.load
+        if status.checkpoint:
+            run.checkpoint = status.checkpoint
+
+    def _adopt(self, work: TargetWork, status: RunStatus) -> Run | None:
+        """Takes over a run that a former owner started, or stops it if it is not wanted."""
+        step = self._step_of(status.task)
+        if step is None:
+            return None
+        run = Run(status.task, step, status.run, work)
+        run.state = RunState.RUNNING
+        run.settled_at = self._clock.monotonic()
+        run.ordered_at = run.settled_at
+        index = status.task.index
+        step.last_run = max(step.last_run, status.run)
+        work.add(run)
+        self.use.add(run)
+        is_wanted = step.job.is_open and index in step.pending and index not in step.active
+        if is_wanted:
+            step.pending.discard(index)
+            step.active[index] = run
+        else:
+            self.stop_run(run, "not wanted")
+        self._events.write(
+            eventlog.RUN_ADOPTED,
+            task=status.task,
+            run=status.run,
+            target=work.id,
+            percent=status.percent,
+        )
+        return run
+
+    def _step_of(self, task: TaskId) -> StepWork | None:
+        job = self.jobs.get(task.job)
+        if job is None:
+            return None
+        step = job.steps.get((task.occurrence, task.step))
+        return step if step is not None and task.index < step.spec.count else None
+
+    def _take_end(self, work: TargetWork, end: RunEnd, now: float) -> None:
+        run = work.runs.get((end.task, end.run))
+        step = self._step_of(end.task)
+        self._metrics.ends.labels(end.kind.value).inc()
+        self._events.write(
+            eventlog.RUN_ENDED,
+            task=end.task,
+            run=end.run,
+            target=work.id,
+            kind=end.kind.value,
+            took_s=round(now - run.ordered_at, 3) if run else None,
+        )
+        if run is not None:
+            self.suspicions.note_end(work, run, end.kind, now)
+            self._release(run)
+        if step is None:
+            return
+        index = end.task.index
+        step.last_run = max(step.last_run, end.run)
+        if index in step.active or index in step.done:
+            return  # Another run of the task is the one that counts.
+        if end.checkpoint:
+            self._keep_checkpoint(step, index, end.checkpoint)
+        match end.kind:
+            case EndKind.DONE if not step.spec.long_running:
+                self._task_done(step, index)
+            case EndKind.FAILED | EndKind.DONE:
+                self._task_failed(step, index, end, work, now)
+            case _:
+                if step.spec.long_running:
+                    step.not_before = max(step.not_before, now)
+
+    def _keep_checkpoint(self, step: StepWork, index: int, checkpoint: str) -> None:
+        indices = range(step.spec.count) if step.spec.gang else (index,)
+        for each in indices:
+            step.checkpoints[each] = checkpoint
+
+    def _task_done(self, step: StepWork, index: int) -> None:
+        indices = range(step.spec.count) if step.spec.gang else (index,)
+        for each in indices:
+            step.done.add(each)
+            step.pending.discard(each)
+            step.checkpoints.pop(each, None)
+        if step.spec.gang:
+            # The members left end by themselves; they no longer stand for open tasks.
+            step.active.clear()
+        job = step.job
+        if job.is_done and job.is_open:
+            self._finish(job, JobState.COMPLETED)
+        self.record(job)
+
+    def _task_failed(
+        self, step: StepWork, index: int, end: RunEnd, work: TargetWork, now: float
+    ) -> None:
+        job = step.job
+        if step.spec.long_running:
+            step.not_before = now + LASTING_PAUSE_S
+            return
+        if step.spec.gang:
+            if end.run in step.gang_failed_runs:
+                return
+            step.gang_failed_runs.add(end.run)
+            index = 0
+        step.failures[index] = step.failures.get(index, 0) + 1
+        step.avoid.setdefault(index, set()).add(work.id)
+        if step.failures[index] >= max(1, job.queue.attempts) and job.is_open:
+            self._finish(job, JobState.FAILED)
+        self.record(job)
+
+    def _drop_missing(
+        self, work: TargetWork, listed: set[tuple[TaskId, int]], sent_at: float
+    ) -> None:
+        """Drops runs that were settled before the look and are neither at work nor ended."""
+        for run in list(work.runs.values()):
+            is_old = run.settled_at is not None and run.settled_at < sent_at
+            is_over = run.state is not RunState.RUNNING and run.until and run.until < sent_at
+            if run.key not in listed and (is_old or is_over):
+                self._events.write(
+                    eventlog.RUN_LOST,
+                    task=run.task,
+                    run=run.number,
+                    target=work.id,
+                    reason="not listed",
+                )
+                self._release(run)
+
+    def on_silent(self, link: TargetLink, error: TargetError) -> None:
+        """Notes a hold without an answer; after the lease all runs there are over."""
+        work = link.work
+        now = self._clock.monotonic()
+        with self.lock:
+            if self.links.get(work.id) is not link:
+                return
+            if work.answering:
+                work.answering = False
+                self._events.write(
+                    eventlog.TARGET_LOST,
+                    target=work.id,
+                    step=error.step,
+                    error=error,
+                    runs=len(work.runs),
+                )
+            if now > link.lease_end and self._may_drop(work):
+                if not work.listed:
+                    self._forget(link, "no entry, and its lease is over")
+                else:
+                    self._lose_runs(work, "its lease is over")
+        self.wake()
+
+    def _may_drop(self, work: TargetWork) -> bool:
+        """Whether no former owner's lease can still hold on a target."""
+        succession = self.succession
+        if succession is None or work.id not in succession.unreached:
+            return True
+        return succession.is_settled(self._clock.monotonic())
+
+    def on_replaced(self, link: TargetLink, reason: str) -> None:
+        with self.lock:
+            self._forget(link, reason)
+        self.wake()
+
+    def on_fenced(self, link: TargetLink, epoch: int) -> None:
+        self.lose(f"target {link.work.id} obeys another owner")
+
+    # -- orders -------------------------------------------------------------------------------
+
+    def start_run(self, step: StepWork, index: int, work: TargetWork, number: int) -> Run:
+        """Takes room for a run; the order is sent by :meth:`send_start`."""
+        run = Run(step.task(index), step, number, work)
+        run.ordered_at = self._clock.monotonic()
+        run.checkpoint = step.checkpoints.get(index, "")
+        step.pending.discard(index)
+        step.active[index] = run
+        step.last_run = max(step.last_run, number)
+        work.add(run)
+        self.use.add(run)
+        return run
+
+    def send_start(self, run: Run) -> None:
+        advice = run.step.advice
+        ticket = advice.tickets.get(run.target.id, "") if advice is not None else ""
+        link = self.links[run.target.id]
+        link.order_start(run, run.step.job.submission.spec.payload, ticket)
+
+    def stop_run(self, run: Run, reason: str) -> None:
+        """Stops a run; its room stays taken until its end is known."""
+        link = self.links.get(run.target.id)
+        if run.state is RunState.STOPPING or link is None or link.work is not run.target:
+            return
+        run.state = RunState.STOPPING
+        run.settled_at = None
+        self._events.write(
+            eventlog.RUN_STOPPED,
+            task=run.task,
+            run=run.number,
+            target=run.target.id,
+            reason=reason,
+        )
+        link.order_stop(run)
+
+    def on_start(self, run: Run, result: StartResult) -> None:
+        now = self._clock.monotonic()
+        job = run.step.job
+        self._metrics.order_s.observe(now - run.ordered_at)
+        with self.lock:
+            if run.key not in run.target.runs:
+                return
+            if not result.started:
+                self._metrics.starts.labels(result.reason or "refused").inc()
+                self._refused(run, result.reason)
+                return
+            self._metrics.starts.labels("started").inc()
+            run.settled_at = now
+            if run.state is RunState.STARTING:
+                run.state = RunState.RUNNING
+            if not job.begun:
+                job.begun = True
+                self._metrics.first_start_s.observe(now - job.seen_at)
+                self.record(job)
+            self._events.write(
+                eventlog.RUN_STARTED,
+                task=run.task,
+                run=run.number,
+                target=run.target.id,
+                epoch=self.authority.fence,
+                waited_s=round(run.ordered_at - job.seen_at, 3),
+            )
+
+    def _refused(self, run: Run, reason: str) -> None:
+        """A target refused a start: nothing runs there under this run number."""
+        self._events.write(
+            eventlog.RUN_REFUSED,
+            task=run.task,
+            run=run.number,
+            target=run.target.id,
+            reason=reason,
+        )
+        step, now = run.step, self._clock.monotonic()
+        self._release(run)
+        match reason:
+            case "ticket":
+                step.advice = None
+            case "old":
+                pass  # The next run has a higher number.
+            case "room":
+                run.target.suspect_until = max(run.target.suspect_until, now + ROOM_PAUSE_S)
+            case _:
+                step.avoid.setdefault(run.task.index, set()).add(run.target.id)
+                self.suspicions.note_refusal(run.target, reason, now)
+        self._break_gang(run, "a member was refused")
+        self.wake()
+
+    def on_start_failed(self, run: Run, error: TargetError, may_run: bool) -> None:
+        with self.lock:
+            if run.key not in run.target.runs:
+                return
+            self._metrics.starts.labels("uncertain" if may_run else "not_run").inc()
+            self._events.write(
+                eventlog.RUN_UNCERTAIN if may_run else eventlog.RUN_REFUSED,
+                task=run.task,
+                run=run.number,
+                target=run.target.id,
+                error=error,
+            )
+            if may_run:
+                if run.state is RunState.STARTING:
+                    # Its effect is unknown; an answered stop makes sure that it never runs.
+                    self.stop_run(run, "start was not answered")
+            else:
+                self._release(run)
+                run.step.avoid.setdefault(run.task.index, set()).add(run.target.id)
+            self._break_gang(run, "a member was not started")
+        self.wake()
+
+    def on_stop(self, run: Run) -> None:
+        """A stop was answered: the next look tells whether the run's end is listed."""
+        with self.lock:
+            run.settled_at = self._clock.monotonic()
+
+    def _break_gang(self, run: Run, reason: str) -> None:
+        if run.step.spec.gang:
+            for other in list(run.step.active.values()):
+                if other is not run and other.number == run.number:
+                    self.stop_run(other, reason)
+
+    def _release(self, run: Run) -> None:
+        """Frees a run's room: it has ended, or never began and never will."""
+        if run.key not in run.target.runs:
+            return
+        run.target.remove(run)
+        self.use.add(run, -1)
+        step, index = run.step, run.task.index
+        if step.active.get(index) is run:
+            del step.active[index]
+            if index not in step.done:
+                step.pending.add(index)
+                if run.checkpoint:
+                    self._keep_checkpoint(step, index, run.checkpoint)
+
+    # -- clean-up -----------------------------------------------------------------------------
+
+    def expire(self, kept_s: float) -> list[str]:
+        """Drops jobs that ended longer than ``kept_s`` ago and returns their names."""
+        now = self._clock.monotonic()
+        with self.lock:
+            old = [
+                job.id
+                for job in self.jobs.values()
+                if job.finished_at is not None
+                and now - job.finished_at > kept_s
+                and not any(step.active for step in job.steps.values())
+            ]
+            for name in old:
+                del self.jobs[name]
+                self._writer.put(r.JOB + name, lambda: None)
+        return old
+
+
+ROOM_PAUSE_S = 0.5
+"""How long a target that reported no room gets nothing new: until its next reports are in."""
+
+
+def _same_life(known: TargetEntry, reported: TargetEntry) -> bool:
+    same_address = known.address == reported.address
+    same_birth = known.born_ms == reported.born_ms or not (known.born_ms and reported.born_ms)
+    return same_address and same_birth
--- /dev/null
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/work.py
@@ -0,0 +1,233 @@
+"""What an owner knows of jobs, runs and targets. Guarded by the lock of the owner's term."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NamedTuple
+
+from azurecleat_base import ZERO, Resources
+
+from azurecleat_cluster._internal.replica.records import Progress, Submission, TaskProgress
+from azurecleat_cluster._internal.values import Queue, Step, TargetEntry, TaskId
+
+
+class RunState(Enum):
+    STARTING = "starting"
+    """The order may be on its way; nothing is known of its effect."""
+    RUNNING = "running"
+    STOPPING = "stopping"
+    """The run is no longer wanted; its room is taken until its end is known."""
+
+
+class Run:
+    """One run of a task on one target."""
+
+    __slots__ = (
+        "task",
+        "step",
+        "number",
+        "target",
+        "room",
+        "state",
+        "ordered_at",
+        "settled_at",
+        "percent",
+        "load",
+        "pace",
+        "until",
+        "checkpoint",
+        "progressed_at",
+    )
+
+    def __init__(self, task: TaskId, step: StepWork, number: int, target: TargetWork) -> None:
+        self.task = task
+        self.step = step
+        self.number = number
+        self.target = target
+        self.room: Resources = step.spec.room
+        self.state = RunState.STARTING
+        self.ordered_at = 0.0
+        self.settled_at: float | None = None
+        """When a target's answer settled that the run is there, or never will be."""
+        self.percent = 0.0
+        self.load = 0.0
+        self.pace = 100
+        self.until = 0.0
+        """Own clock: the run cannot begin, or go on without a later renewal, after this."""
+        self.checkpoint = ""
+        self.progressed_at = 0.0
+
+    @property
+    def key(self) -> tuple[TaskId, int]:
+        return self.task, self.number
+
+
+class Advice(NamedTuple):
+    """Tickets by target, and the own time until which they are used."""
+
+    tickets: dict[str, str]
+    valid_until: float
+
+
+class StepWork:
+    """One step of one occurrence of a job."""
+
+    def __init__(self, job: JobWork, occurrence: int, index: int) -> None:
+        self.job = job
+        self.occurrence = occurrence
+        self.index = index
+        self.spec: Step = job.submission.spec.steps[index]
+        self.pending: set[int] = set(range(self.spec.count))
+        self.active: dict[int, Run] = {}
+        self.done: set[int] = set()
+        self.failures: dict[int, int] = {}
+        self.checkpoints: dict[int, str] = {}
+        self.last_run = 0
+        self.avoid: dict[int, set[str]] = {}
+        self.gang_failed_runs: set[int] = set()
+        self.advice: Advice | None = None
+        self.asking = False
+        self.ready_at: float | None = None
+        self.not_before = 0.0
+        """Own time before which no task is started again after quick failures."""
+
+    @property
+    def name(self) -> str:
+        return f"{self.job.id}.{self.occurrence}.{self.index}"
+
+    @property
+    def is_done(self) -> bool:
+        return len(self.done) == self.spec.count
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether all steps that this one depends on are done."""
+        steps = self.job.steps
+        return all(steps[self.occurrence, index].is_done for index in self.spec.depends_on)
+
+    def task(self, index: int) -> TaskId:
+        return TaskId(self.job.id, self.occurrence, self.index, index)
+
+    def restore(self, progress: TaskProgress) -> None:
+        """Takes over what the log says of this step."""
+        self.done = set(progress.done)
+        self.pending -= self.done
+        self.failures = dict(progress.failures)
+        self.checkpoints = dict(progress.checkpoints)
+        self.last_run = progress.last_run
+
+    def progress(self) -> TaskProgress:
+        return TaskProgress(
+            tuple(self.done), dict(self.failures), dict(self.checkpoints), self.last_run
+        )
+
+
+class JobWork:
+    """One accepted job."""
+
+    def __init__(self, submission: Submission, seen_at: float, before_claim: bool) -> None:
+        self.id = submission.job
+        self.submission = submission
+        self.seen_at = seen_at
+        self.before_claim = before_claim
+        """Whether a former owner may have started tasks of it."""
+        self.steps: dict[tuple[int, int], StepWork] = {}
+        self.cancelled = False
+        self.outcome = ""
+        self.begun = False
+        self.over_share = False
+        self.finished_at: float | None = None
+
+    @property
+    def queue(self) -> Queue:
+        return self.submission.queue
+
+    @property
+    def team(self) -> str:
+        return self.submission.team
+
+    @property
+    def is_open(self) -> bool:
+        """Whether tasks of it may still be started."""
+        return not self.cancelled and not self.outcome
+
+    def open_occurrence(self, occurrence: int) -> None:
+        """Creates the steps of an occurrence that is due."""
+        for index in range(len(self.submission.spec.steps)):
+            self.steps[occurrence, index] = StepWork(self, occurrence, index)
+
+    @property
+    def occurrences_open(self) -> int:
+        return len(self.steps) // max(1, len(self.submission.spec.steps))
+
+    @property
+    def is_done(self) -> bool:
+        spec = self.submission.spec
+        return self.occurrences_open == spec.occurrences and all(
+            step.is_done for step in self.steps.values()
+        )
+
+    def restore(self, progress: Progress) -> None:
+        """Takes over what the log says of this job."""
+        self.begun = progress.begun
+        self.outcome = progress.outcome
+        for (occurrence, index), task in progress.steps.items():
+            if (occurrence, index) not in self.steps:
+                self.open_occurrence(occurrence)
+            self.steps[occurrence, index].restore(task)
+
+    def progress(self) -> Progress:
+        steps = {
+            key: step.progress()
+            for key, step in self.steps.items()
+            if step.done or step.failures or step.checkpoints or step.last_run
+        }
+        return Progress(self.begun, self.outcome, steps)
+
+
+class TargetWork:
+    """One life of a target and what it has to do."""
+
+    def __init__(self, entry: TargetEntry) -> None:
+        self.entry = entry
+        self.runs: dict[tuple[TaskId, int], Run] = {}
+        self.used = ZERO
+        self.reached = False
+        """Whether it has answered a hold under the present fence."""
+        self.answering = False
+        self.listed = True
+        self.unlisted_at = 0.0
+        self.suspect_until = 0.0
+        self.outcomes: list[tuple[float, str, bool]] = []
+        """Recent ends: own time, job, whether it was done."""
+        self.started_unreported = 0
+
+    @property
+    def id(self) -> str:
+        return self.entry.id
+
+    @property
+    def free(self) -> Resources:
+        return self.entry.capacity.plus(self.used, -1)
+
+    def add(self, run: Run) -> None:
+        self.runs[run.key] = run
+        self.used = self.used.plus(run.room)
+
+    def remove(self, run: Run) -> None:
+        if self.runs.pop(run.key, None) is not None:
+            self.used = self.used.plus(run.room, -1)
+
+
+class TeamUse:
+    """What teams have running; counted from the order to the known end."""
+
+    def __init__(self) -> None:
+        self._used: dict[str, Resources] = {}
+
+    def of(self, team: str) -> Resources:
+        return self._used.get(team, ZERO)
+
+    def add(self, run: Run, times: int = 1) -> None:
+        team = run.step.job.team
+        self._used[team] = self.of(team).plus(run.step.spec.need, times)
--- /dev/null
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/appender.py
@@ -0,0 +1,89 @@
+"""Group commit: records that wait at the same time go to the log in one call."""
+
+from __future__ import annotations
+
+import threading
+from concurrent.futures import Future
+from typing import NamedTuple
+
+from azurecleat_base.exceptions import LogError
+
+from azurecleat_cluster._internal.ports import Log
+
+WRITERS = 2
+"""Calls in progress at one time: a call on a silent connection does not hold up the next."""
+
+MAX_BATCH = 64
+"""Records in one call."""
+
+
+class _Entry(NamedTuple):
+    key: str
+    value: bytes | None
+    timeout_s: float
+    done: Future[int]
+
+
+class GroupAppender:
+    """Appends single records to one stream from many threads."""
+
+    def __init__(self, log: Log, stream: str) -> None:
+        self._log = log
+        self._stream = stream
+        self._queue: list[_Entry] = []
+        self._changed = threading.Condition()
+        self._stopping = False
+        self._threads = [
+            threading.Thread(target=self._run, name=f"append-{stream}-{n}", daemon=True)
+            for n in range(WRITERS)
+        ]
+
+    def start(self) -> None:
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Appends what is queued and ends."""
+        with self._changed:
+            self._stopping = True
+            self._changed.notify_all()
+        for thread in self._threads:
+            if thread.is_alive():
+                thread.join()
+
+    def append(self, key: str, value: bytes | None, timeout_s: float) -> int:
+        """Appends one record and returns when it is in the log.
+
+        :raises LogUnavailableError: It was not appended.
+        :raises AppendUnknownError: It may be in the log, or may come to be there.
+        """
+        entry = _Entry(key, value, timeout_s, Future())
+        with self._changed:
+            self._queue.append(entry)
+            self._changed.notify()
+        return entry.done.result()
+
+    def _run(self) -> None:
+        while True:
+            with self._changed:
+                while not self._queue and not self._stopping:
+                    self._changed.wait()
+                if not self._queue:
+                    return
+                batch, self._queue = self._queue[:MAX_BATCH], self._queue[MAX_BATCH:]
+            self._commit(batch)
+
+    def _commit(self, batch: list[_Entry]) -> None:
+        records = [(entry.key, entry.value) for entry in batch]
+        timeout_s = max(entry.timeout_s for entry in batch)
+        try:
+            offset = self._log.append(self._stream, records, timeout_s)
+            for index, entry in enumerate(batch):
+                entry.done.set_result(offset + index)
+        except LogError as error:
+            for entry in batch:
+                entry.done.set_exception(error)
+        except Exception as error:  # A waiting caller must hear of a bug in the adapter.
+            for entry in batch:
+                entry.done.set_exception(LogError(f"append failed: {error!r}"))
+            raise
--- /dev/null
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
@@ -0,0 +1,117 @@
+"""Follows one keyed stream of the log and applies its records in order."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Sequence
+
+from azurecleat_base import Clock
+from azurecleat_base.exceptions import LogError, OffsetForgottenError
+
+from azurecleat_cluster._internal.ports import Log, LogRecord
+
+NEVER = float("-inf")
+
+Apply = Callable[[LogRecord], None]
+
+
+class Follower:
+    """Keeps a local view of a stream up to date.
+
+    :param apply: Receives each record, in order of its offset; a record may come twice.
+    """
+
+    def __init__(self, log: Log, stream: str, apply: Apply, clock: Clock) -> None:
+        self._log = log
+        self._stream = stream
+        self._apply = apply
+        self._clock = clock
+        self._lock = threading.RLock()
+        self._next: int | None = None
+        self._keys: set[str] = set()
+        self._fresh_at = NEVER
+        self._applied = 0
+
+    @property
+    def fresh_at(self) -> float:
+        """Time when the read was sent that last reached the end of the stream."""
+        return self._fresh_at
+
+    @property
+    def applied(self) -> int:
+        """Number of records applied so far."""
+        return self._applied
+
+    @property
+    def next_offset(self) -> int:
+        return self._next or 0
+
+    def age(self) -> float:
+        """Seconds by which the view may be out of date."""
+        return self._clock.monotonic() - self._fresh_at
+
+    def poll(self, wait_s: float = 0.0) -> bool:
+        """Reads once, waiting for a record if there is none; tells whether any was applied.
+
+        :raises LogError: The log gave no answer.
+        """
+        sent_at = self._clock.monotonic()
+        start = self._next
+        if start is None:
+            return self._load(sent_at)
+        try:
+            page = self._log.read(self._stream, start, wait_s)
+        except OffsetForgottenError:
+            return self._load(sent_at)
+        with self._lock:
+            # Another thread may have applied some of these records meanwhile.
+            fresh = [record for record in page.records if record.offset >= self._next]
+            self._take(fresh)
+            self._next = max(self._next, page.following)
+            if page.following >= page.end:
+                self._fresh_at = max(self._fresh_at, sent_at)
+        return bool(fresh)
+
+    def catch_up(self) -> None:
+        """Reads until the end of the stream as of this call.
+
+        :raises LogError: The log gave no answer.
+        """
+        called_at = self._clock.monotonic()
+        while self._fresh_at < called_at:
+            self.poll()
+
+    def run(self, stopping: threading.Event, wait_s: float, on_error: Callable) -> None:
+        """Polls until stopped; errors are reported and followed by a short pause."""
+        while not stopping.is_set():
+            try:
+                self.poll(wait_s)
+            except LogError as error:
+                on_error(self._stream, error)
+                stopping.wait(RETRY_PAUSE_S)
+
+    def _load(self, sent_at: float) -> bool:
+        """Replaces the view by the newest record of each key."""
+        page = self._log.newest(self._stream)
+        with self._lock:
+            if self._next is not None and page.following < self._next:
+                return False
+            dropped = self._keys - {record.key for record in page.records}
+            self._take([LogRecord(key, None, page.following) for key in dropped])
+            self._take(sorted(page.records, key=lambda record: record.offset))
+            self._next = page.following
+            self._fresh_at = max(self._fresh_at, sent_at)
+        return bool(page.records)
+
+    def _take(self, records: Sequence[LogRecord]) -> None:
+        for record in records:
+            if record.value is None:
+                self._keys.discard(record.key)
+            else:
+                self._keys.add(record.key)
+            self._apply(record)
+        self._applied += len(records)
+
+
+RETRY_PAUSE_S = 0.1
+"""Pause after a failed read: short beside the bound on stale configuration."""
--- /dev/null
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/jobs.py
@@ -0,0 +1,159 @@
+"""Replica of the jobs stream: accepted and cancelled jobs, the owner, the instances."""
+
+from __future__ import annotations
+
+import json
+import threading
+from collections.abc import Callable, Iterable
+
+from azurecleat_cluster._internal.ports import LogRecord
+from azurecleat_cluster._internal.replica import records as r
+from azurecleat_cluster._internal.values import JobState
+
+NO_CLAIM = r.Claim(0, "", "", released=True)
+
+
+class JobReplica:
+    """What the log says of jobs, kept as encoded: most instances never need the details.
+
+    ``apply_job`` takes records of the jobs stream, ``apply_progress`` those of the owner's.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.RLock()
+        self._submissions: dict[str, bytes] = {}
+        self._queues: dict[str, str] = {}
+        self._cancelled: set[str] = set()
+        self._progress: dict[str, bytes] = {}
+        self._summaries: dict[str, tuple[bool, str]] = {}
+        self._targets: dict[str, str] = {}
+        self._claim = NO_CLAIM
+        self._instances: dict[str, str] = {}
+        self._listeners: list[Callable[[LogRecord], None]] = []
+
+    @property
+    def claim(self) -> r.Claim:
+        """The claim in force: of each epoch, the first in the order of the log."""
+        return self._claim
+
+    @property
+    def instances(self) -> dict[str, str]:
+        """Peer address by instance."""
+        with self._lock:
+            return dict(self._instances)
+
+    @property
+    def targets_in_use(self) -> dict[str, str]:
+        """Address of each target that an owner may have given work to."""
+        with self._lock:
+            return dict(self._targets)
+
+    def subscribe(self, listener: Callable[[LogRecord], None]) -> None:
+        """Calls the listener with each later record of the jobs stream, once it is applied."""
+        with self._lock:
+            self._listeners.append(listener)
+
+    def unsubscribe(self, listener: Callable[[LogRecord], None]) -> None:
+        with self._lock:
+            self._listeners.remove(listener)
+
+    def knows(self, job: str) -> bool:
+        return job in self._submissions
+
+    def is_cancelled(self, job: str) -> bool:
+        return job in self._cancelled
+
+    def job_ids(self) -> list[str]:
+        with self._lock:
+            return list(self._submissions)
+
+    def submission(self, job: str) -> r.Submission:
+        """Returns a submission.
+
+        :raises KeyError: The job is not known.
+        :raises ValueError: Its record cannot be read.
+        """
+        return r.decode_submission(job, self._submissions[job])
+
+    def progress(self, job: str) -> r.Progress | None:
+        value = self._progress.get(job)
+        return None if value is None else r.decode_progress(value)
+
+    def state(self, job: str) -> JobState | None:
+        """Returns a job's state, None if it is not known."""
+        with self._lock:
+            if job not in self._submissions:
+                return None
+            begun, outcome = self._summaries.get(job, (False, ""))
+        if outcome:
+            return JobState(outcome)
+        if job in self._cancelled:
+            return JobState.CANCELLED
+        return JobState.RUNNING if begun else JobState.QUEUED
+
+    def pending(self, queue: str) -> int:
+        """Returns how many jobs of a queue have not begun."""
+        with self._lock:
+            jobs = [job for job, name in self._queues.items() if name == queue]
+        return sum(self.state(job) is JobState.QUEUED for job in jobs)
+
+    def apply_job(self, record: LogRecord) -> None:
+        """Applies a record of the jobs stream; one that cannot be read is left out."""
+        key, value = record.key, record.value
+        kind, _, name = key.partition("/")
+        with self._lock:
+            match kind + "/":
+                case r.SUBMISSION:
+                    self._apply_submission(name, value)
+                case r.CANCELLATION:
+                    self._apply_cancellation(name, value)
+                case r.INSTANCE:
+                    _set(self._instances, name, value)
+                case r.CLAIM if value is not None:
+                    self._apply_claim(r.decode_claim(value))
+                case r.RELEASE if value is not None and int(name) == self._claim.epoch:
+                    self._claim = self._claim._replace(released=True)
+            listeners: Iterable[Callable] = tuple(self._listeners)
+        for listener in listeners:
+            listener(record)
+
+    def apply_progress(self, record: LogRecord) -> None:
+        """Applies a record of the owner's stream."""
+        kind, _, name = record.key.partition("/")
+        with self._lock:
+            match kind + "/":
+                case r.JOB if record.value is None:
+                    self._progress.pop(name, None)
+                    self._summaries.pop(name, None)
+                case r.JOB:
+                    self._progress[name] = record.value
+                    self._summaries[name] = r.outcome_of(record.value)
+                case r.TARGET:
+                    _set(self._targets, name, record.value)
+
+    def _apply_submission(self, job: str, value: bytes | None) -> None:
+        if value is None:
+            self._submissions.pop(job, None)
+            self._queues.pop(job, None)
+        elif job not in self._submissions:
+            # The first submission wins: a repeat after a lost answer is the same job.
+            self._submissions[job] = value
+            self._queues[job] = json.loads(value)["queue"]["name"]
+
+    def _apply_cancellation(self, job: str, value: bytes | None) -> None:
+        if value is None:
+            self._cancelled.discard(job)
+        else:
+            self._cancelled.add(job)
+
+    def _apply_claim(self, claim: r.Claim) -> None:
+        """Takes the first claim of a higher epoch; later ones of the same epoch lost."""
+        if claim.epoch > self._claim.epoch:
+            self._claim = claim
+
+
+def _set(entries: dict[str, str], name: str, value: bytes | None) -> None:
+    if value is None:
+        entries.pop(name, None)
+    else:
+        entries[name] = value.decode()
--- /dev/null
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
@@ -0,0 +1,195 @@
+"""Encoding of the records that instances write.
+
+Keys begin with a letter for their kind, then ``/`` and an id. The values are JSON.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any, NamedTuple
+
+from azurecleat_base import Resources
+
+from azurecleat_cluster._internal.values import AdviceTerms, JobSpec, Queue, Step
+
+SUBMISSION = "s/"
+CANCELLATION = "c/"
+INSTANCE = "i/"
+CLAIM = "o/"
+"""Claims are kept under epoch and instance, so that a later claim of an epoch hides no other."""
+
+RELEASE = "x/"
+JOB = "j/"
+TARGET = "t/"
+HEARTBEAT = "heartbeat"
+
+
+class Submission(NamedTuple):
+    """An accepted job with what its queue said at that time."""
+
+    job: str
+    team: str
+    queue: Queue
+    spec: JobSpec
+
+
+class Claim(NamedTuple):
+    """A claim of ownership; ``released`` tells that the owner gave it up.
+
+    ``instance`` names one life of an instance's process.
+    """
+
+    epoch: int
+    instance: str
+    address: str
+    released: bool = False
+
+
+class TaskProgress(NamedTuple):
+    """What must outlive the owner of one step: tasks done, failures, checkpoints."""
+
+    done: tuple[int, ...]
+    failures: dict[int, int]
+    checkpoints: dict[int, str]
+    last_run: int = 0
+
+
+class Progress(NamedTuple):
+    """Progress of a job; ``steps`` is by occurrence and step."""
+
+    begun: bool
+    outcome: str
+    steps: dict[tuple[int, int], TaskProgress]
+
+
+NO_RESOURCES = Resources(0, 0, 0)
+
+
+def load(value: str | bytes) -> Any:
+    """Parses a JSON value.
+
+    :raises ValueError: It is not JSON.
+    """
+    return json.loads(value)
+
+
+def dump(value: Any) -> bytes:
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+def encode_submission(submission: Submission) -> bytes:
+    """Encodes a submission; fields that have their default are left out."""
+    queue = _compact(submission.queue, Queue._field_defaults)
+    return dump(
+        {
+            "team": submission.team,
+            "queue": queue,
+            "payload": submission.spec.payload,
+            "steps": [_compact(step, Step._field_defaults) for step in submission.spec.steps],
+            "times": submission.spec[2:],
+        }
+    )
+
+
+def decode_submission(job: str, value: bytes) -> Submission:
+    """Decodes a submission.
+
+    :raises ValueError: The bytes hold no submission.
+    """
+    try:
+        data = json.loads(value)
+        queue = data["queue"]
+        if queue.get("advice"):
+            queue["advice"] = AdviceTerms(*queue["advice"])
+        steps = tuple(_step(step) for step in data["steps"])
+        spec = JobSpec(data["payload"], steps, *data["times"])
+        return Submission(job, data["team"], Queue(**queue), spec)
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"submission of {job}: {error!r}") from error
+
+
+def claim_key(claim: Claim) -> str:
+    return f"{CLAIM}{claim.epoch}/{claim.instance}"
+
+
+def encode_claim(claim: Claim) -> bytes:
+    return dump(claim._asdict())
+
+
+def decode_claim(value: bytes) -> Claim:
+    """Decodes a claim.
+
+    :raises ValueError: The bytes hold no claim.
+    """
+    try:
+        return Claim(**json.loads(value))
+    except TypeError as error:
+        raise ValueError(f"claim: {error}") from error
+
+
+def encode_progress(progress: Progress) -> bytes:
+    steps = {
+        f"{occurrence}.{step}": [
+            _to_ranges(task.done),
+            task.failures,
+            task.checkpoints,
+            task.last_run,
+        ]
+        for (occurrence, step), task in progress.steps.items()
+    }
+    return dump({"begun": progress.begun, "outcome": progress.outcome, "steps": steps})
+
+
+def decode_progress(value: bytes) -> Progress:
+    """Decodes a job's progress.
+
+    :raises ValueError: The bytes hold no progress.
+    """
+    try:
+        data = json.loads(value)
+        steps = {}
+        for name, (done, failures, checkpoints, last_run) in data["steps"].items():
+            occurrence, step = name.split(".")
+            steps[int(occurrence), int(step)] = TaskProgress(
+                _from_ranges(done),
+                {int(index): count for index, count in failures.items()},
+                {int(index): text for index, text in checkpoints.items()},
+                last_run,
+            )
+        return Progress(data["begun"], data["outcome"], steps)
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"progress: {error!r}") from error
+
+
+def outcome_of(value: bytes) -> tuple[bool, str]:
+    """Returns whether a job has begun and its outcome, empty while it has none."""
+    data = json.loads(value)
+    return data["begun"], data["outcome"]
+
+
+def _compact(value: NamedTuple, defaults: dict[str, Any]) -> dict[str, Any]:
+    fields = value._asdict()
+    return {name: item for name, item in fields.items() if item != defaults.get(name, _MISSING)}
+
+
+_MISSING = object()
+
+
+def _step(fields: dict[str, Any]) -> Step:
+    fields["need"] = Resources(*fields["need"])
+    fields["depends_on"] = tuple(fields.get("depends_on", ()))
+    return Step(**fields)
+
+
+def _to_ranges(indices: tuple[int, ...]) -> list[list[int]]:
+    ranges: list[list[int]] = []
+    for index in sorted(indices):
+        if ranges and ranges[-1][1] == index - 1:
+            ranges[-1][1] = index
+        else:
+            ranges.append([index, index])
+    return ranges
+
+
+def _from_ranges(ranges: list[list[int]]) -> tuple[int, ...]:
+    return tuple(index for first, last in ranges for index in range(first, last + 1))
--- /dev/null
+++ b/libs/cluster/src/azurecleat_cluster/values.py
@@ -0,0 +1,3 @@
+"""Value types of the cluster."""
+
+from azurecleat_cluster._internal.values import *  # noqa: F403
--- a/libs/model/src/azurecleat_model/__init__.py
+++ b/libs/model/src/azurecleat_model/__init__.py
@@ -1,6 +1,19 @@
 """Values, errors, documents and clocks shared by all azurecleat libraries."""
 
-from azurecleat_model._internal.clock import Clock, ManualClock, SystemClock
+from azurecleat_base import (
+    NO_QUOTA,
+    REQUEST_QUOTA,
+    TRAFFIC,
+    UNLIMITED,
+    ZERO,
+    Clock,
+    ManualClock,
+    Quota,
+    Resources,
+    SystemClock,
+    task_quota,
+)
+
 from azurecleat_model._internal.documents import (
     Environment,
     KeyHash,
@@ -15,16 +28,6 @@
     validate,
 )
 from azurecleat_model._internal.plain import to_plain
-from azurecleat_model._internal.resources import (
-    NO_QUOTA,
-    REQUEST_QUOTA,
-    UNLIMITED,
-    ZERO,
-    Quota,
-    Resources,
-    task_quota,
-)
-from azurecleat_model._internal.traffic import TRAFFIC
 from azurecleat_model._internal.work import (
     Job,
     JobKind,
--- a/libs/model/src/azurecleat_model/_internal/documents.py
+++ b/libs/model/src/azurecleat_model/_internal/documents.py
@@ -12,10 +12,10 @@
 from typing import Annotated, Any, NamedTuple, TypeVar
 
 import jsonc
+from azurecleat_base import Quota
+from azurecleat_base.exceptions import DocumentError
 from pydantic import Field, TypeAdapter, ValidationError
 
-from azurecleat_model._internal.exceptions import DocumentError
-from azurecleat_model._internal.resources import Quota
 from azurecleat_model._internal.work import Name
 
 T = TypeVar("T")
--- a/libs/model/src/azurecleat_model/_internal/work.py
+++ b/libs/model/src/azurecleat_model/_internal/work.py
@@ -5,10 +5,9 @@
 from enum import Enum
 from typing import Annotated, NamedTuple
 
+from azurecleat_base import Resources, task_quota
 from pydantic import Field
 
-from azurecleat_model._internal.resources import Resources, task_quota
-
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 """Names of teams, jobs, workers and instances: short, lower case, safe in URLs and logs."""
 
--- a/libs/model/src/azurecleat_model/exceptions.py
+++ b/libs/model/src/azurecleat_model/exceptions.py
@@ -1,6 +1,6 @@
 """The exception tree of azurecleat."""
 
-from azurecleat_model._internal.exceptions import (
+from azurecleat_base.exceptions import (
     AppendUnknownError,
     AzurecleatError,
     DocumentError,
--- a/libs/platform/src/azurecleat_platform/__init__.py
+++ b/libs/platform/src/azurecleat_platform/__init__.py
@@ -1,11 +1,12 @@
 """Adapters of the systems around azurecleat: log, instance list, runners and workers."""
 
-from azurecleat_platform._internal.http_exchange import (
+from azurecleat_base import (
     AnswerLostError,
     HttpAnswer,
     HttpExchange,
     NotSentError,
 )
+
 from azurecleat_platform._internal.http_log import HttpLog
 from azurecleat_platform._internal.http_targets import (
     HttpInstanceList,
--- a/libs/platform/src/azurecleat_platform/_internal/http_log.py
+++ b/libs/platform/src/azurecleat_platform/_internal/http_log.py
@@ -5,6 +5,12 @@
 import base64
 import json
 
+from azurecleat_base import (
+    AnswerLostError,
+    HttpAnswer,
+    HttpExchange,
+    NotSentError,
+)
 from azurecleat_coordination import ReadResult
 from azurecleat_model.exceptions import (
     AppendUnknownError,
@@ -12,13 +18,6 @@
     OffsetForgottenError,
 )
 
-from azurecleat_platform._internal.http_exchange import (
-    AnswerLostError,
-    HttpAnswer,
-    HttpExchange,
-    NotSentError,
-)
-
 STATUS_OK = 200
 STATUS_GONE = 410
 STATUS_UNAVAILABLE = 503
--- a/libs/platform/src/azurecleat_platform/_internal/http_targets.py
+++ b/libs/platform/src/azurecleat_platform/_internal/http_targets.py
@@ -5,6 +5,12 @@
 import json
 from typing import Any
 
+from azurecleat_base import (
+    AnswerLostError,
+    HttpAnswer,
+    HttpExchange,
+    NotSentError,
+)
 from azurecleat_model import Resources, to_plain
 from azurecleat_model.exceptions import (
     FencedError,
@@ -13,12 +19,6 @@
     OutcomeUnknownError,
 )
 
-from azurecleat_platform._internal.http_exchange import (
-    AnswerLostError,
-    HttpAnswer,
-    HttpExchange,
-    NotSentError,
-)
 from azurecleat_platform._internal.types import (
     ControlReply,
     ControlRequest,
