The owner's replica takes its own progress in once it is in the log

Cause: states asked from the owner came from a replica that nobody fed while it owned, so that a completed job was shown only by a standby's next read, up to 0.6 s later. Ruled out: placement and advice (starts within 48 ms at p50, tasks back to back in the logs).

--- a/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
@@ -95,11 +95,16 @@
             "event": event.number,
             "name": event.name,
             "instance": self._instance,
-            **fields,
+            **{name: _plain(value) for name, value in fields.items()},
         }
         return json.dumps(line, separators=(",", ":"), default=str) + "\n"
 
 
+def _plain(value: Any) -> Any:
+    """Returns a value as JSON shows it best: ids as text, not as lists of their parts."""
+    return str(value) if isinstance(value, tuple) else value
+
+
 FLUSH_S = 0.25
 """Longest time that a line stays queued."""
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/progress.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/progress.py
@@ -9,7 +9,7 @@
 from azurecleat_base.exceptions import FencedError, LogError
 
 from azurecleat_cluster._internal.metrics import Metrics
-from azurecleat_cluster._internal.ports import PROGRESS, Log, Writer
+from azurecleat_cluster._internal.ports import PROGRESS, Log, LogRecord, Writer
 from azurecleat_cluster._internal.replica import records as r
 
 WRITER = "owner"
@@ -30,6 +30,7 @@
 class ProgressWriter:
     """Appends records of one term in order.
 
+    :param on_recorded: Receives each record once it is in the log.
     :param on_proof: Called with the time at which an append was sent that took effect.
     :param on_fenced: Called once a writer with a higher epoch was seen.
     """
@@ -40,6 +41,7 @@
         epoch: int,
         clock: Clock,
         metrics: Metrics,
+        on_recorded: Callable[[LogRecord], None],
         on_proof: Callable[[float], None],
         on_fenced: Callable[[str], None],
     ) -> None:
@@ -48,6 +50,7 @@
         self._sequence = 0
         self._clock = clock
         self._metrics = metrics
+        self._on_recorded = on_recorded
         self._on_proof = on_proof
         self._on_fenced = on_fenced
         self._changed = threading.Condition()
@@ -122,7 +125,7 @@
             sent_at = self._clock.monotonic()
             try:
                 # A repeat with the same sequence number is recognised by the log.
-                self._log.append(PROGRESS, batch, APPEND_TIMEOUT_S, writer)
+                offset = self._log.append(PROGRESS, batch, APPEND_TIMEOUT_S, writer)
             except FencedError as error:
                 self._on_fenced(str(error))
                 return False
@@ -136,6 +139,8 @@
             else:
                 self._metrics.record_s.observe(self._clock.monotonic() - sent_at)
                 self._on_proof(sent_at)
+                for index, (key, value) in enumerate(batch):
+                    self._on_recorded(LogRecord(key, value, offset + index))
                 return True
 
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
@@ -209,6 +209,7 @@
             epoch,
             self._clock,
             self._metrics,
+            self._replica.apply_progress,
             authority.proved_by_log,
             lambda reason: term.lose(reason),
         )
