One instance gathers appends; claims in turn, the last started first; quick hand-over

Ruled out: reading (standbys read on time); a stream of its own for claims (a former owner could then start a job it read after the claim). Change: fronts let the owner, or the first instance that answers, append for all; patience follows the log's latency; standbys claim in turn; a stopping owner waits for orders only; a draining instance goes on following the log; an owner silent in the log for 1.3 s is asked itself.

--- a/libs/cluster/src/azurecleat_cluster/_internal/application.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/application.py
@@ -16,7 +16,7 @@
 from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.owner.service import OwnerPorts, OwnerService, OwnerSettings
 from azurecleat_cluster._internal.owner.term import Connect
-from azurecleat_cluster._internal.peers import OwnerPeer, Peer, PeerAdviser, PeerApplication
+from azurecleat_cluster._internal.peers import Peer, PeerAdviser, PeerApplication, PeerDirectory
 from azurecleat_cluster._internal.ports import (
     CONFIGURATION,
     JOBS,
@@ -68,6 +68,7 @@
         self._ports = ports
         self._clock = clock
         self._events = events
+        self._draining = False
         self._stopping = threading.Event()
         self.name = f"{settings.node}#{secrets.token_hex(3)}"
         self.metrics = Metrics()
@@ -77,6 +78,7 @@
         self._jobs_follower = Follower(ports.log, JOBS, self.replica.apply_job, clock)
         self._progress_follower = Follower(ports.log, PROGRESS, self.replica.apply_progress, clock)
         self._appender = GroupAppender(ports.log, JOBS)
+        peers = PeerDirectory(self.name, settings.peer_address, self.replica, clock)
         self.owner = OwnerService(
             self.name,
             settings.peer_address,
@@ -89,6 +91,7 @@
             clock,
             events,
             self.metrics,
+            peers.is_owner_acting,
             self._tell_vacancy,
         )
         self.desk = FrontDesk(
@@ -97,19 +100,22 @@
             self.replica,
             self._jobs_follower,
             self._appender,
-            OwnerPeer(self.name, self.replica),
+            peers,
+            self.owner.log_latency,
             settings.front,
             clock,
             events,
             self.metrics,
         )
-        self.peer_application = PeerApplication(self.replica, self.owner, ports.adviser)
+        self.peer_application = PeerApplication(
+            self.replica, self._appender, self.owner, ports.adviser
+        )
 
     @property
     def is_ready(self) -> bool:
         """Whether new connections should come here."""
         return (
-            not self._stopping.is_set()
+            not self._draining
             and self.configuration.current is not None
             and self._config_follower.age() < self._settings.front.keyed_age_s
         )
@@ -131,17 +137,19 @@
 
     def drain(self) -> None:
         """Gives up ownership and readiness; callers are still answered."""
-        self._stopping.set()
-        self.owner.stop(RELEASE_TIMEOUT_S)
+        self._draining = True
+        self.owner.retire(RELEASE_TIMEOUT_S)
 
     def stop(self) -> None:
         """Finishes what was accepted and ends."""
         self._stopping.set()
+        self.owner.stop()
         self._appender.stop()
 
     def _register(self) -> None:
         """Tells other instances where this one is, until the log has taken it."""
-        record = (r.INSTANCE + self._settings.node, self._settings.peer_address.encode())
+        entry = r.InstanceEntry(self._settings.peer_address, self._clock.wall())
+        record = (r.INSTANCE + self._settings.node, r.encode_instance(entry))
         while not self._stopping.is_set():
             try:
                 self._ports.log.append(JOBS, [record], REGISTER_TIMEOUT_S)
@@ -155,10 +163,10 @@
 
     def _tell_vacancy(self) -> None:
         """Lets the other instances know that ownership is free."""
-        for address in set(self.replica.instances.values()):
-            if address == self._settings.peer_address:
+        for entry in self.replica.instances.values():
+            if entry.address == self._settings.peer_address:
                 continue
-            peer = Peer(address)
+            peer = Peer(entry.address)
             try:
                 peer.ask("vacant", {}, VACANT_TIMEOUT_S)
             except AzurecleatError:
--- a/libs/cluster/src/azurecleat_cluster/_internal/front/desk.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/desk.py
@@ -4,6 +4,7 @@
 
 import threading
 from collections.abc import Callable
+from enum import Enum
 from typing import NamedTuple
 
 from azurecleat_base import Clock
@@ -33,8 +34,16 @@
 RETRY_AFTER_S = 1.0
 """Hint with refusals: another instance or the log's return is a matter of a second."""
 
-APPEND_TIMEOUT_S = 2.0
-"""Longest wait for one append: a slow log answers within half a second when it answers."""
+APPEND_WAIT_S = 0.5
+"""Shortest wait for an append: fifty times what one takes on a log at its usual pace."""
+
+APPEND_LATENCIES = 5
+"""Answers of the log, as slow as the last ones, that an append is given besides. An append that
+is repeated too early still waits in a slow log, and makes it slower."""
+
+FORWARD_SHARE = 0.7
+"""Share of a caller's time that the gathering instance may use; the rest is for an append of
+our own."""
 
 APPEND_RETRY_PAUSE_S = 0.05
 
@@ -70,6 +79,14 @@
     rest: str
 
 
+class Forwarded(Enum):
+    """What became of a record that the owner was asked to append."""
+
+    DONE = "done"
+    NOT_SENT = "not sent"
+    UNKNOWN = "unknown"
+
+
 class OwnerCalls:
     """Questions that the owner answers best; each returns None if it cannot be asked."""
 
@@ -79,6 +96,9 @@
     def pending(self, queue: str) -> int | None:
         return None
 
+    def append(self, key: str, value: bytes, timeout_s: float) -> Forwarded:
+        return Forwarded.NOT_SENT
+
 
 class FrontDesk:
     """Answers callers of one instance."""
@@ -91,6 +111,7 @@
         jobs_follower: Follower,
         appender: GroupAppender,
         owner: OwnerCalls,
+        log_latency: Callable[[], float],
         limits: FrontLimits,
         clock: Clock,
         events: EventLog,
@@ -102,6 +123,7 @@
         self._jobs_follower = jobs_follower
         self._appender = appender
         self._owner = owner
+        self._log_latency = log_latency
         self._limits = limits
         self._clock = clock
         self._events = events
@@ -198,32 +220,36 @@
         self, key: str, value: bytes, deadline: float, is_there: Callable[[], bool]
     ) -> Answer:
         """Appends until it is sure that the record is in the log, or that it never will be."""
-        may_be_there = False
         pause = threading.Event()
+        left_s = deadline - self._clock.monotonic()
+        if left_s < MIN_APPEND_S:
+            return Refused("too little time left", RETRY_AFTER_S)
+        # One instance gathers what comes in at all of them: a slow log takes few appends.
+        patience_s = APPEND_WAIT_S + APPEND_LATENCIES * self._log_latency()
+        forwarded = self._owner.append(key, value, min(patience_s, left_s * FORWARD_SHARE))
+        if forwarded is Forwarded.DONE:
+            return Accepted()
+        may_be_there = forwarded is Forwarded.UNKNOWN
         while True:
             left_s = deadline - self._clock.monotonic()
             if left_s < MIN_APPEND_S:
                 break
             try:
-                self._appender.append(key, value, min(APPEND_TIMEOUT_S, left_s - 0.1))
+                self._appender.append(key, value, min(patience_s, left_s - 0.1))
                 return Accepted()
-            except AppendUnknownError as error:
+            except AppendUnknownError:
                 may_be_there = True
-                reason = str(error)
                 self._metrics.retries.labels("append_unknown").inc()
             except LogUnavailableError as error:
-                reason = str(error)
                 if not may_be_there:
-                    return Refused(f"log unavailable: {reason}", RETRY_AFTER_S)
+                    return Refused(f"log unavailable: {error}", RETRY_AFTER_S)
                 self._metrics.retries.labels("append_refused").inc()
             if is_there():
                 return Accepted()
             if left_s < UNDECIDED_LEFT_S:
                 break
             pause.wait(APPEND_RETRY_PAUSE_S)
-        if may_be_there:
-            return Undecided("the log gave no answer in time")
-        return Refused("too little time left", RETRY_AFTER_S)
+        return Undecided("the log gave no answer in time")
 
 
 STALE_COUNT_S = 2.5
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/link.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/link.py
@@ -99,7 +99,7 @@
 
     @property
     def lease_end(self) -> float:
-        """Own time after which no lease given by this owner still holds there."""
+        """Own time after which no lease known of still holds there."""
         return self._authority.lease_end(self._renewed_at)
 
     @property
@@ -121,13 +121,15 @@
             self._changed.notify_all()
         self._orders.shutdown(wait=False, cancel_futures=True)
 
-    def join(self, timeout_s: float) -> None:
-        """Waits for orders on their way."""
-        if self._thread.is_alive():
-            self._thread.join(timeout_s)
+    def join(self) -> None:
+        """Waits for orders on their way; a hold on its way changes nothing any more."""
         self._orders.shutdown(wait=True)
         self._client.close()
 
+    def inherit_lease(self, reached_at: float) -> None:
+        """Notes that a former owner may have renewed the target's lease until now."""
+        self._renewed_at = max(self._renewed_at, reached_at)
+
     def acknowledge(self, number: int) -> None:
         """Lets the target forget ends up to a number: they are in the log."""
         with self._changed:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/progress.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/progress.py
@@ -20,7 +20,7 @@
 GATHER_S = 0.01
 """Time for which records are gathered before an append, about as long as one takes."""
 
-APPEND_TIMEOUT_S = 1.5
+APPEND_TIMEOUT_S = 2.0
 RETRY_PAUSE_S = 0.1
 
 Record = tuple[str, bytes | None]
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
@@ -25,19 +25,28 @@
 from azurecleat_cluster._internal.replica.jobs import JobReplica
 from azurecleat_cluster._internal.values import TargetEntry, TargetState
 
-POLL_S = 0.6
+POLL_S = 0.5
 """Pause between a standby's reads."""
 
-SILENCE_S = 2.2
-"""Silence of an owner after which its place is claimed: three heartbeats."""
+SUSPECT_S = 1.3
+"""Silence of an owner in the log after which it is asked itself: nearly two heartbeats."""
+
+SILENCE_S = 3.0
+"""Silence after which its place is claimed all the same: its own right to act has ended."""
+
+PING_TIMEOUT_S = 0.3
 
 GAP_S = 1.5
 """A pause between two reads beyond which silence is counted anew: nothing could be heard."""
 
-CLAIM_TIMEOUT_S = 1.5
+TURN_S = 0.03
+"""Time that an instance has for its claim before the next one's turn: two appends."""
+
+CLAIM_TIMEOUT_S = 2.5
 FENCE_TRIES = 3
 HOUSEKEEPING_S = 0.5
 RELEASE_TIMEOUT_S = 0.8
+RELEASE_RECORD_TIMEOUT_S = 2.0
 
 
 class OwnerSettings(NamedTuple):
@@ -62,6 +71,8 @@
     """Takes part in ownership for one instance.
 
     :param instance: This life of the instance; ``node`` is the same in its next life.
+    :param is_owner_acting: Asks the claimed owner itself, within some seconds; None if it does
+        not answer.
     :param on_released: Called after this instance gave up ownership.
     """
 
@@ -78,6 +89,7 @@
         clock: Clock,
         events: EventLog,
         metrics: Metrics,
+        is_owner_acting: Callable[[float], bool | None],
         on_released: Callable[[], None],
     ) -> None:
         self._instance = instance
@@ -91,7 +103,11 @@
         self._clock = clock
         self._events = events
         self._metrics = metrics
+        self._is_owner_acting = is_owner_acting
         self._on_released = on_released
+        self._latency_s = 0.0
+        self._retired = threading.Event()
+        self._idle = threading.Event()
         self._stopping = threading.Event()
         self._nudged = threading.Event()
         self._lost = threading.Event()
@@ -108,16 +124,29 @@
         """The term that this instance serves, None while it stands by."""
         return self._term
 
+    def log_latency(self) -> float:
+        """Seconds that the log took for its last answers."""
+        return self._latency_s
+
     def start(self) -> None:
         self._thread.start()
 
-    def stop(self, timeout_s: float) -> None:
-        """Gives up ownership, so that another instance takes over without waiting."""
+    def retire(self, timeout_s: float) -> None:
+        """Gives up ownership, so that another instance takes over without waiting.
+
+        The log is still followed, for the callers that are still answered.
+        """
+        self._retired.set()
+        self._lost.set()
+        self._nudged.set()
+        self._idle.wait(timeout_s)
+
+    def stop(self) -> None:
+        """Ends following the log."""
         self._stopping.set()
+        self._retired.set()
         self._nudged.set()
         self._lost.set()
-        if self._thread.is_alive():
-            self._thread.join(timeout_s)
 
     def nudge(self) -> None:
         """Lets a standby look at the log at once: the owner has given up its place."""
@@ -149,16 +178,20 @@
             self._events.write(eventlog.DEPENDENCY_BACK, dependency="log", after_s=after_s)
 
     def _stand_by(self) -> None:
+        began_at = self._clock.monotonic()
         self._jobs.poll()
         self._progress.poll()
         self._note_log_back()
         now = self._clock.monotonic()
+        self._latency_s = (now - began_at) / 2
         heard = (self._progress.applied, self._replica.claim.epoch)
         if heard != self._heard or now - self._polled_at > GAP_S:
             self._heard, self._heard_at = heard, now
         self._polled_at = now
         self._metrics.epoch.set(self._replica.claim.epoch)
-        if reason := self._vacancy(now):
+        if self._retired.is_set():
+            self._idle.set()
+        elif (reason := self._vacancy(now)) and (reason == OWN_CLAIM or self._is_first_in_line()):
             epoch = self._claim(reason, now)
             if epoch:
                 self._serve(epoch, reason == RELEASED)
@@ -169,7 +202,7 @@
     def _vacancy(self, now: float) -> str:
         """Returns why ownership may be claimed, empty if it is held."""
         claim = self._replica.claim
-        if self._configuration.current is None or self._stopping.is_set():
+        if self._configuration.current is None:
             return ""
         if claim.released:
             return RELEASED
@@ -177,7 +210,32 @@
             return "own term ended" if claim.epoch <= self._served else OWN_CLAIM
         if _node(claim.instance) == _node(self._instance):
             return RELEASED  # An earlier life of this process: it has surely ended.
-        return "silent" if now - self._heard_at > SILENCE_S else ""
+        silent_s = now - self._heard_at
+        if silent_s < SUSPECT_S:
+            return ""
+        if silent_s < SILENCE_S and self._is_owner_acting(PING_TIMEOUT_S):
+            return ""
+        return "silent"
+
+    def _is_first_in_line(self) -> bool:
+        """Waits while instances that started later may claim, and looks at the log again.
+
+        A rolling restart comes last to those that started last, so that they keep ownership
+        longest; and a slow log gets one claim, not one of each instance.
+        """
+        claim = self._replica.claim
+        instances = self._replica.instances
+        own = instances.get(_node(self._instance))
+        younger = sum(
+            entry.started > own.started
+            for node, entry in instances.items()
+            if own is not None and node != _node(claim.instance)
+        )
+        if not younger:
+            return True
+        self._stopping.wait(younger * (TURN_S + 2 * self._latency_s))
+        self._jobs.poll()
+        return self._replica.claim == claim
 
     def _claim(self, reason: str, now: float) -> int:
         """Claims the next epoch; returns it if the claim was the first, 0 otherwise."""
@@ -203,6 +261,8 @@
         started_at = self._clock.monotonic()
         self._served = epoch
         self._lost.clear()
+        if self._retired.is_set():
+            self._lost.set()
         authority = Authority(epoch, self._settings.lease_s, self._clock)
         writer = ProgressWriter(
             self._ports.log,
@@ -291,7 +351,7 @@
             term.stop()
             advice.stop()
             dispatcher.join(RELEASE_TIMEOUT_S)
-            term.join(RELEASE_TIMEOUT_S)
+            term.join()
             writer.stop(RELEASE_TIMEOUT_S)
             self._end(term)
 
@@ -303,7 +363,7 @@
             return
         try:
             record = (f"{r.RELEASE}{epoch}", b"1")
-            self._ports.log.append(JOBS, [record], RELEASE_TIMEOUT_S)
+            self._ports.log.append(JOBS, [record], RELEASE_RECORD_TIMEOUT_S)
         except LogError as error:
             self._note_log_error(error)
             return
@@ -366,9 +426,9 @@
         if self._ports.adviser is not None:
             peers = self._replica.instances
             advice.add_caller(self._instance, self._ports.adviser, short_only=True)
-            for node, address in peers.items():
+            for node, entry in peers.items():
                 if node != _node(self._instance):
-                    advice.add_caller(node, self._ports.connect_adviser(address))
+                    advice.add_caller(node, self._ports.connect_adviser(entry.address))
         expired = term.expire(self._settings.kept_s)
         if expired:
             kinds = (r.SUBMISSION, r.CANCELLATION)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -109,9 +109,10 @@
         for link in links:
             link.stop()
 
-    def join(self, timeout_s: float) -> None:
+    def join(self) -> None:
+        """Waits for orders on their way."""
         for link in list(self.links.values()):
-            link.join(timeout_s)
+            link.join()
 
     @property
     def stopping(self) -> bool:
@@ -340,6 +341,8 @@
             self.authority.proved_by_target(work.id, sent_at)
             if self.succession is not None:
                 self.succession.reached(work.id, now)
+            if not work.reached:
+                link.inherit_lease(now)
             if not work.answering and work.reached:
                 self._events.write(eventlog.TARGET_BACK, target=work.id, runs=len(work.runs))
             ended = {(end.task, end.run) for end in report.ended}
--- a/libs/cluster/src/azurecleat_cluster/_internal/peers.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/peers.py
@@ -7,15 +7,23 @@
 from __future__ import annotations
 
 import json
+import threading
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
-from azurecleat_base import AnswerLostError, HttpExchange, NotSentError
-from azurecleat_base.exceptions import AzurecleatError, PeerAnswerLostError, PeerNotSentError
+from azurecleat_base import AnswerLostError, Clock, HttpExchange, NotSentError
+from azurecleat_base.exceptions import (
+    AzurecleatError,
+    LogError,
+    LogUnavailableError,
+    PeerAnswerLostError,
+    PeerNotSentError,
+)
 
-from azurecleat_cluster._internal.front.desk import OwnerCalls
+from azurecleat_cluster._internal.front.desk import Forwarded, OwnerCalls
 from azurecleat_cluster._internal.owner.service import OwnerService
 from azurecleat_cluster._internal.ports import Adviser
+from azurecleat_cluster._internal.replica.appender import GroupAppender
 from azurecleat_cluster._internal.replica.jobs import JobReplica
 from azurecleat_cluster._internal.values import JobState
 
@@ -23,6 +31,12 @@
 """Longest wait for the owner's answer; the asking instance's own view is the fallback."""
 
 CONNECT_TIMEOUT_S = 0.3
+
+AVOID_S = 1.0
+"""How long an instance that gave no answer is not asked again."""
+
+APPEND_TIMEOUT_S = 2.5
+"""Longest wait of a gathered append: a slow log has two of them before it."""
 MAX_BODY_BYTES = 1 << 20
 
 Start = Callable[[str, list[tuple[str, str]]], Any]
@@ -76,40 +90,102 @@
         return self._peer.ask("advise", fields, timeout_s + ASK_TIMEOUT_S)["tickets"]
 
 
-class OwnerPeer(OwnerCalls):
-    """Asks the owner, wherever it is."""
+class PeerDirectory(OwnerCalls):
+    """Calls to the owner and to other instances.
 
-    def __init__(self, instance: str, replica: JobReplica) -> None:
+    An instance that gave no answer is left alone for a while.
+    """
+
+    def __init__(self, instance: str, own_address: str, replica: JobReplica, clock: Clock) -> None:
         self._instance = instance
+        self._own_address = own_address
         self._replica = replica
-        self._peer: Peer | None = None
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._peers: dict[str, Peer] = {}
+        self._avoid_until: dict[str, float] = {}
 
     def state(self, job: str) -> JobState | None:
-        answer = self._ask("state", {"job": job})
+        answer = self._ask_owner("state", {"job": job}, ASK_TIMEOUT_S)
         return JobState(answer["state"]) if answer and answer["state"] else None
 
     def pending(self, queue: str) -> int | None:
-        answer = self._ask("pending", {"queue": queue})
+        answer = self._ask_owner("pending", {"queue": queue}, ASK_TIMEOUT_S)
         return answer["count"] if answer else None
 
-    def _ask(self, question: str, fields: dict[str, Any]) -> dict[str, Any] | None:
+    def is_owner_acting(self, timeout_s: float) -> bool | None:
+        """Asks the claimed owner whether it may act; None if it gives no answer."""
+        answer = self._ask_owner("owner", {}, timeout_s)
+        return None if answer is None else bool(answer["acting"])
+
+    def append(self, key: str, value: bytes, timeout_s: float) -> Forwarded:
+        """Lets the instance that gathers records append one."""
+        address = self._gatherer()
+        if address is None:
+            return Forwarded.NOT_SENT
+        fields = {"key": key, "value": value.decode()}
+        try:
+            return Forwarded(self._ask(address, "append", fields, timeout_s)["outcome"])
+        except PeerNotSentError:
+            return Forwarded.NOT_SENT
+        except AzurecleatError:
+            return Forwarded.UNKNOWN
+
+    def _gatherer(self) -> str | None:
+        """Address of the instance that gathers appends, None if that is this one.
+
+        All instances choose alike: the owner, or the first of those that answer.
+        """
+        now = self._clock.monotonic()
+        claim = self._replica.claim
+        addresses = sorted(entry.address for entry in self._replica.instances.values())
+        if not claim.released:
+            addresses.insert(0, claim.address)
+        for address in addresses:
+            if address == self._own_address:
+                return None
+            if self._avoid_until.get(address, now) <= now:
+                return address
+        return None
+
+    def _ask_owner(
+        self, question: str, fields: dict[str, Any], timeout_s: float
+    ) -> dict[str, Any] | None:
         claim = self._replica.claim
-        if claim.released or claim.instance == self._instance:
+        is_avoided = self._clock.monotonic() < self._avoid_until.get(claim.address, 0.0)
+        if claim.released or claim.instance == self._instance or is_avoided:
             return None
-        peer = self._peer
-        if peer is None or peer.address != claim.address:
-            peer = self._peer = Peer(claim.address)
         try:
-            return peer.ask(question, fields, ASK_TIMEOUT_S)
+            return self._ask(claim.address, question, fields, timeout_s)
         except AzurecleatError:
             return None  # The caller falls back on its own view.
 
+    def _ask(
+        self, address: str, question: str, fields: dict[str, Any], timeout_s: float
+    ) -> dict[str, Any]:
+        with self._lock:
+            peer = self._peers.get(address)
+            if peer is None:
+                peer = self._peers[address] = Peer(address)
+        try:
+            return peer.ask(question, fields, timeout_s)
+        except AzurecleatError:
+            self._avoid_until[address] = self._clock.monotonic() + AVOID_S
+            raise
+
 
 class PeerApplication:
     """WSGI application that answers other instances."""
 
-    def __init__(self, replica: JobReplica, owner: OwnerService, adviser: Adviser | None) -> None:
+    def __init__(
+        self,
+        replica: JobReplica,
+        appender: GroupAppender,
+        owner: OwnerService,
+        adviser: Adviser | None,
+    ) -> None:
         self._replica = replica
+        self._appender = appender
         self._owner = owner
         self._adviser = adviser
 
@@ -133,6 +209,11 @@
                 return {"state": state.value if state else ""}
             case "/pending" if self._owner.term is not None:
                 return {"count": self._replica.pending(fields["queue"])}
+            case "/append":
+                return {"outcome": self._append(fields["key"], fields["value"].encode()).value}
+            case "/owner":
+                term = self._owner.term
+                return {"acting": term is not None and term.authority.may_act()}
             case "/advise" if self._adviser is not None:
                 tickets = self._adviser.advise(
                     fields["step"], fields["targets"], fields["timeout_s"]
@@ -143,6 +224,15 @@
                 return {}
         return None
 
+    def _append(self, key: str, value: bytes) -> Forwarded:
+        try:
+            self._appender.append(key, value, APPEND_TIMEOUT_S)
+        except LogUnavailableError:
+            return Forwarded.NOT_SENT
+        except LogError:
+            return Forwarded.UNKNOWN
+        return Forwarded.DONE
+
 
 def _send(start: Start, status: str, value: dict[str, Any]) -> list[bytes]:
     body = json.dumps(value).encode()
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/jobs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/jobs.py
@@ -28,7 +28,7 @@
         self._summaries: dict[str, tuple[bool, str]] = {}
         self._targets: dict[str, str] = {}
         self._claim = NO_CLAIM
-        self._instances: dict[str, str] = {}
+        self._instances: dict[str, r.InstanceEntry] = {}
         self._listeners: list[Callable[[LogRecord], None]] = []
 
     @property
@@ -37,8 +37,8 @@
         return self._claim
 
     @property
-    def instances(self) -> dict[str, str]:
-        """Peer address by instance."""
+    def instances(self) -> dict[str, r.InstanceEntry]:
+        """Instances that have started, by node."""
         with self._lock:
             return dict(self._instances)
 
@@ -107,8 +107,10 @@
                     self._apply_submission(name, value)
                 case r.CANCELLATION:
                     self._apply_cancellation(name, value)
+                case r.INSTANCE if value is None:
+                    self._instances.pop(name, None)
                 case r.INSTANCE:
-                    _set(self._instances, name, value)
+                    self._instances[name] = r.decode_instance(value)
                 case r.CLAIM if value is not None:
                     self._apply_claim(r.decode_claim(value))
                 case r.RELEASE if value is not None and int(name) == self._claim.epoch:
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
@@ -45,6 +45,13 @@
     released: bool = False
 
 
+class InstanceEntry(NamedTuple):
+    """Where an instance is reached by others, and when it started (Unix seconds)."""
+
+    address: str
+    started: float
+
+
 class TaskProgress(NamedTuple):
     """What must outlive the owner of one step: tasks done, failures, checkpoints."""
 
@@ -127,6 +134,21 @@
         raise ValueError(f"claim: {error}") from error
 
 
+def encode_instance(entry: InstanceEntry) -> bytes:
+    return dump(entry._asdict())
+
+
+def decode_instance(value: bytes) -> InstanceEntry:
+    """Decodes an instance's entry.
+
+    :raises ValueError: The bytes hold none.
+    """
+    try:
+        return InstanceEntry(**json.loads(value))
+    except TypeError as error:
+        raise ValueError(f"instance: {error}") from error
+
+
 def encode_progress(progress: Progress) -> bytes:
     steps = {
         f"{occurrence}.{step}": [
