Simulated faults over owners in turn, with a checker that sees only targets; a lease is over only with proof

Cause: an owner cut from the log dropped runs on targets it could not reach once its own lease on them had ended, and started them elsewhere while it still had a proof of up to 3 s; a successor may have renewed those leases meanwhile. Found by tests/unit/cluster/test_faults.py (DividedTargetsTest), which failed with three tasks at work twice. Ruled out: lost answers and late orders (the course of faults has none). Change: a lease on an unreached target counts as over only once an append under the own epoch was sent after its end.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
@@ -64,6 +64,14 @@
         times = sorted(self._answered.values(), reverse=True)
         return times[len(times) // 2] if times else NEVER
 
+    def is_over(self, lease_end: float) -> bool:
+        """Whether a lease that ends at a time is surely over, on a target that is not reached.
+
+        A successor may have renewed it. Only an append that was sent after the end proves that
+        none had begun by then: a majority of targets says nothing of those it is without.
+        """
+        return self._logged_at > lease_end
+
     def proved_at(self) -> float:
         return max(self._logged_at, self.majority_at())
 
@@ -111,8 +119,8 @@
         if self._reached >= self._majority and self._bound is None:
             self._bound = self._authority.lease_end(now + PROOF_S)
 
-    def is_settled(self, now: float) -> bool:
+    def is_settled(self) -> bool:
         """Whether every run of a former owner is known or surely over."""
         if not self._unreached:
             return True
-        return self._bound is not None and now >= self._bound
+        return self._bound is not None and self._authority.is_over(self._bound)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -87,7 +87,7 @@
         usable = [link.work for link in term.links.values() if is_usable(link.work, now)]
         if not usable:
             return 0
-        settled = term.succession is None or term.succession.is_settled(now)
+        settled = term.succession is None or term.succession.is_settled()
         waiting: list[tuple[tuple, StepWork]] = []
         for job in list(term.jobs.values()):
             if not job.is_open:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -543,7 +543,6 @@
     def on_silent(self, link: Link, error: TargetError) -> None:
         """Notes a hold without an answer; after the lease all runs there are over."""
         work = link.work
-        now = self._clock.monotonic()
         with self.lock:
             if self.links.get(work.id) is not link:
                 return
@@ -556,7 +555,7 @@
                     error=error,
                     runs=len(work.runs),
                 )
-            if now > link.lease_end and self._may_drop(work):
+            if self.authority.is_over(link.lease_end) and self._may_drop(work):
                 if not work.listed:
                     self._forget(link, "no entry, and its lease is over")
                 else:
@@ -587,7 +586,7 @@
         succession = self.succession
         if succession is None or work.id not in succession.unreached:
             return True
-        return succession.is_settled(self._clock.monotonic())
+        return succession.is_settled()
 
     def on_replaced(self, link: Link, reason: str) -> None:
         with self.lock:
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
@@ -91,6 +91,7 @@
         :raises LogError: The log gave no answer.
         """
         called_at = self._clock.monotonic()
+        self.poll()
         while self._fresh_at < called_at:
             self.poll()
 
--- a/libs/fakes/src/azurecleat_fakes/__init__.py
+++ b/libs/fakes/src/azurecleat_fakes/__init__.py
@@ -9,6 +9,7 @@
     serve_runner,
     serve_worker,
 )
+from azurecleat_fakes._internal.keyed_log import KeyedMemoryLog
 from azurecleat_fakes._internal.memory_log import MemoryLog
 from azurecleat_fakes._internal.standin_target import (
     ControlPoint,
@@ -20,6 +21,7 @@
 __all__ = [
     "ControlPoint",
     "Faults",
+    "KeyedMemoryLog",
     "MemoryList",
     "MemoryLog",
     "Observation",
--- /dev/null
+++ b/tests/lib/cluster_world.py
@@ -0,0 +1,492 @@
+"""A simulated deployment: several owners in turn, one log, targets, and a faulty network.
+
+Everything runs on one thread and a manual clock; the seed decides all that happens.
+"""
+
+from __future__ import annotations
+
+import heapq
+import io
+import itertools
+import random
+from collections.abc import Callable
+
+from azurecleat_base import ManualClock, Resources
+from azurecleat_base.exceptions import (
+    FencedError,
+    LogError,
+    LogUnavailableError,
+    NotRunError,
+    OutcomeUnknownError,
+)
+from azurecleat_cluster import EventLog, Preferences
+from azurecleat_cluster._internal.configuration import ConfigurationView
+from azurecleat_cluster._internal.metrics import Metrics
+from azurecleat_cluster._internal.owner.authority import Authority
+from azurecleat_cluster._internal.owner.dispatch import Dispatcher
+from azurecleat_cluster._internal.owner.link import TargetClock
+from azurecleat_cluster._internal.owner.term import OwnerTerm
+from azurecleat_cluster._internal.owner.work import Run, TargetWork
+from azurecleat_cluster._internal.replica import records as r
+from azurecleat_cluster._internal.replica.follower import Follower
+from azurecleat_cluster._internal.replica.jobs import JobReplica
+from azurecleat_cluster.ports import (
+    JOBS,
+    PROGRESS,
+    LogPage,
+    LogRecord,
+    StartOrder,
+    StartResult,
+    Writer,
+)
+from azurecleat_cluster.values import (
+    Configuration,
+    JobSpec,
+    JobState,
+    Pool,
+    Queue,
+    Step,
+    TargetState,
+    Team,
+)
+from azurecleat_fakes import KeyedMemoryLog
+
+from tests.lib.cluster_targets import Checker, Promise, SimTarget, make_entry
+
+STEP_S = 0.02
+LEASE_S = 2.0
+HOLD_PERIOD_S = 0.2
+TEAM_LIMIT = Resources(24_000, 0, 0)
+QUEUE = Queue("q", "host", "/q/", "pool", attempts=3, stretch=1.5, objective_ms=250)
+
+
+class _SilentEvents(EventLog):
+    def __init__(self) -> None:
+        super().__init__("sim", io.StringIO())
+
+    def write(self, event, **fields) -> None:  # noqa: ANN001, ANN003
+        pass
+
+
+class NodeLog:
+    """The log as one node reaches it."""
+
+    def __init__(self, log: KeyedMemoryLog) -> None:
+        self._log = log
+        self.is_cut = False
+
+    def append(self, stream, records, timeout_s, writer=None) -> int:  # noqa: ANN001
+        self._check()
+        return self._log.append(stream, records, timeout_s, writer)
+
+    def read(self, stream: str, start: int, wait_s: float) -> LogPage:
+        self._check()
+        return self._log.read(stream, start, 0.0)
+
+    def newest(self, stream: str) -> LogPage:
+        self._check()
+        return self._log.newest(stream)
+
+    def _check(self) -> None:
+        if self.is_cut:
+            raise LogUnavailableError("cut off", step="sim")
+
+
+class SimWriter:
+    """Progress of one term, appended at each step of the simulation."""
+
+    def __init__(self, node: SimNode, epoch: int) -> None:
+        self._node = node
+        self._epoch = epoch
+        self._sequence = 0
+        self._records: dict[str, Callable] = {}
+        self._committed: list[Callable] = []
+        self._batch: tuple[list, list] | None = None
+
+    def fence(self) -> None:
+        self._node.log.append(PROGRESS, (), 1.0, Writer("owner", self._epoch, 0))
+
+    def put(self, key: str, encode: Callable, committed: Callable | None = None) -> None:
+        self._records[key] = encode
+        if committed is not None:
+            self._committed.append(committed)
+
+    def after(self, committed: Callable) -> None:
+        self._committed.append(committed)
+
+    def flush(self) -> None:
+        if self._batch is None:
+            batch = [(key, encode()) for key, encode in self._records.items()]
+            self._batch = (batch or [(r.HEARTBEAT, b"1")], self._committed)
+            self._records, self._committed = {}, []
+            self._sequence += 1
+        batch, committed = self._batch
+        now = self._node.world.clock.monotonic()
+        try:
+            writer = Writer("owner", self._epoch, self._sequence)
+            offset = self._node.log.append(PROGRESS, batch, 1.0, writer)
+        except FencedError as error:
+            self._node.term.lose(str(error))
+            return
+        except LogError:
+            return
+        self._batch = None
+        self._node.term.authority.proved_by_log(now)
+        for index, (key, value) in enumerate(batch):
+            self._node.replica.apply_progress(LogRecord(key, value, offset + index))
+        for call in committed:
+            call()
+
+
+class SimLink:
+    """Link whose calls take time, get lost, or are carried out late."""
+
+    def __init__(self, node: SimNode, work: TargetWork, term: OwnerTerm) -> None:
+        self.work = work
+        self.processed = 0
+        self._node = node
+        self._term = term
+        self._target = node.world.targets_by_id[work.id]
+        self._clock = TargetClock()
+        self._acknowledged = 0
+        self._renewed_at = float("-inf")
+        self._failures = 0
+        self.is_stopped = False
+
+    @property
+    def lease_end(self) -> float:
+        return self._term.authority.lease_end(self._renewed_at)
+
+    def start(self) -> None:
+        self._node.world.later(0.0, self._hold, self._node)
+
+    def stop(self) -> None:
+        self.is_stopped = True
+
+    def join(self) -> None:
+        pass
+
+    def inherit_lease(self, reached_at: float) -> None:
+        self._renewed_at = max(self._renewed_at, reached_at)
+
+    def acknowledge(self, number: int) -> None:
+        self._acknowledged = max(self._acknowledged, number)
+
+    def order_start(self, run: Run, payload: str, ticket: str) -> None:
+        self._node.world.later(0.0, lambda: self._send_start(run), self._node)
+
+    def order_stop(self, run: Run) -> None:
+        self._node.world.later(0.0, lambda: self._send_stop(run), self._node)
+
+    def order_pace(self, run: Run, percent: int) -> None:
+        pass
+
+    def _lease(self, now: float) -> int | None:
+        until_ms = self._clock.until_ms(now, self._term.authority.lease_s)
+        if until_ms is not None:
+            self._renewed_at = now
+        return until_ms
+
+    def _hold(self) -> None:
+        world = self._node.world
+        if self.is_stopped or self._term.authority.lost_reason:
+            return
+        world.later(HOLD_PERIOD_S, self._hold, self._node)
+        if not self._term.authority.may_act():
+            return
+        now = world.clock.monotonic()
+        until_ms = None if self._failures else self._lease(now)
+        arguments = (self._term.authority.fence, self._acknowledged, until_ms)
+
+        def reply(report) -> None:  # noqa: ANN001
+            self._failures = 0
+            self._clock.note(report.clock_ms, world.clock.monotonic())
+            self._term.on_report(self, report, now)
+
+        def fail(error) -> None:  # noqa: ANN001
+            if isinstance(error, FencedError):
+                self._term.on_fenced(self, error.epoch)
+                return
+            self._failures += 1
+            if self._failures >= 2:
+                self._term.on_silent(self, error)
+
+        world.call(self, lambda at: self._target.hold(*arguments, at), reply, fail)
+
+    def _send_start(self, run: Run) -> None:
+        world, term = self._node.world, self._term
+        now = world.clock.monotonic()
+        until_ms = self._lease(now) if term.authority.may_act() and not self.is_stopped else None
+        if until_ms is None:
+            term.on_start_failed(run, NotRunError("no right", step="sim"), may_run=False)
+            return
+        run.until = term.authority.lease_end(now)
+        order = StartOrder(run.task, run.number, "", until_ms, term.authority.fence)
+
+        def fail(error) -> None:  # noqa: ANN001
+            if isinstance(error, FencedError):
+                term.on_start_failed(run, error, may_run=False)
+                term.on_fenced(self, error.epoch)
+            else:
+                term.on_start_failed(run, error, may_run=True)
+
+        def reply(result: StartResult) -> None:
+            term.on_start(run, result)
+
+        world.call(self, lambda at: self._target.start(order, at), reply, fail)
+
+    def _send_stop(self, run: Run) -> None:
+        world, term = self._node.world, self._term
+        if self.is_stopped or run.key not in self.work.runs:
+            return
+
+        def fail(error) -> None:  # noqa: ANN001
+            if isinstance(error, FencedError):
+                term.on_fenced(self, error.epoch)
+            else:
+                world.later(0.3, lambda: self._send_stop(run), self._node)
+
+        fence = term.authority.fence
+        world.call(
+            self,
+            lambda at: self._target.stop(run.task, run.number, fence, at),
+            lambda _: term.on_stop(run),
+            fail,
+        )
+
+
+class SimNode:
+    """One instance: a replica of the log, and a term while it owns the jobs."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world = world
+        self.name = name
+        self.log = NodeLog(world.log)
+        self.paused_until = 0.0
+        self.cut_targets: set[str] = set()
+        self.events = _SilentEvents()
+        self.metrics = Metrics()
+        self.replica = JobReplica()
+        self.jobs = Follower(self.log, JOBS, self.replica.apply_job, world.clock)
+        self.progress = Follower(self.log, PROGRESS, self.replica.apply_progress, world.clock)
+        self.configuration = ConfigurationView(world, self.events)
+        self.configuration.apply(LogRecord("config", b"x", 0))
+        self.term: OwnerTerm | None = None
+        self.writer: SimWriter | None = None
+        self._dispatcher: Dispatcher | None = None
+
+    @property
+    def is_paused(self) -> bool:
+        return self.world.clock.monotonic() < self.paused_until
+
+    def step(self) -> None:
+        if self.is_paused:
+            return
+        try:
+            self.jobs.poll()
+            if self.term is None:
+                self.progress.poll()
+        except LogError:
+            pass
+        if self.term is None:
+            return
+        self.writer.flush()
+        term = self.term
+        if term.authority.lost_reason:
+            self.end_term()
+        elif term.authority.may_act():
+            self.world.dispatch(self._dispatcher)
+
+    def take_over(self) -> None:
+        """Claims the next epoch and serves it if the claim came first."""
+        if self.term is not None or self.is_paused:
+            return
+        try:
+            self.jobs.poll()
+            claim = r.Claim(self.replica.claim.epoch + 1, self.name, "")
+            self.log.append(JOBS, [(r.claim_key(claim), r.encode_claim(claim))], 1.0)
+            self.jobs.catch_up()
+            if self.replica.claim != claim:
+                return
+            self._begin(claim.epoch)
+        except (LogError, FencedError):
+            return
+
+    def _begin(self, epoch: int) -> None:
+        authority = Authority(epoch, LEASE_S, self.world.clock)
+        self.writer = SimWriter(self, epoch)
+        self.writer.fence()
+        authority.proved_by_log(self.world.clock.monotonic())
+        self.jobs.catch_up()
+        self.progress.catch_up()
+        term = OwnerTerm(
+            authority,
+            self.replica,
+            self.configuration,
+            self.writer,
+            lambda work, observer: SimLink(self, work, observer),
+            self.world.clock,
+            self.events,
+            self.metrics,
+            lambda reason: None,
+        )
+        self.term = term
+        self._listener = lambda record: term.on_job_record(record.key)
+        self.replica.subscribe(self._listener)
+        former = self.replica.targets_in_use
+        term.take_over(former, former_gone=False)
+        for target in self.world.targets:
+            if target.is_up:
+                term.on_target(target.entry)
+        for name in former:
+            if name in self.world.targets_by_id:
+                term.add_former_target(
+                    self.world.targets_by_id[name].entry._replace(state=TargetState.DRAINING)
+                )
+        self._dispatcher = Dispatcher(
+            term, None, Preferences(), self.world.clock, self.events, self.metrics
+        )
+
+    def end_term(self) -> None:
+        self.replica.unsubscribe(self._listener)
+        for link in self.term.links.values():
+            link.stop()
+        self.term = None
+
+
+class World:
+    """The deployment. Also decodes the one configuration there is."""
+
+    def __init__(self, seed: int, nodes: int = 3, targets: int = 6, longest_s: float = 1.5) -> None:
+        self.longest_s = longest_s
+        self.rng = random.Random(seed)
+        self.clock = ManualClock()
+        self.log = KeyedMemoryLog()
+        self.checker = Checker()
+        self.checker.limits["team"] = TEAM_LIMIT
+        self.loss = 0.0
+        self.ended: set = set()
+        self._queue: list = []
+        self._numbers = itertools.count()
+        self._durations: dict = {}
+        self.targets_by_id: dict[str, SimTarget] = {}
+        self.targets = [self._make_target(number, 0) for number in range(targets)]
+        self.nodes = [SimNode(self, f"n{number}") for number in range(nodes)]
+
+    def configuration(self, record: LogRecord) -> Configuration:
+        team = Team("team", frozenset(("key",)), 10.0, TEAM_LIMIT)
+        return Configuration(1, (QUEUE,), {"pool": Pool("pool")}, {"team": team})
+
+    def submit(self, name: str) -> None:
+        """Submits a job of one to three steps."""
+        steps = []
+        for number in range(self.rng.randint(1, 3)):
+            steps.append(
+                Step(
+                    count=self.rng.randint(1, 5),
+                    need=Resources(self.rng.choice((1000, 2000, 4000)), 1000, 0),
+                    depends_on=(number - 1,) if number else (),
+                )
+            )
+        spec = JobSpec("payload", tuple(steps))
+        for number, step in enumerate(steps):
+            self.checker.promises[name, number] = Promise(step, "team", QUEUE.attempts)
+        submission = r.Submission(name, "team", QUEUE, spec)
+        self.log.append(JOBS, [(r.SUBMISSION + name, r.encode_submission(submission))], 1.0)
+
+    def later(self, delay_s: float, call: Callable[[], None], node: SimNode | None = None) -> None:
+        at = self.clock.monotonic() + delay_s
+        heapq.heappush(self._queue, (at, next(self._numbers), call, node))
+
+    def call(self, link: SimLink, execute: Callable, reply: Callable, fail: Callable) -> None:
+        """Carries a call to a target and its answer back, with what may go wrong on the way."""
+        node, target = link._node, link._target
+        if target.id in node.cut_targets:
+            self.later(0.3, lambda: fail(OutcomeUnknownError("cut", step="sim")), node)
+            return
+        is_lost = self.rng.random() < self.loss
+        delay_s = self.rng.uniform(0.5, 4.0) if is_lost else self.rng.uniform(0.0, 0.02)
+
+        def arrive() -> None:
+            try:
+                result = execute(self.clock.monotonic())
+            except (FencedError, OutcomeUnknownError) as error:
+                if not is_lost:
+                    self.later(0.01, lambda error=error: fail(error), node)
+                return
+            if not is_lost:
+                self.later(self.rng.uniform(0.0, 0.02), lambda: reply(result), node)
+
+        self.later(delay_s, arrive)
+        if is_lost:
+            self.later(0.3, lambda: fail(OutcomeUnknownError("lost", step="sim")), node)
+
+    def dispatch(self, dispatcher: Dispatcher) -> None:
+        """Lets an owner decide. Tests replace this to break a decision on purpose."""
+        dispatcher.dispatch(self.clock.monotonic())
+
+    def crash_target(self, number: int) -> None:
+        """Replaces a target by a new life at the same address."""
+        old = self.targets[number]
+        old.crash()
+        life = old.entry.born_ms - 999
+        self.targets[number] = self._make_target(number, life)
+        for node in self.nodes:
+            if node.term is not None:
+                node.term.on_target(self.targets[number].entry)
+
+    def run(self, seconds: float) -> None:
+        end = self.clock.monotonic() + seconds
+        while self.clock.monotonic() < end:
+            self.clock.advance(STEP_S)
+            self._deliver()
+            for target in self.targets:
+                if target.is_up:
+                    target.advance(self.clock.monotonic())
+            for node in self.nodes:
+                node.step()
+
+    def heal(self) -> None:
+        """Ends all faults."""
+        self.loss = 0.0
+        self.log.down = False
+        for node in self.nodes:
+            node.paused_until = 0.0
+            node.log.is_cut = False
+            node.cut_targets.clear()
+
+    def is_settled(self, name: str) -> bool:
+        for node in self.nodes:
+            if node.term is not None:
+                state = node.replica.state(name)
+                return state in (JobState.COMPLETED, JobState.FAILED)
+        return False
+
+    def _deliver(self) -> None:
+        now = self.clock.monotonic()
+        postponed = []
+        while self._queue and self._queue[0][0] <= now:
+            at, number, call, node = heapq.heappop(self._queue)
+            if node is not None and node.is_paused:
+                postponed.append((node.paused_until, number, call, node))
+            else:
+                call()
+        for entry in postponed:
+            heapq.heappush(self._queue, entry)
+
+    def _make_target(self, number: int, life: int) -> SimTarget:
+        target = SimTarget(
+            make_entry(number, life),
+            self.checker,
+            self.rng,
+            rate=self.rng.uniform(0.98, 1.0),
+            world_ended=self.ended,
+            duration=self._duration,
+        )
+        self.targets_by_id[target.id] = target
+        return target
+
+    def _duration(self, task) -> float:  # noqa: ANN001
+        return self._durations.setdefault(
+            task, self.rng.uniform(0.1 * self.longest_s, self.longest_s)
+        )
--- a/tests/run.py
+++ b/tests/run.py
@@ -15,8 +15,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 CHECKS = {
-    "black": ["-m", "black", "--check", "--quiet", "libs", "tests"],
-    "ruff": ["-m", "ruff", "check", "--quiet", "libs", "tests"],
+    "black": ["-m", "black", "--check", "--quiet", "libs", "platform", "tests"],
+    "ruff": ["-m", "ruff", "check", "--quiet", "libs", "platform", "tests"],
 }
 
 
--- /dev/null
+++ b/tests/unit/cluster/test_faults.py
@@ -0,0 +1,168 @@
+"""Owners in turn under cuts, pauses, losses and crashes: no promise is broken, all work ends."""
+
+from __future__ import annotations
+
+import unittest
+import unittest.mock
+
+from azurecleat_cluster._internal.owner import term
+from azurecleat_cluster._internal.owner.authority import Authority, Succession
+
+from tests.lib.cluster_world import World
+
+SEEDS = range(24)
+ROUNDS = 40
+
+
+def play(seed: int, rounds: int = ROUNDS) -> tuple[World, list[str]]:
+    """Plays random faults, heals, and returns the world and the jobs that did not end."""
+    world = World(seed)
+    rng = world.rng
+    names = []
+    world.nodes[0].take_over()
+    for number in range(rounds):
+        name = f"{number:016x}"
+        if not world.log.down:
+            names.append(name)
+            world.submit(name)
+        node = rng.choice(world.nodes)
+        match rng.randrange(9):
+            case 0:
+                node.paused_until = world.clock.monotonic() + rng.uniform(0.2, 5.0)
+            case 1:
+                node.log.is_cut = True
+            case 2:
+                node.cut_targets = {
+                    target.id for target in rng.sample(world.targets, rng.randint(1, 4))
+                }
+            case 3:
+                world.loss = rng.choice((0.0, 0.05, 0.2))
+            case 4:
+                world.crash_target(rng.randrange(len(world.targets)))
+            case 5 | 6:
+                node.take_over()
+            case 7:
+                world.log.down = True
+            case 8:
+                world.heal()
+        world.run(rng.uniform(0.1, 1.2))
+        if rng.random() < 0.3:
+            world.log.down = False
+            node.log.is_cut = False
+    world.heal()
+    for _ in range(60):
+        world.run(1.0)
+        if all(node.term is None for node in world.nodes):
+            world.nodes[rng.randrange(3)].take_over()
+        if all(world.is_settled(name) for name in names):
+            break
+    return world, [name for name in names if not world.is_settled(name)]
+
+
+def divided_targets() -> World:
+    """Two owners, each with a part of the targets; the first one lost the log."""
+    world = World(1, longest_s=20.0)
+    first, second = world.nodes[:2]
+    first.take_over()
+    for number in range(6):
+        world.submit(f"{number:016x}")
+    world.run(1.0)
+    ids = [target.id for target in world.targets]
+    first.log.is_cut = True
+    first.cut_targets = set(ids[1:])
+    second.cut_targets = {ids[0]}
+    second.take_over()
+    world.run(15.0)
+    return world
+
+
+class DividedTargetsTest(unittest.TestCase):
+    """A former owner still reaches a target that its successor does not."""
+
+    def test_what_runs_there_ends_before_it_starts_elsewhere(self) -> None:
+        world = divided_targets()
+        self.assertEqual(world.checker.broken, [])
+        first, second = world.nodes[:2]
+        self.assertFalse(first.term.authority.may_act())
+        self.assertTrue(second.term.succession.is_settled())
+
+
+class FaultTest(unittest.TestCase):
+    """Each seed is a different course of faults."""
+
+    def test_no_promise_is_broken_and_all_jobs_end(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                world, unfinished = play(seed)
+                self.assertEqual(world.checker.broken, [])
+                self.assertEqual(unfinished, [])
+                self.assertGreater(world.checker.starts, 100)
+
+
+class MutationTest(unittest.TestCase):
+    """The checker notices when a safeguard is switched off."""
+
+    def broken_rules(self) -> set[str]:
+        rules = set()
+        for seed in SEEDS:
+            world, _ = play(seed)
+            rules |= {line.split()[1] for line in world.checker.broken}
+            if rules:
+                break
+        return rules
+
+    def patch(self, owner: object, name: str, value: object) -> None:
+        patcher = unittest.mock.patch.object(owner, name, value)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def test_successor_that_does_not_wait_for_leases(self) -> None:
+        self.patch(Succession, "is_settled", lambda self: True)
+        self.assertIn("TWICE", self.broken_rules())
+
+    def test_owner_that_acts_without_proof(self) -> None:
+        self.patch(Authority, "may_act", lambda self: not self.lost_reason)
+        self.assertTrue(any("TWICE" in line for line in divided_targets().checker.broken))
+
+    def test_lease_end_without_clock_rate_and_margin(self) -> None:
+        self.patch(Authority, "lease_end", lambda self, renewed_at: renewed_at + 0.5)
+        self.assertIn("TWICE", self.broken_rules())
+
+    def test_lease_taken_for_over_without_an_append_after_it(self) -> None:
+        self.patch(
+            Authority, "is_over", lambda self, lease_end: self._clock.monotonic() > lease_end
+        )
+        self.assertTrue(any("TWICE" in line for line in divided_targets().checker.broken))
+
+    def test_unanswered_start_taken_for_not_run(self) -> None:
+        original = term.OwnerTerm.on_start_failed
+
+        def not_run(self, run, error, may_run):  # noqa: ANN001, ANN202
+            original(self, run, error, may_run=False)
+
+        self.patch(term.OwnerTerm, "on_start_failed", not_run)
+        self.assertIn("TWICE", self.broken_rules())
+
+    def test_room_freed_when_the_stop_is_sent(self) -> None:
+        original = term.OwnerTerm.stop_run
+
+        def stop_and_release(self, run, reason):  # noqa: ANN001, ANN202
+            original(self, run, reason)
+            self._release(run)
+
+        self.patch(term.OwnerTerm, "stop_run", stop_and_release)
+        self.assertTrue(self.broken_rules() & {"TWICE", "LIMIT"})
+
+    def test_failures_that_are_not_counted(self) -> None:
+        original = term.OwnerTerm._task_failed
+
+        def forget(self, step, index, end, work, now):  # noqa: ANN001, ANN202
+            original(self, step, index, end, work, now)
+            step.failures.clear()
+
+        self.patch(term.OwnerTerm, "_task_failed", forget)
+        self.assertIn("BUDGET", self.broken_rules())
+
+
+if __name__ == "__main__":
+    unittest.main()
