Gathering instances tell that an append is queued; vacancy told directly; unreadable records left out

Ruled out: processor time (0.1 of a core); patience by the log's latency alone (owners and fronts that do not poll never learn of it). Change: the gathering instance answers within 0.1 s that a record is queued and is asked again; one append of our own at most follows; a stopping owner tells the others at once; followers log and pass over what they cannot read.

--- a/libs/cluster/src/azurecleat_cluster/_internal/application.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/application.py
@@ -76,9 +76,13 @@
         self.metrics = Metrics()
         self.configuration = ConfigurationView(ports.decoder, events)
         self.replica = JobReplica()
-        self._config_follower = Follower(ports.log, CONFIGURATION, self.configuration.apply, clock)
-        self._jobs_follower = Follower(ports.log, JOBS, self.replica.apply_job, clock)
-        self._progress_follower = Follower(ports.log, PROGRESS, self.replica.apply_progress, clock)
+        self._config_follower = Follower(
+            ports.log, CONFIGURATION, self.configuration.apply, clock, events
+        )
+        self._jobs_follower = Follower(ports.log, JOBS, self.replica.apply_job, clock, events)
+        self._progress_follower = Follower(
+            ports.log, PROGRESS, self.replica.apply_progress, clock, events
+        )
         self._appender = GroupAppender(ports.log, JOBS, self._jobs_follower.offer)
         peers = PeerDirectory(self.name, settings.peer_address, self.replica, clock)
         self.owner = OwnerService(
@@ -109,7 +113,6 @@
             self._jobs_follower,
             self._appender,
             peers,
-            self.owner.log_latency,
             settings.front,
             clock,
             events,
@@ -170,14 +173,14 @@
     def _on_follow_error(self, stream: str, error: LogError) -> None:
         self.metrics.log_errors.labels(stream).inc()
 
-    def _tell_vacancy(self) -> None:
+    def _tell_vacancy(self, epoch: int) -> None:
         """Lets the other instances know that ownership is free."""
         for entry in self.replica.instances.values():
             if entry.address == self._settings.peer_address:
                 continue
             peer = Peer(entry.address)
             try:
-                peer.ask("vacant", {}, VACANT_TIMEOUT_S)
+                peer.ask("vacant", {"epoch": epoch}, VACANT_TIMEOUT_S)
             except AzurecleatError:
                 pass  # Standbys see the release with their next read.
             finally:
--- a/libs/cluster/src/azurecleat_cluster/_internal/front/desk.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/desk.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import threading
 from collections.abc import Callable
 from enum import Enum
 from typing import NamedTuple
@@ -34,21 +33,8 @@
 RETRY_AFTER_S = 1.0
 """Hint with refusals: another instance or the log's return is a matter of a second."""
 
-APPEND_WAIT_S = 0.5
-"""Shortest wait for an append: fifty times what one takes on a log at its usual pace."""
-
-APPEND_LATENCIES = 5
-"""Answers of the log, as slow as the last ones, that an append is given besides. An append that
-is repeated too early still waits in a slow log, and makes it slower."""
-
-FORWARD_SHARE = 0.7
-"""Share of a caller's time that the gathering instance may use; the rest is for an append of
-our own."""
-
-APPEND_RETRY_PAUSE_S = 0.05
-
-MIN_APPEND_S = 0.15
-"""No further append is tried with less time than this left."""
+MIN_APPEND_S = 0.2
+"""No append is tried with less time than this left."""
 
 
 class FrontLimits(NamedTuple):
@@ -83,6 +69,8 @@
     """What became of a record that the owner was asked to append."""
 
     DONE = "done"
+    QUEUED = "queued"
+    """It is on its way to the log, behind others."""
     NOT_SENT = "not sent"
     UNKNOWN = "unknown"
 
@@ -97,6 +85,7 @@
         return None
 
     def append(self, key: str, value: bytes, timeout_s: float) -> Forwarded:
+        """Lets one instance append a record for all; ``timeout_s`` bounds all of it."""
         return Forwarded.NOT_SENT
 
 
@@ -111,7 +100,6 @@
         jobs_follower: Follower,
         appender: GroupAppender,
         owner: OwnerCalls,
-        log_latency: Callable[[], float],
         limits: FrontLimits,
         clock: Clock,
         events: EventLog,
@@ -123,7 +111,6 @@
         self._jobs_follower = jobs_follower
         self._appender = appender
         self._owner = owner
-        self._log_latency = log_latency
         self._limits = limits
         self._clock = clock
         self._events = events
@@ -220,41 +207,31 @@
         self, key: str, value: bytes, deadline: float, is_there: Callable[[], bool]
     ) -> Answer:
         """Appends until it is sure that the record is in the log, or that it never will be."""
-        pause = threading.Event()
         left_s = deadline - self._clock.monotonic()
         if left_s < MIN_APPEND_S:
             return Refused("too little time left", RETRY_AFTER_S)
         # One instance gathers what comes in at all of them: a slow log takes few appends.
-        patience_s = APPEND_WAIT_S + APPEND_LATENCIES * self._log_latency()
-        forwarded = self._owner.append(key, value, min(patience_s, left_s * FORWARD_SHARE))
-        if forwarded is Forwarded.DONE:
+        forwarded = self._owner.append(key, value, left_s - ANSWER_S)
+        if forwarded is Forwarded.DONE or is_there():
             return Accepted()
-        may_be_there = forwarded is Forwarded.UNKNOWN
-        while True:
-            left_s = deadline - self._clock.monotonic()
-            if left_s < MIN_APPEND_S:
-                break
+        left_s = deadline - self._clock.monotonic()
+        if left_s >= MIN_APPEND_S:
             try:
-                self._appender.append(key, value, min(patience_s, left_s - 0.1))
+                # One try with all the time there is: a slow log would take a repeat as well.
+                self._appender.append(key, value, left_s - ANSWER_S)
                 return Accepted()
             except AppendUnknownError:
-                may_be_there = True
                 self._metrics.retries.labels("append_unknown").inc()
             except LogUnavailableError as error:
-                if not may_be_there:
+                if forwarded is Forwarded.NOT_SENT:
                     return Refused(f"log unavailable: {error}", RETRY_AFTER_S)
-                self._metrics.retries.labels("append_refused").inc()
-            if is_there():
-                return Accepted()
-            if left_s < UNDECIDED_LEFT_S:
-                break
-            pause.wait(APPEND_RETRY_PAUSE_S)
+        if is_there():
+            return Accepted()
         return Undecided("the log gave no answer in time")
 
 
+ANSWER_S = 0.1
+"""Time kept for the answer to reach the caller."""
+
 STALE_COUNT_S = 2.5
 """Age of the view of jobs beyond which a job is not called unknown: under the visibility bound."""
-
-UNDECIDED_LEFT_S = 1.2
-"""With less than this left, an unanswered append is given back, so that the caller's next
-attempt still has time at another instance."""
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -64,7 +65,9 @@
 FENCE_TRIES = 3
 HOUSEKEEPING_S = 0.5
 RELEASE_TIMEOUT_S = 0.8
-RELEASE_RECORD_TIMEOUT_S = 2.0
+RELEASE_RECORD_TIMEOUT_S = 1.5
+RELEASE_TRIES = 3
+RELEASE_PAUSE_S = 0.2
 
 
 class OwnerSettings(NamedTuple):
@@ -90,7 +93,7 @@
     """Takes part in ownership for one instance.
 
     :param instance: This life of the instance; ``node`` is the same in its next life.
-    :param on_released: Called after this instance gave up ownership.
+    :param on_released: Called with the epoch once this instance acts no more.
     """
 
     def __init__(
@@ -106,7 +109,7 @@
         clock: Clock,
         events: EventLog,
         metrics: Metrics,
-        on_released: Callable[[], None],
+        on_released: Callable[[int], None],
     ) -> None:
         self._instance = instance
         self._address = address
@@ -120,7 +123,6 @@
         self._events = events
         self._metrics = metrics
         self._on_released = on_released
-        self._latency_s = 0.0
         self._retired = threading.Event()
         self._idle = threading.Event()
         self._stopping = threading.Event()
@@ -128,6 +130,7 @@
         self._lost = threading.Event()
         self._term: OwnerTerm | None = None
         self._served = 0
+        self._vacated = 0
         self._polled_at = float("-inf")
         self._heard_at = float("-inf")
         self._heard = (0, 0)
@@ -139,10 +142,6 @@
         """The term that this instance serves, None while it stands by."""
         return self._term
 
-    def log_latency(self) -> float:
-        """Seconds that the log took for its last answers."""
-        return self._latency_s
-
     def start(self) -> None:
         self._thread.start()
 
@@ -163,8 +162,9 @@
         self._nudged.set()
         self._lost.set()
 
-    def nudge(self) -> None:
-        """Lets a standby look at the log at once: the owner has given up its place."""
+    def note_vacancy(self, epoch: int) -> None:
+        """Notes the word of an owner that it acts no more; its record may be on its way."""
+        self._vacated = max(self._vacated, epoch)
         self._nudged.set()
 
     def _run(self) -> None:
@@ -193,15 +193,12 @@
             self._events.write(eventlog.DEPENDENCY_BACK, dependency="log", after_s=after_s)
 
     def _stand_by(self) -> None:
-        began_at = self._clock.monotonic()
         if self._jobs.age() > JOBS_POLL_S or self._nudged.is_set():
             self._nudged.clear()
             self._jobs.poll()
-            began_at = self._clock.monotonic()
         self._progress.poll()
         self._note_log_back()
         now = self._clock.monotonic()
-        self._latency_s = now - began_at
         heard = (self._progress.applied, self._replica.claim.epoch)
         if heard != self._heard or now - self._polled_at > GAP_S:
             self._heard, self._heard_at = heard, now
@@ -222,13 +219,13 @@
         claim = self._replica.claim
         if self._configuration.current is None:
             return ""
-        if claim.released:
+        if claim.released or (claim.epoch == self._vacated and claim.epoch):
             return RELEASED
         if claim.instance == self._instance:
             return "own term ended" if claim.epoch <= self._served else OWN_CLAIM
         if _node(claim.instance) == _node(self._instance):
             return RELEASED  # An earlier life of this process: it has surely ended.
-        patience_s = SILENCE_S + SILENT_LATENCIES * self._latency_s
+        patience_s = SILENCE_S + SILENT_LATENCIES * self._ports.log.latency_s()
         return "silent" if now - self._heard_at > patience_s else ""
 
     def _is_first_in_line(self) -> bool:
@@ -241,7 +238,7 @@
         if not before:
             return True
         claim = self._replica.claim
-        self._stopping.wait(before * (TURN_S + 2 * self._latency_s))
+        self._stopping.wait(before * (TURN_S + 2 * self._ports.log.latency_s()))
         self._jobs.poll()
         return self._replica.claim == claim
 
@@ -343,7 +340,9 @@
         listener: Callable[[LogRecord], None] = lambda record: term.on_job_record(  # noqa: E731
             record.key
         )
-        targets = Follower(self._ports.log, TARGETS, self._target_applier(term), self._clock)
+        targets = Follower(
+            self._ports.log, TARGETS, self._target_applier(term), self._clock, self._events
+        )
         ended = threading.Event()
         former = self._replica.targets_in_use
         with term.lock:
@@ -385,13 +384,16 @@
         self._events.write(eventlog.OWNER_ENDED, epoch=epoch, reason=reason or "stopping")
         if reason:
             return
-        try:
-            record = (f"{r.RELEASE}{epoch}", b"1")
-            self._ports.log.append(JOBS, [record], RELEASE_RECORD_TIMEOUT_S)
-        except LogError as error:
-            self._note_log_error(error)
-            return
-        self._on_released()
+        self._on_released(epoch)
+        record = (f"{r.RELEASE}{epoch}", b"1")
+        for _ in range(RELEASE_TRIES):
+            try:
+                self._ports.log.append(JOBS, [record], RELEASE_RECORD_TIMEOUT_S)
+            except LogError as error:
+                self._note_log_error(error)
+                time.sleep(RELEASE_PAUSE_S)
+            else:
+                return
 
     def _on_lost(self, reason: str) -> None:
         self._lost.set()
--- a/libs/cluster/src/azurecleat_cluster/_internal/peers.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/peers.py
@@ -9,6 +9,8 @@
 import json
 import threading
 from collections.abc import Callable, Iterable, Sequence
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import Any
 
 from azurecleat_base import AnswerLostError, Clock, HttpExchange, NotSentError
@@ -35,6 +37,12 @@
 AVOID_S = 1.0
 """How long an instance that gave no answer is not asked again."""
 
+APPEND_WAIT_S = 0.1
+"""How long a gathering instance waits for an append before it says that it is queued."""
+
+QUEUED_WAIT_S = 0.5
+"""How long it waits each time it is asked again."""
+
 APPEND_TIMEOUT_S = 2.5
 """Longest wait of a gathered append: a slow log has two of them before it."""
 MAX_BODY_BYTES = 1 << 20
@@ -118,9 +126,17 @@
         address = self._gatherer()
         if address is None:
             return Forwarded.NOT_SENT
+        deadline = self._clock.monotonic() + timeout_s
         fields = {"key": key, "value": value.decode()}
         try:
-            return Forwarded(self._ask(address, "append", fields, timeout_s)["outcome"])
+            outcome = Forwarded(self._ask(address, "append", fields, ASK_TIMEOUT_S)["outcome"])
+            while outcome is Forwarded.QUEUED:
+                left_s = deadline - self._clock.monotonic()
+                if left_s <= 0:
+                    return Forwarded.UNKNOWN
+                answer = self._ask(address, "appended", {"key": key}, QUEUED_WAIT_S + ASK_TIMEOUT_S)
+                outcome = Forwarded(answer["outcome"])
+            return outcome
         except PeerNotSentError:
             return Forwarded.NOT_SENT
         except AzurecleatError:
@@ -181,6 +197,7 @@
     ) -> None:
         self._replica = replica
         self._appender = appender
+        self._appends: dict[str, Future[int]] = {}
         self._owner = owner
         self._adviser = adviser
 
@@ -206,24 +223,38 @@
                 return {"count": self._replica.pending(fields["queue"])}
             case "/append":
                 return {"outcome": self._append(fields["key"], fields["value"].encode()).value}
+            case "/appended":
+                return {"outcome": self._await(fields["key"], QUEUED_WAIT_S).value}
             case "/advise" if self._adviser is not None:
                 tickets = self._adviser.advise(
                     fields["step"], fields["targets"], fields["timeout_s"]
                 )
                 return {"tickets": tickets}
             case "/vacant":
-                self._owner.nudge()
+                self._owner.note_vacancy(int(fields["epoch"]))
                 return {}
         return None
 
     def _append(self, key: str, value: bytes) -> Forwarded:
+        self._appends[key] = self._appender.submit(key, value, APPEND_TIMEOUT_S)
+        return self._await(key, APPEND_WAIT_S)
+
+    def _await(self, key: str, wait_s: float) -> Forwarded:
+        """Returns what became of a record; that it is queued shows that this instance lives."""
+        append = self._appends.get(key)
+        if append is None:
+            return Forwarded.UNKNOWN
         try:
-            self._appender.append(key, value, APPEND_TIMEOUT_S)
+            append.result(wait_s)
+            outcome = Forwarded.DONE
+        except FutureTimeoutError:
+            return Forwarded.QUEUED
         except LogUnavailableError:
-            return Forwarded.NOT_SENT
+            outcome = Forwarded.NOT_SENT
         except LogError:
-            return Forwarded.UNKNOWN
-        return Forwarded.DONE
+            outcome = Forwarded.UNKNOWN
+        self._appends.pop(key, None)
+        return outcome
 
 
 def _send(start: Start, status: str, value: dict[str, Any]) -> list[bytes]:
--- a/libs/cluster/src/azurecleat_cluster/_internal/ports.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/ports.py
@@ -75,6 +75,9 @@
         :raises LogError: The log gave no answer.
         """
 
+    def latency_s(self) -> float:
+        """Returns how long the log took for its last answers, smoothed."""
+
     def newest(self, stream: str) -> LogPage:
         """Returns the newest record of each key, not necessarily of one moment."""
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/appender.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/appender.py
@@ -65,11 +65,15 @@
         :raises LogUnavailableError: It was not appended.
         :raises AppendUnknownError: It may be in the log, or may come to be there.
         """
+        return self.submit(key, value, timeout_s).result()
+
+    def submit(self, key: str, value: bytes | None, timeout_s: float) -> Future[int]:
+        """Queues one record; the future ends as :meth:`append` does."""
         entry = _Entry(key, value, timeout_s, Future())
         with self._changed:
             self._queue.append(entry)
             self._changed.notify()
-        return entry.done.result()
+        return entry.done
 
     def _run(self) -> None:
         while True:
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
@@ -8,6 +8,8 @@
 from azurecleat_base import Clock
 from azurecleat_base.exceptions import LogError, OffsetForgottenError
 
+from azurecleat_cluster._internal import eventlog
+from azurecleat_cluster._internal.eventlog import EventLog
 from azurecleat_cluster._internal.ports import Log, LogRecord
 
 NEVER = float("-inf")
@@ -18,14 +20,16 @@
 class Follower:
     """Keeps a local view of a stream up to date.
 
-    :param apply: Receives each record, in order of its offset; a record may come twice.
+    :param apply: Receives each record, in order of its offset; a record may come twice. One that
+        it cannot read is logged and left out.
     """
 
-    def __init__(self, log: Log, stream: str, apply: Apply, clock: Clock) -> None:
+    def __init__(self, log: Log, stream: str, apply: Apply, clock: Clock, events: EventLog) -> None:
         self._log = log
         self._stream = stream
         self._apply = apply
         self._clock = clock
+        self._events = events
         self._lock = threading.RLock()
         self._next: int | None = None
         self._keys: set[str] = set()
@@ -131,7 +135,16 @@
                 self._keys.discard(record.key)
             else:
                 self._keys.add(record.key)
-            self._apply(record)
+            try:
+                self._apply(record)
+            except (ValueError, KeyError, TypeError, AttributeError) as error:
+                # A record that cannot be read is left out: the next ones must still be.
+                self._events.write(
+                    eventlog.RECORD_UNREADABLE,
+                    stream=self._stream,
+                    key=record.key,
+                    error=repr(error),
+                )
         self._applied += len(records)
 
 
--- a/libs/fakes/src/azurecleat_fakes/_internal/keyed_log.py
+++ b/libs/fakes/src/azurecleat_fakes/_internal/keyed_log.py
@@ -101,6 +101,9 @@
             records = tuple(target.records[start - target.first :])
             return LogPage(records, start + len(records), target.end)
 
+    def latency_s(self) -> float:
+        return 0.0
+
     def newest(self, stream: str) -> LogPage:
         target = self._stream(stream)
         with target.changed:
--- a/tests/lib/cluster_world.py
+++ b/tests/lib/cluster_world.py
@@ -267,8 +267,10 @@
         self.events = _SilentEvents()
         self.metrics = Metrics()
         self.replica = JobReplica()
-        self.jobs = Follower(self.log, JOBS, self.replica.apply_job, world.clock)
-        self.progress = Follower(self.log, PROGRESS, self.replica.apply_progress, world.clock)
+        self.jobs = Follower(self.log, JOBS, self.replica.apply_job, world.clock, self.events)
+        self.progress = Follower(
+            self.log, PROGRESS, self.replica.apply_progress, world.clock, self.events
+        )
         self.configuration = ConfigurationView(world, self.events)
         self.configuration.apply(LogRecord("config", b"x", 0))
         self.term: OwnerTerm | None = None
