--- a/libs/cluster/src/azurecleat_cluster/_internal/front/desk.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/desk.py
@@ -15,6 +15,7 @@
 from azurecleat_cluster._internal.front.answers import (
     Accepted,
     Answer,
+    Invalid,
     NoJob,
     NoQueue,
     PendingOf,
@@ -162,6 +163,35 @@
             )
         return answer
 
+    def note_answer(self, call: str, caller: Caller, answer: Answer) -> None:
+        """Logs what a caller was denied, with the inputs that decided it, and cancellations."""
+        job = caller.path.rpartition("/")[2]
+        match answer:
+            case StateOf() | PendingOf():
+                return
+            case Accepted() if call == "cancel":
+                self._events.write(eventlog.JOB_CANCELLED, job=job, config=self._version())
+                return
+            case Accepted():
+                return
+            case Refused(reason=reason) | Undecided(reason=reason) | Invalid(reason=reason):
+                pass
+            case _:
+                reason = ""
+        self._events.write(
+            eventlog.JOB_REFUSED,
+            job=job,
+            call=call,
+            outcome=type(answer).__name__,
+            reason=reason,
+            config=self._version(),
+            age_s=round(self._config_follower.age(), 3),
+            jobs_age_s=round(self._jobs_follower.age(), 3),
+        )
+
+    def _version(self) -> int:
+        return self._configuration.version
+
     def cancel(self, job: str, caller: Caller) -> Answer:
         """Records the cancellation of a known job."""
         if not self._is_known(job):
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/link.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/link.py
@@ -201,12 +201,17 @@
                 self._observer.on_replaced(self, str(error))
                 return
             except TargetError as error:
-                self._failures += 1
-                self._losses.note()
-                self._observer.on_doubt(self)
-                if self._failures >= SILENT_HOLDS:
-                    self._observer.on_silent(self, error)
-                    self._pause(RETRY_PAUSE_S)
+                self._note_silence(error)
+            except Exception as error:  # An odd answer must not end the holds of a target.
+                self._note_silence(TargetError(repr(error), step="hold", peer=self.work.id))
+
+    def _note_silence(self, error: TargetError) -> None:
+        self._failures += 1
+        self._losses.note()
+        self._observer.on_doubt(self)
+        if self._failures >= SILENT_HOLDS:
+            self._observer.on_silent(self, error)
+            self._pause(RETRY_PAUSE_S)
 
     def _hold(self) -> None:
         sent_at = self._clock.monotonic()
--- /dev/null
+++ b/tests/unit/cluster/test_link.py
@@ -0,0 +1,239 @@
+"""A link under lost answers, silence, fences and replaced targets."""
+
+from __future__ import annotations
+
+import threading
+import time
+import unittest
+from collections.abc import Callable
+
+from azurecleat_base import SystemClock
+from azurecleat_base.exceptions import FencedError, NotRunError, OutcomeUnknownError
+from azurecleat_cluster._internal.owner.authority import Authority
+from azurecleat_cluster._internal.owner.link import START_TRIES, Losses, TargetClock, TargetLink
+from azurecleat_cluster._internal.owner.work import Run
+from azurecleat_cluster.exceptions import TargetReplacedError
+from azurecleat_cluster.ports import StartResult
+from azurecleat_cluster.values import EndKind, RunEnd, TargetReport
+
+from tests.unit.cluster.test_suspicion import make_step, make_target
+
+LEASE_S = 3.0
+
+
+class FakeClient:
+    """Target client whose calls a test scripts."""
+
+    def __init__(self) -> None:
+        self.holds: list[tuple] = []
+        self.starts: list = []
+        self.stops: list = []
+        self.ended: tuple[RunEnd, ...] = ()
+        self.on_hold: Callable[[], None] = lambda: None
+        self.on_start: Callable[[], StartResult] = lambda: StartResult(True, "", 1.0)
+        self.on_stop: Callable[[], None] = lambda: None
+
+    def hold(self, fence, acknowledged, until_ms, wait_s, timeout_s):  # noqa: ANN001, ANN201
+        self.holds.append((acknowledged, until_ms, wait_s))
+        self.on_hold()
+        ended = tuple(end for end in self.ended if end.number > acknowledged)
+        if not ended:
+            time.sleep(min(wait_s, 0.02))
+        return TargetReport(1000.0 * time.monotonic(), 1, (), ended)
+
+    def start(self, order, timeout_s):  # noqa: ANN001, ANN201
+        self.starts.append(order)
+        return self.on_start()
+
+    def stop(self, task, run, fence, timeout_s) -> None:  # noqa: ANN001
+        self.stops.append((task, run))
+        self.on_stop()
+
+    def close(self) -> None:
+        pass
+
+
+class Observer:
+    """Notes what a link reports."""
+
+    def __init__(self) -> None:
+        self.seen: list[tuple] = []
+        self.changed = threading.Condition()
+
+    def note(self, *what: object) -> None:
+        with self.changed:
+            self.seen.append(what)
+            self.changed.notify_all()
+
+    def wait_for(self, name: str, count: int = 1, timeout_s: float = 5.0) -> list[tuple]:
+        with self.changed:
+            self.changed.wait_for(lambda: len(self.named(name)) >= count, timeout_s)
+            return self.named(name)
+
+    def named(self, name: str) -> list[tuple]:
+        return [each for each in self.seen if each[0] == name]
+
+    def on_report(self, link, report, sent_at) -> None:  # noqa: ANN001
+        for end in report.ended:
+            link.processed = max(link.processed, end.number)
+        self.note("report", len(report.ended))
+
+    def on_doubt(self, link) -> None:  # noqa: ANN001
+        self.note("doubt")
+
+    def on_silent(self, link, error) -> None:  # noqa: ANN001
+        self.note("silent")
+
+    def on_replaced(self, link, reason) -> None:  # noqa: ANN001
+        self.note("replaced")
+
+    def on_fenced(self, link, epoch) -> None:  # noqa: ANN001
+        self.note("fenced", epoch)
+
+    def on_start(self, run, result) -> None:  # noqa: ANN001
+        self.note("started", result.started)
+
+    def on_start_failed(self, run, error, may_run) -> None:  # noqa: ANN001
+        self.note("failed", may_run)
+
+    def on_stop(self, run) -> None:  # noqa: ANN001
+        self.note("stopped")
+
+
+class LinkTest(unittest.TestCase):
+    """One link on the system's clock."""
+
+    def setUp(self) -> None:
+        clock = SystemClock()
+        self.authority = Authority(7, LEASE_S, clock)
+        self.authority.proved_by_log(clock.monotonic())
+        self.client, self.observer = FakeClient(), Observer()
+        self.work = make_target(1)
+        self.link = TargetLink(
+            self.work, self.client, self.authority, self.observer, Losses(clock), clock
+        )
+        self.addCleanup(self.link.stop)
+
+    def run_to_start(self) -> Run:
+        run = Run(make_step("job", 1).task(0), make_step("job", 1), 1, self.work)
+        self.work.add(run)
+        return run
+
+    def begin(self) -> None:
+        self.link.start()
+        self.observer.wait_for("report", 2)
+
+    def test_first_look_renews_nothing_and_later_ones_do(self) -> None:
+        self.begin()
+        self.assertIsNone(self.client.holds[0][1])
+        self.assertIsNotNone(self.client.holds[1][1])
+
+    def test_ends_are_acknowledged_only_once_they_are_recorded(self) -> None:
+        task = make_step("job", 1).task(0)
+        self.client.ended = (RunEnd(1, task, 1, EndKind.DONE, ""),)
+        self.begin()
+        self.assertEqual({acknowledged for acknowledged, _, _ in self.client.holds}, {0})
+        self.link.acknowledge(1)
+        self.observer.wait_for("report", len(self.observer.seen) + 1)
+        self.assertEqual(self.client.holds[-1][0], 1)
+
+    def test_start_without_an_answer_is_sent_again_as_it_was(self) -> None:
+        self.begin()
+        answers = iter([OutcomeUnknownError("lost", step="run.start"), None])
+
+        def answer() -> StartResult:
+            error = next(answers)
+            if error is not None:
+                raise error
+            return StartResult(True, "", 1.0)
+
+        self.client.on_start = answer
+        self.link.order_start(self.run_to_start(), "", "")
+        self.assertEqual(self.observer.wait_for("started"), [("started", True)])
+        self.assertEqual(len(set(self.client.starts)), 1)
+        self.assertEqual(len(self.client.starts), 2)
+
+    def test_start_that_is_never_answered_may_have_run(self) -> None:
+        self.begin()
+        answers = iter([OutcomeUnknownError("lost")] + [NotRunError("refused")] * START_TRIES)
+
+        def answer() -> StartResult:
+            raise next(answers)
+
+        self.client.on_start = answer
+        self.link.order_start(self.run_to_start(), "", "")
+        self.assertEqual(self.observer.wait_for("failed"), [("failed", True)])
+
+    def test_start_that_never_left_has_not_run(self) -> None:
+        self.begin()
+
+        def answer() -> StartResult:
+            raise NotRunError("refused")
+
+        self.client.on_start = answer
+        self.link.order_start(self.run_to_start(), "", "")
+        self.assertEqual(self.observer.wait_for("failed"), [("failed", False)])
+
+    def test_stop_is_repeated_until_it_is_answered(self) -> None:
+        self.begin()
+        answers = iter([OutcomeUnknownError("lost"), NotRunError("refused"), None])
+
+        def answer() -> None:
+            error = next(answers)
+            if error is not None:
+                raise error
+
+        self.client.on_stop = answer
+        self.link.order_stop(self.run_to_start())
+        self.observer.wait_for("stopped")
+        self.assertEqual(len(self.client.stops), 3)
+
+    def test_silence_is_told_and_the_next_look_renews_nothing(self) -> None:
+        self.begin()
+
+        def lose() -> None:
+            raise OutcomeUnknownError("lost", step="hold")
+
+        self.client.on_hold = lose
+        self.observer.wait_for("silent", 2)
+        self.assertTrue(self.observer.named("doubt"))
+        self.assertIsNone(self.client.holds[-1][1])
+
+    def test_newer_owner_and_other_life_are_told(self) -> None:
+        self.begin()
+
+        def fence() -> None:
+            raise FencedError("newer", epoch=9)
+
+        def replace() -> None:
+            raise TargetReplacedError("another life")
+
+        self.client.on_hold = fence
+        self.observer.wait_for("fenced")
+        self.client.on_hold = replace
+        self.assertEqual(len(self.observer.wait_for("replaced")), 1)
+
+    def test_nothing_is_sent_without_the_right_to_act(self) -> None:
+        self.begin()
+        self.authority.lose("test")
+        time.sleep(0.2)
+        holds = len(self.client.holds)
+        self.link.order_start(self.run_to_start(), "", "")
+        self.assertEqual(self.observer.wait_for("failed"), [("failed", False)])
+        self.assertEqual(self.client.starts, [])
+        time.sleep(0.4)
+        self.assertEqual(len(self.client.holds), holds)
+
+
+class TargetClockTest(unittest.TestCase):
+    """Leases in a target's own time."""
+
+    def test_estimate_is_never_ahead(self) -> None:
+        clock = TargetClock()
+        self.assertIsNone(clock.until_ms(1.0, 3.0))
+        clock.note(50_000.0, received_at=10.0)
+        self.assertEqual(clock.until_ms(10.5, 3.0), 53_500)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/unit/cluster/test_placement.py
@@ -0,0 +1,111 @@
+"""Where the tasks of a job go: together, fast enough, within every rule of their step."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from azurecleat_base import Resources
+from azurecleat_cluster import Preferences
+from azurecleat_cluster._internal.owner.placement import place, place_gang
+from azurecleat_cluster._internal.owner.work import Advice, StepWork, TargetWork
+from azurecleat_cluster.values import AdviceTerms
+
+from tests.unit.cluster.test_suspicion import make_step, make_target, start
+
+
+def naive_room(step: StepWork, target: TargetWork, chosen: list[TargetWork]) -> bool:
+    """Whether one more task fits, counted from nothing but the runs and the choice so far."""
+    taken = [run.room for run in target.runs.values()]
+    taken += [step.spec.room for each in chosen if each is target]
+    total = Resources(0, 0, 0)
+    for room in (*taken, step.spec.room):
+        total = total.plus(room)
+    same = sum(run.step is step for run in target.runs.values())
+    same += sum(each is target for each in chosen)
+    bound = step.spec.max_per_target
+    return total.fits_in(target.entry.capacity) and (not bound or same < bound)
+
+
+class PlacementTest(unittest.TestCase):
+    """Differential and pattern tests."""
+
+    def test_agrees_with_a_naive_count_on_random_loads(self) -> None:
+        for seed in range(200):
+            rng = random.Random(seed)
+            targets = [
+                make_target(n, rng.choice("ab"), f"z{n % 3}", rng.choice((8_000, 16_000)))
+                for n in range(rng.randint(1, 9))
+            ]
+            for number in range(rng.randint(0, 12)):
+                other = make_step(f"o{number}", 1, rng.choice((1_000, 3_000, 7_000)))
+                target = rng.choice(targets)
+                if naive_room(other, target, []):
+                    start(other, 0, target, 0.0)
+            step = make_step(
+                "new",
+                rng.randint(1, 20),
+                rng.choice((1_000, 2_500, 6_000)),
+                max_per_target=rng.choice((0, 0, 1, 2)),
+            )
+            indices = sorted(step.pending)
+            chosen = place(step, indices, targets, 0.0, Preferences())
+            with self.subTest(seed=seed):
+                self.assertEqual(len({index for index, _ in chosen}), len(chosen))
+                placed: list[TargetWork] = []
+                for _, target in chosen:
+                    self.assertTrue(naive_room(step, target, placed))
+                    placed.append(target)
+                if len(chosen) < len(indices):
+                    left = [target for target in targets if naive_room(step, target, placed)]
+                    self.assertEqual(left, [])
+
+    def test_a_job_stays_in_one_zone_and_on_few_targets(self) -> None:
+        targets = [make_target(n, zone=f"z{n % 3}") for n in range(24)]
+        chosen = place(make_step("job", 6), range(6), targets, 0.0, Preferences())
+        self.assertEqual(len(chosen), 6)
+        self.assertEqual(len({target.id for _, target in chosen}), 1)
+        wide = place(make_step("wide", 60), range(60), targets, 0.0, Preferences())
+        self.assertEqual(len({target.entry.zone for _, target in wide}), 1)
+
+    def test_urgent_work_prefers_fast_kinds_and_patient_work_leaves_them(self) -> None:
+        targets = [make_target(0, "a"), make_target(1, "b")]
+        preferences = Preferences()
+        for _ in range(200):
+            preferences.note_durations([("a", 1.0), ("b", 1.3), ("a", 1.0)])
+        urgent, patient = make_step("urgent", 2), make_step("patient", 2)
+        queue = patient.job.submission.queue._replace(stretch=2.2)
+        patient.job.submission = patient.job.submission._replace(queue=queue)
+        for step, kind in ((urgent, "a"), (patient, "b")):
+            chosen = place(step, range(2), targets, 0.0, preferences)
+            self.assertEqual({target.entry.kind for _, target in chosen}, {kind})
+
+    def test_advice_labels_and_failures_are_kept(self) -> None:
+        targets = [make_target(n) for n in range(4)]
+        step = make_step("advised", 2, required_label="r0")
+        queue = step.job.submission.queue._replace(advice=AdviceTerms(1, 1, 2000))
+        step.job.submission = step.job.submission._replace(queue=queue)
+        self.assertEqual(place(step, range(2), targets, 0.0, Preferences()), [])
+        step.advice = Advice({"t2": "x", "t3": "y"}, 5.0)
+        step.avoid[0] = {"t2"}
+        chosen = dict(place(step, range(2), targets, 1.0, Preferences()))
+        self.assertEqual(chosen[0].id, "t3")
+        self.assertIn(chosen[1].id, {"t2", "t3"})
+        self.assertEqual(place(step, range(2), targets, 6.0, Preferences()), [])
+        self.assertEqual(
+            place(make_step("no", 1, required_label="gpu"), [0], targets, 0.0, Preferences()), []
+        )
+
+    def test_gangs_are_placed_whole_and_in_one_rack_if_asked(self) -> None:
+        targets = [make_target(n, cpu=10_000) for n in range(16)]
+        gang = make_step("gang", 12, 5_000, gang=True, same_rack=True)
+        chosen = place_gang(gang, targets, 0.0, Preferences())
+        self.assertEqual(len(chosen), 12)
+        self.assertEqual(len({target.entry.rack for _, target in chosen}), 1)
+        self.assertEqual(
+            place_gang(make_step("huge", 33, 5_000, gang=True), targets, 0.0, Preferences()), []
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/unit/cluster/test_replica.py
@@ -0,0 +1,200 @@
+"""Records, followers and group commit on the in-memory log."""
+
+from __future__ import annotations
+
+import io
+import json
+import threading
+import unittest
+
+from azurecleat_base import ManualClock, Resources
+from azurecleat_base.exceptions import AppendUnknownError, LogUnavailableError
+from azurecleat_cluster import EventLog
+from azurecleat_cluster._internal.replica import records as r
+from azurecleat_cluster._internal.replica.appender import GroupAppender
+from azurecleat_cluster._internal.replica.follower import Follower
+from azurecleat_cluster._internal.replica.jobs import JobReplica
+from azurecleat_cluster.ports import JOBS
+from azurecleat_cluster.values import AdviceTerms, JobSpec, JobState, Queue, Step
+from azurecleat_fakes import KeyedMemoryLog
+from hypothesis import given
+from hypothesis import strategies as st
+
+QUEUE = Queue("q", "h", "/q/", "pool", attempts=3, advice=AdviceTerms(1.0, 0.5, 2000.0))
+STEPS = (
+    Step(3, Resources(1000, 10, 1), 640.0, checkpointing=True, max_per_target=2),
+    Step(1, Resources(5, 0, 0), depends_on=(0,), gang=True, same_rack=True, data_rack="r1"),
+)
+SUBMISSION = r.Submission("0" * 16, "team", QUEUE, JobSpec("payload", STEPS, 2, 1000, 50))
+
+
+class RecordsTest(unittest.TestCase):
+    """What is written can be read."""
+
+    def test_submission(self) -> None:
+        value = r.encode_submission(SUBMISSION)
+        self.assertEqual(r.decode_submission(SUBMISSION.job, value), SUBMISSION)
+        for bad in (b"", b"[]", b"{}", b'{"queue":{}}', b"\xff"):
+            with self.subTest(bad=bad), self.assertRaises(ValueError):
+                r.decode_submission("job", bad)
+
+    @given(
+        st.sets(st.integers(0, 200)),
+        st.dictionaries(st.integers(0, 9), st.lists(st.text("0123@t", min_size=1), unique=True)),
+        st.integers(0, 10**6),
+    )
+    def test_progress(self, done: set[int], failures: dict[int, list[str]], last: int) -> None:
+        failed = {index: tuple(sorted(runs)) for index, runs in failures.items()}
+        task = r.TaskProgress(tuple(sorted(done)), failed, {1: "checkpoint"}, last)
+        progress = r.Progress(True, "failed", {(0, 0): task, (3, 1): task})
+        self.assertEqual(r.decode_progress(r.encode_progress(progress)), progress)
+
+    def test_claims_of_one_epoch_do_not_hide_each_other(self) -> None:
+        keys = {r.claim_key(r.Claim(4, name, "")) for name in ("a", "b")}
+        self.assertEqual(len(keys), 2)
+
+
+class ReplicaTest(unittest.TestCase):
+    """The jobs stream, followed by two instances."""
+
+    def setUp(self) -> None:
+        self.log = KeyedMemoryLog()
+        self.clock = ManualClock()
+        self.output = io.StringIO()
+        self.replica, self.follower = self.make()
+
+    def make(self) -> tuple[JobReplica, Follower]:
+        replica = JobReplica()
+        events = EventLog("test", self.output)
+        return replica, Follower(self.log, JOBS, replica.apply_job, self.clock, events)
+
+    def append(self, key: str, value: bytes | None) -> int:
+        return self.log.append(JOBS, [(key, value)], 1.0)
+
+    def submit(self) -> None:
+        self.append(r.SUBMISSION + SUBMISSION.job, r.encode_submission(SUBMISSION))
+
+    def test_first_claim_of_an_epoch_wins_for_all_readers(self) -> None:
+        first, second = r.Claim(1, "a", "x"), r.Claim(1, "b", "y")
+        for claim in (first, second):
+            self.append(r.claim_key(claim), r.encode_claim(claim))
+        self.follower.poll()
+        self.log.forget(JOBS)
+        late, late_follower = self.make()
+        late_follower.poll()
+        for replica in (self.replica, late):
+            self.assertEqual(replica.claim, first)
+        self.append(f"{r.RELEASE}1", b"1")
+        self.follower.poll()
+        self.assertTrue(self.replica.claim.released)
+
+    def test_a_repeat_is_the_same_job_and_a_cancel_is_told(self) -> None:
+        self.submit()
+        self.submit()
+        self.follower.poll()
+        self.assertEqual(self.replica.job_ids(), [SUBMISSION.job])
+        self.assertEqual(self.replica.pending("q"), 1)
+        self.append(r.CANCELLATION + SUBMISSION.job, b"1")
+        self.follower.poll()
+        self.assertIs(self.replica.state(SUBMISSION.job), JobState.CANCELLED)
+
+    def test_forgotten_history_is_loaded_anew_and_dropped_keys_go(self) -> None:
+        self.submit()
+        self.follower.poll()
+        self.append(r.SUBMISSION + SUBMISSION.job, None)
+        self.log.forget(JOBS)
+        self.follower.poll()
+        self.assertEqual(self.replica.job_ids(), [])
+
+    def test_offered_records_are_taken_only_in_order(self) -> None:
+        self.follower.poll()
+        value = r.encode_submission(SUBMISSION)
+        self.follower.offer(1, [(r.SUBMISSION + SUBMISSION.job, value)])
+        self.assertFalse(self.replica.knows(SUBMISSION.job))
+        self.follower.offer(0, [(r.SUBMISSION + SUBMISSION.job, value)])
+        self.assertTrue(self.replica.knows(SUBMISSION.job))
+        self.assertEqual(self.follower.next_offset, 1)
+
+    def test_unreadable_records_are_passed_over(self) -> None:
+        for key in (r.SUBMISSION + "x", r.INSTANCE + "x", r.CLAIM + "1/x", r.RELEASE + "x", "odd"):
+            for value in (b"\xff\x00", b"[]", b"{}", b"3"):
+                self.append(key, value)
+        self.submit()
+        self.follower.poll()
+        self.assertTrue(self.replica.knows(SUBMISSION.job))
+
+    def test_age_counts_from_the_read_that_reached_the_end(self) -> None:
+        self.follower.poll()
+        self.clock.advance(2.0)
+        self.assertEqual(self.follower.age(), 2.0)
+        self.log.down = True
+        with self.assertRaises(LogUnavailableError):
+            self.follower.poll()
+        self.assertEqual(self.follower.age(), 2.0)
+
+
+class AppenderTest(unittest.TestCase):
+    """Group commit."""
+
+    def test_lost_answer_is_told_as_unknown_and_a_refusal_as_not_done(self) -> None:
+        log = KeyedMemoryLog()
+        taken: list[int] = []
+        appender = GroupAppender(log, JOBS, lambda offset, records: taken.append(offset))
+        appender.start()
+        self.addCleanup(appender.stop)
+        self.assertEqual(appender.append("a", b"1", 1.0), 0)
+        log.lose_answers = 1
+        with self.assertRaises(AppendUnknownError):
+            appender.append("b", b"1", 1.0)
+        log.down = True
+        with self.assertRaises(LogUnavailableError):
+            appender.append("c", b"1", 1.0)
+        self.assertEqual(taken, [0])
+
+    def test_records_that_wait_together_go_in_few_calls(self) -> None:
+        log = KeyedMemoryLog()
+        release = threading.Event()
+        original = log.append
+
+        def slow(*arguments, **named):  # noqa: ANN002, ANN003, ANN202
+            release.wait(5.0)
+            return original(*arguments, **named)
+
+        log.append = slow
+        appender = GroupAppender(log, JOBS, lambda offset, records: None)
+        appender.start()
+        self.addCleanup(appender.stop)
+        futures = [appender.submit(f"k{number}", b"1", 1.0) for number in range(30)]
+        release.set()
+        self.assertEqual(len({future.result(5.0) for future in futures}), 30)
+        self.assertLess(log.appends, 6)
+
+
+class EventLogTest(unittest.TestCase):
+    """The structured log never blocks a decision."""
+
+    def test_a_reader_that_stops_costs_lines_and_no_time(self) -> None:
+        from azurecleat_cluster import eventlog
+
+        blocked = threading.Event()
+
+        class Stuck(io.StringIO):
+            def write(self, text: str) -> int:
+                blocked.wait(10.0)
+                return super().write(text)
+
+        output = Stuck()
+        log = EventLog("i", output)
+        log.start()
+        for number in range(eventlog.MAX_QUEUED_LINES * 3):
+            log.write(eventlog.JOB_SEEN, job=str(number), epoch=1)
+        self.assertGreater(log.left_out, eventlog.MAX_QUEUED_LINES)
+        blocked.set()
+        log.stop(10.0)
+        lines = [json.loads(line) for line in output.getvalue().splitlines()]
+        self.assertEqual(lines[0]["name"], "job.seen")
+        self.assertTrue(any(line["name"] == "log.lines_left_out" for line in lines))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from azurecleat_bench._internal.capacity import slope_table, table
+from azurecleat_cluster import eventlog
 from azurecleat_daemon import parse_settings
 from azurecleat_model import JobSpec, events, parse_environment, parse_jsonc, validate
 from azurecleat_model.exceptions import DocumentError
@@ -34,6 +35,17 @@
         rows = re.findall(r"^\| E(\d+) \| (\w+) \| `(.*?)` \|", read(DOCS / "events.md"), re.M)
         self.assertEqual({(int(n), level, text) for n, level, text in rows}, code)
 
+    def test_catalogue_of_the_structured_log(self) -> None:
+        code = {
+            (event.number, event.name, event.fields)
+            for event in vars(eventlog).values()
+            if isinstance(event, eventlog.LogEvent)
+        }
+        rows = re.findall(r"^\| E(\d+) \| ([\w.]+) \| ([\w, ]+) \|", read(DOCS / "events.md"), re.M)
+        listed = {(int(n), name, fields) for n, name, fields in rows if "." in name}
+        self.assertEqual(listed, code)
+        self.assertEqual(len({number for number, _, _ in code}), len(code))
+
     def test_numbers_are_used_once(self) -> None:
         numbers = [e.number for e in vars(events).values() if isinstance(e, events.Event)]
         self.assertEqual(len(numbers), len(set(numbers)))
