A lost log is told at once, also to callers who already wait

Ruled out: a slow store (reads are answered there; only one read fails at its onset). Change: with a failed read and none answered for 1.5 s, new submissions get 503 and those whose append is on its way 504, both at once.

--- a/libs/cluster/src/azurecleat_cluster/_internal/front/desk.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/desk.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from azurecleat_base import Clock
-from azurecleat_base.exceptions import AppendUnknownError, LogError, LogUnavailableError
+from azurecleat_base.exceptions import LogError, LogUnavailableError
 
 from azurecleat_cluster._internal import eventlog
 from azurecleat_cluster._internal.configuration import ConfigurationView
@@ -85,8 +85,13 @@
     def pending(self, queue: str) -> int | None:
         return None
 
-    def append(self, key: str, value: bytes, timeout_s: float) -> Forwarded:
-        """Lets one instance append a record for all; ``timeout_s`` bounds all of it."""
+    def append(
+        self, key: str, value: bytes, timeout_s: float, give_up: Callable[[], bool]
+    ) -> Forwarded:
+        """Lets one instance append a record for all; ``timeout_s`` bounds all of it.
+
+        :param give_up: Tells that waiting on is of no use.
+        """
         return Forwarded.NOT_SENT
 
 
@@ -240,25 +245,51 @@
         left_s = deadline - self._clock.monotonic()
         if left_s < MIN_APPEND_S:
             return Refused("too little time left", RETRY_AFTER_S)
+        if self._is_log_lost():
+            return Refused("log unavailable: it does not answer", RETRY_AFTER_S)
         # One instance gathers what comes in at all of them: a slow log takes few appends.
-        forwarded = self._owner.append(key, value, left_s - ANSWER_S)
+        forwarded = self._owner.append(key, value, left_s - ANSWER_S, self._is_log_lost)
         if forwarded is Forwarded.DONE or is_there():
             return Accepted()
-        left_s = deadline - self._clock.monotonic()
-        if left_s >= MIN_APPEND_S:
-            try:
-                # One try with all the time there is: a slow log would take a repeat as well.
-                self._appender.append(key, value, left_s - ANSWER_S)
+        if deadline - self._clock.monotonic() >= MIN_APPEND_S and not self._is_log_lost():
+            # One try with all the time there is: a slow log would take a repeat as well.
+            outcome = self._append_here(key, value, deadline - ANSWER_S)
+            if outcome is Forwarded.DONE:
                 return Accepted()
-            except AppendUnknownError:
-                self._metrics.retries.labels("append_unknown").inc()
-            except LogUnavailableError as error:
-                if forwarded is Forwarded.NOT_SENT:
-                    return Refused(f"log unavailable: {error}", RETRY_AFTER_S)
+            if outcome is Forwarded.NOT_SENT is forwarded:
+                return Refused("log unavailable: it refused", RETRY_AFTER_S)
         if is_there():
             return Accepted()
         return Undecided("the log gave no answer in time")
 
+    def _append_here(self, key: str, value: bytes, deadline: float) -> Forwarded:
+        """Appends a record from this instance, until the deadline or until the log is lost."""
+        left_s = deadline - self._clock.monotonic()
+        append = self._appender.submit(key, value, left_s)
+        while (left_s := deadline - self._clock.monotonic()) > 0 and not self._is_log_lost():
+            try:
+                append.result(min(left_s, LOST_LOOK_S))
+                return Forwarded.DONE
+            except TimeoutError:
+                continue
+            except LogUnavailableError:
+                return Forwarded.NOT_SENT
+            except LogError:
+                break
+        self._metrics.retries.labels("append_unknown").inc()
+        return Forwarded.UNKNOWN
+
+    def _is_log_lost(self) -> bool:
+        """Whether the log no longer answers this instance: waiting on would help nobody."""
+        follower = self._config_follower
+        return follower.is_failing and follower.age() > LOST_AGE_S
+
+
+LOST_AGE_S = 1.5
+"""Age of the last read that was answered from which the log counts as lost, if a read since has
+failed. While all is well, reads are up to 1.6 s apart."""
+
+LOST_LOOK_S = 0.1
 
 ANSWER_S = 0.1
 """Time kept for the answer to reach the caller."""
--- a/libs/cluster/src/azurecleat_cluster/_internal/peers.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/peers.py
@@ -40,7 +40,7 @@
 APPEND_WAIT_S = 0.1
 """How long a gathering instance waits for an append before it says that it is queued."""
 
-QUEUED_WAIT_S = 0.5
+QUEUED_WAIT_S = 0.25
 """How long it waits each time it is asked again."""
 
 APPEND_TIMEOUT_S = 2.5
@@ -121,7 +121,9 @@
         answer = self._ask_owner("pending", {"queue": queue}, ASK_TIMEOUT_S)
         return answer["count"] if answer else None
 
-    def append(self, key: str, value: bytes, timeout_s: float) -> Forwarded:
+    def append(
+        self, key: str, value: bytes, timeout_s: float, give_up: Callable[[], bool]
+    ) -> Forwarded:
         """Lets the instance that gathers records append one."""
         address = self._gatherer()
         if address is None:
@@ -132,7 +134,7 @@
             outcome = Forwarded(self._ask(address, "append", fields, ASK_TIMEOUT_S)["outcome"])
             while outcome is Forwarded.QUEUED:
                 left_s = deadline - self._clock.monotonic()
-                if left_s <= 0:
+                if left_s <= 0 or give_up():
                     return Forwarded.UNKNOWN
                 answer = self._ask(address, "appended", {"key": key}, QUEUED_WAIT_S + ASK_TIMEOUT_S)
                 outcome = Forwarded(answer["outcome"])
