Jobs beyond a team's share come last; an owner's silence counts after 0.55 s

Cause: (1) all jobs of a team that sends many times its share stood before those of calm teams; (2) without an owner, jobs in progress wait: 1.2 s at each loss of one.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -156,7 +156,13 @@
         objective_s = job.queue.objective_ms / 1000.0 + job.queue.stretch * chain_s
         age_s = now - job.seen_at
         too_late = not step.spec.long_running and age_s > MAX_LATE_OBJECTIVES * objective_s
-        return (job.over_share, too_late, job.queue.priority, job.seen_at + objective_s, step.name)
+        return (
+            job.is_beyond_share,
+            too_late,
+            job.queue.priority,
+            job.seen_at + objective_s,
+            step.name,
+        )
 
     def _pool_of(self, job: JobWork) -> str:
         """Pool of a job's queue: as configured now, or as it was when the job was accepted."""
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/progress.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/progress.py
@@ -14,7 +14,7 @@
 
 WRITER = "owner"
 
-HEARTBEAT_S = 0.3
+HEARTBEAT_S = 0.2
 """Longest pause between appends: a successor waits for two of them to be missing."""
 
 GATHER_S = 0.025
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
@@ -36,7 +36,7 @@
 from azurecleat_cluster._internal.replica.jobs import JobReplica
 from azurecleat_cluster._internal.values import TargetEntry, TargetState
 
-POLL_S = 0.35
+POLL_S = 0.25
 """Pause between the reads of a standby that is among the next to claim."""
 
 SLOW_POLL_S = 1.0
@@ -48,7 +48,7 @@
 JOBS_POLL_S = 1.0
 """Age at which a standby reads the jobs stream again. The owner answers for newer jobs."""
 
-SILENCE_S = 0.8
+SILENCE_S = 0.55
 """Silence of an owner in the log after which its place is claimed: two heartbeats, and a pause.
 A claim too early does no harm: fences decide, and the change takes some 0.1 s."""
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -20,6 +20,7 @@
 from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.owner.authority import Authority, Succession
 from azurecleat_cluster._internal.owner.placement import Preferences
+from azurecleat_cluster._internal.owner.shares import ShareMeter
 from azurecleat_cluster._internal.owner.suspicion import Suspicions
 from azurecleat_cluster._internal.owner.work import (
     JobWork,
@@ -131,6 +132,7 @@
         self._events = events
         self._metrics = metrics
         self._on_lost = on_lost
+        self._shares = ShareMeter()
         self._stopping = False
 
     # -- life cycle ---------------------------------------------------------------------------
@@ -213,6 +215,12 @@
             job.open_occurrence(0)
         if progress is not None:
             job.restore(progress)
+        elif not before_claim:
+            # Those of before the claim come all at once, which says nothing of their rate.
+            team = self.configuration.team_named(job.team)
+            job.is_beyond_share = team is not None and self._shares.is_beyond(
+                team.name, team.weight, now
+            )
         self.jobs[name] = job
         self.open_due_occurrences(job)
         if job.outcome:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/work.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/work.py
@@ -175,7 +175,7 @@
         self.cancelled = False
         self.outcome = ""
         self.begun = False
-        self.over_share = False
+        self.is_beyond_share = False
         self.finished_at: float | None = None
 
     @property
