--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -6,37 +6,24 @@
 
 from __future__ import annotations
 
-import threading
 import time
 from collections.abc import Callable
-from typing import Protocol
 
-from azurecleat_base import Clock
 from azurecleat_base.exceptions import TargetError
 
 from azurecleat_cluster._internal import eventlog
-from azurecleat_cluster._internal.configuration import ConfigurationView
-from azurecleat_cluster._internal.eventlog import EventLog
-from azurecleat_cluster._internal.metrics import Metrics
-from azurecleat_cluster._internal.owner.authority import Authority, Succession
-from azurecleat_cluster._internal.owner.placement import Preferences
-from azurecleat_cluster._internal.owner.shares import ShareMeter
-from azurecleat_cluster._internal.owner.suspicion import Suspicions
+from azurecleat_cluster._internal.owner.authority import Succession
+from azurecleat_cluster._internal.owner.runs import RunTransitions
+from azurecleat_cluster._internal.owner.state import Link
 from azurecleat_cluster._internal.owner.work import (
     JobWork,
     Run,
     RunState,
-    StepWork,
     TargetWork,
-    TeamUse,
 )
-from azurecleat_cluster._internal.ports import StartResult, TargetClient
+from azurecleat_cluster._internal.ports import TargetClient
 from azurecleat_cluster._internal.replica import records as r
-from azurecleat_cluster._internal.replica.jobs import JobReplica
 from azurecleat_cluster._internal.values import (
-    EndKind,
-    JobState,
-    RunEnd,
     RunStatus,
     TargetEntry,
     TargetReport,
@@ -47,93 +34,11 @@
 ENDS_A_PAGE = 500
 """Ends that a target reports at most; with fewer, the report is complete."""
 
-LASTING_PAUSE_S = 0.2
-"""Pause before a long-running task that ended by itself is started again."""
-
 Connect = Callable[[TargetEntry], TargetClient]
 
 
-class Link(Protocol):
-    """What a term needs of a connection to a target; see :class:`TargetLink`."""
-
-    work: TargetWork
-    processed: int
-
-    @property
-    def lease_end(self) -> float: ...
-
-    def start(self) -> None: ...
-
-    def stop(self) -> None: ...
-
-    def join(self) -> None: ...
-
-    def inherit_lease(self, reached_at: float) -> None: ...
-
-    def acknowledge(self, number: int) -> None: ...
-
-    def order_start(self, run: Run, payload: str, ticket: str) -> None: ...
-
-    def order_stop(self, run: Run) -> None: ...
-
-    def order_pace(self, run: Run, percent: int) -> None: ...
-
-
-class Records(Protocol):
-    """Where a term's progress goes; see :class:`ProgressWriter`."""
-
-    def put(
-        self,
-        key: str,
-        encode: Callable[[], bytes | None],
-        committed: Callable[[], None] | None = None,
-    ) -> None: ...
-
-    def after(self, committed: Callable[[], None]) -> None: ...
-
-
-MakeLink = Callable[[TargetWork, "OwnerTerm"], Link]
-
-
-class OwnerTerm:
-    """State of one term and its transitions.
-
-    :param make_link: Connects to one life of a target.
-    :param on_lost: Called once when the term has to end.
-    """
-
-    def __init__(
-        self,
-        authority: Authority,
-        replica: JobReplica,
-        configuration: ConfigurationView,
-        writer: Records,
-        make_link: MakeLink,
-        preferences: Preferences,
-        clock: Clock,
-        events: EventLog,
-        metrics: Metrics,
-        on_lost: Callable[[str], None],
-    ) -> None:
-        self.lock = threading.RLock()
-        self.changed = threading.Condition(self.lock)
-        self.authority = authority
-        self.configuration = configuration
-        self.jobs: dict[str, JobWork] = {}
-        self.links: dict[str, Link] = {}
-        self.use = TeamUse()
-        self.suspicions = Suspicions(events, preferences)
-        self.succession: Succession | None = None
-        self.dirty = True
-        self._replica = replica
-        self._writer = writer
-        self._make_link = make_link
-        self._clock = clock
-        self._events = events
-        self._metrics = metrics
-        self._on_lost = on_lost
-        self._shares = ShareMeter()
-        self._stopping = False
+class OwnerTerm(RunTransitions):
+    """One term: its jobs and targets, and what reports of targets change."""
 
     # -- life cycle ---------------------------------------------------------------------------
 
@@ -159,25 +64,6 @@
         for link in list(self.links.values()):
             link.join()
 
-    @property
-    def stopping(self) -> bool:
-        return self._stopping
-
-    def wake(self) -> None:
-        """Lets the dispatcher look for work."""
-        with self.changed:
-            self.dirty = True
-            self.changed.notify_all()
-
-    def lose(self, reason: str) -> None:
-        """Ends the term: another owner has control."""
-        with self.changed:
-            if self.authority.lost_reason:
-                return
-            self.authority.lose(reason)
-            self.changed.notify_all()
-        self._on_lost(reason)
-
     # -- jobs ---------------------------------------------------------------------------------
 
     def on_job_record(self, key: str) -> None:
@@ -240,41 +126,6 @@
             job.open_occurrence(job.occurrences_open)
         return None
 
-    def _cancel(self, job: JobWork) -> None:
-        if job.cancelled:
-            return
-        job.cancelled = True
-        job.finished_at = self._clock.monotonic()
-        self._stop_runs(job, "cancelled")
-
-    def _finish(self, job: JobWork, outcome: JobState) -> None:
-        if job.outcome:
-            return
-        job.outcome = outcome.value
-        job.finished_at = self._clock.monotonic()
-        self._events.write(
-            eventlog.JOB_ENDED,
-            job=job.id,
-            outcome=outcome.value,
-            age_s=round(job.finished_at - job.seen_at, 3),
-            epoch=self.authority.fence,
-        )
-        self._stop_runs(job, outcome.value)
-
-    def _stop_runs(self, job: JobWork, reason: str) -> None:
-        for step in job.steps.values():
-            spares = [run for runs in step.spares.values() for run in runs]
-            for run in (*step.active.values(), *spares):
-                self.stop_run(run, reason)
-
-    def record(self, job: JobWork) -> None:
-        """Queues a job's progress for the log."""
-        self._writer.put(r.JOB + job.id, lambda: self._encode(job))
-
-    def _encode(self, job: JobWork) -> bytes:
-        with self.lock:
-            return r.encode_progress(job.progress())
-
     # -- targets ------------------------------------------------------------------------------
 
     def on_target(self, entry: TargetEntry) -> None:
@@ -462,84 +313,6 @@
         )
         return run
 
-    def _step_of(self, task: TaskId) -> StepWork | None:
-        job = self.jobs.get(task.job)
-        if job is None:
-            return None
-        step = job.steps.get((task.occurrence, task.step))
-        return step if step is not None and task.index < step.spec.count else None
-
-    def _take_end(self, work: TargetWork, end: RunEnd, now: float) -> None:
-        run = work.runs.get((end.task, end.run))
-        step = self._step_of(end.task)
-        self._metrics.ends.labels(end.kind.value).inc()
-        self._events.write(
-            eventlog.RUN_ENDED,
-            task=end.task,
-            run=end.run,
-            target=work.id,
-            kind=end.kind.value,
-            took_s=round(now - run.ordered_at, 3) if run else None,
-        )
-        if run is not None:
-            self.suspicions.note_end(work, run, end.kind, now)
-            self._release(run)
-        if step is None:
-            return
-        index = end.task.index
-        step.last_run = max(step.last_run, end.run)
-        if index in step.done:
-            return
-        if end.checkpoint:
-            self._keep_checkpoint(step, index, end.checkpoint)
-        match end.kind:
-            case EndKind.DONE if not step.spec.long_running:
-                self._task_done(step, index)
-            case EndKind.FAILED | EndKind.DONE:
-                self._task_failed(step, index, end, work, now)
-            case _:
-                if step.spec.long_running:
-                    step.not_before = max(step.not_before, now)
-
-    def _keep_checkpoint(self, step: StepWork, index: int, checkpoint: str) -> None:
-        indices = range(step.spec.count) if step.spec.gang else (index,)
-        for each in indices:
-            step.checkpoints[each] = checkpoint
-
-    def _task_done(self, step: StepWork, index: int) -> None:
-        for each in range(step.spec.count) if step.spec.gang else (index,):
-            step.done.add(each)
-            step.pending.discard(each)
-            step.checkpoints.pop(each, None)
-            others = step.spares.pop(each, set())
-            if each in step.active:
-                others.add(step.active.pop(each))
-            if not step.spec.gang:
-                for other in others:
-                    self.stop_run(other, "another run is done")
-        job = step.job
-        if job.is_done and job.is_open:
-            self._finish(job, JobState.COMPLETED)
-        self.record(job)
-
-    def _task_failed(
-        self, step: StepWork, index: int, end: RunEnd, work: TargetWork, now: float
-    ) -> None:
-        job = step.job
-        if step.spec.long_running:
-            step.not_before = now + LASTING_PAUSE_S
-            return
-        # Counted also while a later run is at work: a former owner may not have recorded it.
-        first, name = (0, f"{end.run}") if step.spec.gang else (index, f"{end.run}@{work.id}")
-        failures = step.failures.setdefault(first, set())
-        if name in failures:
-            return
-        failures.add(name)
-        step.avoid.setdefault(index, set()).add(work.id)
-        if len(failures) >= max(1, job.queue.attempts) and job.is_open:
-            self._finish(job, JobState.FAILED)
-        self.record(job)
-
     def _drop_missing(
         self, work: TargetWork, listed: set[tuple[TaskId, int]], sent_at: float
     ) -> None:
@@ -622,163 +395,6 @@
 
     # -- orders -------------------------------------------------------------------------------
 
-    def start_run(self, step: StepWork, index: int, work: TargetWork, number: int) -> Run:
-        """Takes room for a run; the order is sent by :meth:`send_start`."""
-        run = Run(step.task(index), step, number, work)
-        run.ordered_at = self._clock.monotonic()
-        run.checkpoint = step.checkpoints.get(index, "")
-        step.pending.discard(index)
-        step.active[index] = run
-        step.last_run = max(step.last_run, number)
-        work.add(run)
-        self.use.add(run)
-        return run
-
-    def send_start(self, run: Run) -> None:
-        advice = run.step.advice
-        ticket = advice.tickets.get(run.target.id, "") if advice is not None else ""
-        link = self.links[run.target.id]
-        link.order_start(run, run.step.job.submission.spec.payload, ticket)
-
-    def stop_run(self, run: Run, reason: str) -> None:
-        """Stops a run; its room stays taken until its end is known."""
-        link = self.links.get(run.target.id)
-        if run.state is RunState.STOPPING or link is None or link.work is not run.target:
-            return
-        run.state = RunState.STOPPING
-        run.settled_at = None
-        self._events.write(
-            eventlog.RUN_STOPPED,
-            task=run.task,
-            run=run.number,
-            target=run.target.id,
-            reason=reason,
-        )
-        link.order_stop(run)
-
-    def on_start(self, run: Run, result: StartResult) -> None:
-        now = self._clock.monotonic()
-        job = run.step.job
-        self._metrics.order_s.observe(now - run.ordered_at)
-        with self.lock:
-            if run.key not in run.target.runs:
-                return
-            if not result.started:
-                self._metrics.starts.labels(result.reason or "refused").inc()
-                self._refused(run, result.reason)
-                return
-            self._metrics.starts.labels("started").inc()
-            run.settled_at = now
-            if run.state is RunState.STARTING:
-                run.state = RunState.RUNNING
-            if not run.began_at:
-                run.began_at = now
-            if not job.begun:
-                job.begun = True
-                self._metrics.first_start_s.observe(now - job.seen_at)
-                self.record(job)
-            self._events.write(
-                eventlog.RUN_STARTED,
-                task=run.task,
-                run=run.number,
-                target=run.target.id,
-                epoch=self.authority.fence,
-                waited_s=round(run.ordered_at - job.seen_at, 3),
-            )
-
-    def _refused(self, run: Run, reason: str) -> None:
-        """A target refused a start: nothing runs there under this run number."""
-        self._events.write(
-            eventlog.RUN_REFUSED,
-            task=run.task,
-            run=run.number,
-            target=run.target.id,
-            reason=reason,
-        )
-        step, now = run.step, self._clock.monotonic()
-        self._release(run)
-        match reason:
-            case "ticket":
-                step.advice = None
-            case "old":
-                pass  # The next run has a higher number.
-            case "room":
-                run.target.suspect_until = max(run.target.suspect_until, now + ROOM_PAUSE_S)
-            case _:
-                step.avoid.setdefault(run.task.index, set()).add(run.target.id)
-                self.suspicions.note_refusal(run.target, reason, now)
-        self._break_gang(run, "a member was refused")
-        self.wake()
-
-    def on_start_failed(self, run: Run, error: TargetError, may_run: bool) -> None:
-        with self.lock:
-            if run.key not in run.target.runs:
-                return
-            self._metrics.starts.labels("uncertain" if may_run else "not_run").inc()
-            self._events.write(
-                eventlog.RUN_UNCERTAIN if may_run else eventlog.RUN_REFUSED,
-                task=run.task,
-                run=run.number,
-                target=run.target.id,
-                error=error,
-            )
-            if may_run:
-                if run.state is RunState.STARTING:
-                    # Its effect is unknown; an answered stop makes sure that it never runs.
-                    self.stop_run(run, "start was not answered")
-            else:
-                self._release(run)
-                run.step.avoid.setdefault(run.task.index, set()).add(run.target.id)
-            self._break_gang(run, "a member was not started")
-        self.wake()
-
-    def on_stop(self, run: Run) -> None:
-        """A stop was answered: the next look tells whether the run's end is listed."""
-        with self.lock:
-            run.settled_at = self._clock.monotonic()
-
-    def spare(self, run: Run) -> bool:
-        """Lets a speculative task start elsewhere while a run of it may go on."""
-        step, index = run.step, run.task.index
-        if not step.spec.speculative or step.active.get(index) is not run:
-            return False
-        del step.active[index]
-        step.pending.add(index)
-        step.spares.setdefault(index, set()).add(run)
-        step.avoid.setdefault(index, set()).add(run.target.id)
-        return True
-
-    def move_slow_runs(self, now: float) -> None:
-        """Lets runs on targets that stall or are slow go on elsewhere."""
-        targets = [link.work for link in self.links.values()]
-        for run in self.suspicions.judge(targets, now):
-            if run.step.active.get(run.task.index) is not run:
-                continue
-            run.step.avoid.setdefault(run.task.index, set()).add(run.target.id)
-            if not self.spare(run):
-                self.stop_run(run, "target is slow")
-
-    def _break_gang(self, run: Run, reason: str) -> None:
-        if run.step.spec.gang:
-            for other in list(run.step.active.values()):
-                if other is not run and other.number == run.number:
-                    self.stop_run(other, reason)
-
-    def _release(self, run: Run) -> None:
-        """Frees a run's room: it has ended, or never began and never will."""
-        if run.key not in run.target.runs:
-            return
-        run.target.remove(run)
-        self.use.add(run, -1)
-        step, index = run.step, run.task.index
-        step.spares.get(index, set()).discard(run)
-        if step.active.get(index) is run:
-            del step.active[index]
-            if index not in step.done:
-                step.pending.add(index)
-                if run.checkpoint:
-                    self._keep_checkpoint(step, index, run.checkpoint)
-
     # -- clean-up -----------------------------------------------------------------------------
 
     def expire(self, kept_s: float) -> list[str]:
@@ -798,10 +414,6 @@
         return old
 
 
-ROOM_PAUSE_S = 0.5
-"""How long a target that reported no room gets nothing new: until its next reports are in."""
-
-
 def _same_life(known: TargetEntry, reported: TargetEntry) -> bool:
     same_address = known.address == reported.address
     same_birth = known.born_ms == reported.born_ms or not (known.born_ms and reported.born_ms)
--- a/tests/unit/cluster/test_faults.py
+++ b/tests/unit/cluster/test_faults.py
@@ -5,8 +5,8 @@
 import unittest
 import unittest.mock
 
-from azurecleat_cluster._internal.owner import term
 from azurecleat_cluster._internal.owner.authority import Authority, Succession
+from azurecleat_cluster._internal.owner.term import OwnerTerm
 from azurecleat_cluster.values import JobState, TaskId
 
 from tests.lib.cluster_world import World
@@ -167,32 +167,32 @@
         self.assertTrue(any("TWICE" in line for line in divided_targets().checker.broken))
 
     def test_unanswered_start_taken_for_not_run(self) -> None:
-        original = term.OwnerTerm.on_start_failed
+        original = OwnerTerm.on_start_failed
 
         def not_run(self, run, error, may_run):  # noqa: ANN001, ANN202
             original(self, run, error, may_run=False)
 
-        self.patch(term.OwnerTerm, "on_start_failed", not_run)
+        self.patch(OwnerTerm, "on_start_failed", not_run)
         self.assert_breaks("TWICE")
 
     def test_room_freed_when_the_stop_is_sent(self) -> None:
-        original = term.OwnerTerm.stop_run
+        original = OwnerTerm.stop_run
 
         def stop_and_release(self, run, reason):  # noqa: ANN001, ANN202
             original(self, run, reason)
             self._release(run)
 
-        self.patch(term.OwnerTerm, "stop_run", stop_and_release)
+        self.patch(OwnerTerm, "stop_run", stop_and_release)
         self.assert_breaks("TWICE", "LIMIT")
 
     def test_failures_that_are_not_counted(self) -> None:
-        original = term.OwnerTerm._task_failed
+        original = OwnerTerm._task_failed
 
         def forget(self, step, index, end, work, now):  # noqa: ANN001, ANN202
             original(self, step, index, end, work, now)
             step.failures.clear()
 
-        self.patch(term.OwnerTerm, "_task_failed", forget)
+        self.patch(OwnerTerm, "_task_failed", forget)
         self.assert_breaks("BUDGET")
 
 
