Advice callers from the first moment of a term, a quarter of them for quick answers

Also targets that the log already names are held at once, without an append before. Ruled out: the service (answers within 0.07 s).

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
@@ -77,14 +77,19 @@
             self._stopping = True
             self._changed.notify_all()
 
-    def add_caller(self, name: str, adviser: Adviser, short_only: bool = False) -> None:
+    def add_caller(
+        self, name: str, connect: Callable[[], Adviser], short_only: bool = False
+    ) -> None:
         """Starts a caller; a name that is there already is left alone."""
         with self._changed:
             if name in self._callers or self._stopping:
                 return
             self._callers.add(name)
         threading.Thread(
-            target=self._serve, args=(name, adviser, short_only), name=f"advice-{name}", daemon=True
+            target=self._serve,
+            args=(name, connect(), short_only),
+            name=f"advice-{name}",
+            daemon=True,
         ).start()
 
     def remove_caller(self, name: str) -> None:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 from azurecleat_base import Clock
@@ -354,6 +355,7 @@
             self._add_former(term, former)
             self._start_followers(targets, ended)
             self._watch_directory(term, ended)
+            self._keep_house(term, advice)
             dispatcher.start()
             self._term = term
             self._metrics.owning.set(1)
@@ -457,12 +459,7 @@
             for job in term.jobs.values():
                 term.open_due_occurrences(job)
         self._metrics.active.set(sum(len(link.work.runs) for link in term.links.values()))
-        if self._ports.adviser is not None:
-            peers = self._replica.instances
-            advice.add_caller(self._instance, self._ports.adviser, short_only=True)
-            for node, entry in peers.items():
-                if node != _node(self._instance):
-                    advice.add_caller(node, self._ports.connect_adviser(entry.address))
+        self._keep_callers(advice)
         expired = term.expire(self._settings.kept_s)
         if expired:
             kinds = (r.SUBMISSION, r.CANCELLATION)
@@ -472,6 +469,23 @@
             except LogError as error:
                 self._note_log_error(error)
 
+    def _keep_callers(self, advice: AdvicePool) -> None:
+        """Lets all instances ask for advice; some of them only where the answer is quick."""
+        own = self._ports.adviser
+        if own is None:
+            return
+        peers = self._replica.instances
+        advice.add_caller(self._instance, lambda: own, short_only=True)
+        others = sorted(node for node in peers if node != _node(self._instance))
+        reserved = int(len(others) * SHORT_CALLERS_SHARE)
+        for number, node in enumerate(others):
+            connect = partial(self._ports.connect_adviser, peers[node].address)
+            advice.add_caller(node, connect, short_only=number < reserved)
+
+
+SHORT_CALLERS_SHARE = 0.25
+"""Share of the other instances that ask only what is answered quickly: after a change of owner all
+steps ask at once, and a long answer takes as long as an urgent task."""
 
 RELEASED = "released"
 OWN_CLAIM = "own claim"
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -200,7 +200,10 @@
         )
         # Registered before its first order: a successor has to reach it or wait for its lease.
         encoded = r.dump([entry.address, entry.pool, entry.born_ms])
-        self._writer.put(r.TARGET + entry.id, lambda: encoded, lambda: self._begin(link))
+        if self._replica.targets_in_use.get(entry.id) == encoded.decode():
+            self._begin(link)
+        else:
+            self._writer.put(r.TARGET + entry.id, lambda: encoded, lambda: self._begin(link))
 
     def _begin(self, link: Link) -> None:
         with self.lock:
--- /dev/null
+++ b/tests/unit/cluster/test_advice.py
@@ -0,0 +1,106 @@
+"""The load after a change of owner: all steps ask for advice at once."""
+
+from __future__ import annotations
+
+import io
+import threading
+import time
+import unittest
+from collections.abc import Sequence
+
+from azurecleat_base import SystemClock
+from azurecleat_base.exceptions import TargetError
+from azurecleat_cluster import EventLog
+from azurecleat_cluster._internal.metrics import Metrics
+from azurecleat_cluster._internal.owner.advice import AdvicePool
+from azurecleat_cluster._internal.owner.work import StepWork
+from azurecleat_cluster.values import AdviceTerms
+
+from tests.unit.cluster.test_suspicion import make_step
+
+LONG_S = 0.4
+SHORT_S = 0.01
+
+
+class SlowAdviser:
+    """Answers one question at a time, as the service does for each caller."""
+
+    def __init__(self, fails: int = 0) -> None:
+        self._lock = threading.Lock()
+        self._fails = fails
+        self.asked: list[str] = []
+
+    def advise(self, step: str, targets: Sequence[str], timeout_s: float) -> dict[str, str]:
+        with self._lock:
+            self.asked.append(step)
+            if self._fails:
+                self._fails -= 1
+                raise TargetError("busy", step="advise")
+            time.sleep(LONG_S if step.startswith("long") else SHORT_S)
+        return {target: "ticket" for target in targets}
+
+
+class AdviceTest(unittest.TestCase):
+    """Questions over several callers."""
+
+    def setUp(self) -> None:
+        self.answers: list[tuple[str, float]] = []
+        self.changed = threading.Condition()
+        self.pool = AdvicePool(
+            SystemClock(), EventLog("test", io.StringIO()), Metrics(), self.on_advice
+        )
+        self.addCleanup(self.pool.stop)
+
+    def on_advice(self, step: StepWork, advice: object) -> None:
+        with self.changed:
+            self.answers.append((step.job.id, time.monotonic()))
+            self.changed.notify_all()
+
+    def ask(self, name: str) -> None:
+        step = make_step(name, 1)
+        cost_ms = (LONG_S if name.startswith("long") else SHORT_S) * 1000
+        queue = step.job.submission.queue._replace(advice=AdviceTerms(cost_ms, 0.0, 2000.0))
+        step.job.submission = step.job.submission._replace(queue=queue)
+        self.pool.ask(step, ["t1"], (0,))
+
+    def wait(self, count: int) -> None:
+        with self.changed:
+            self.assertTrue(self.changed.wait_for(lambda: len(self.answers) >= count, 10.0))
+
+    def test_short_questions_do_not_wait_behind_long_ones(self) -> None:
+        for number in range(3):
+            adviser = SlowAdviser()
+            self.pool.add_caller(f"n{number}", lambda a=adviser: a, short_only=number == 0)
+        began_at = time.monotonic()
+        for number in range(6):
+            self.ask(f"long{number}")
+        time.sleep(0.05)
+        for number in range(5):
+            self.ask(f"short{number}")
+        self.wait(11)
+        short = [at - began_at for name, at in self.answers if name.startswith("short")]
+        self.assertLess(max(short), LONG_S)
+
+    def test_question_of_a_caller_that_fails_is_asked_by_another(self) -> None:
+        broken, sound = SlowAdviser(fails=100), SlowAdviser()
+        self.pool.add_caller("broken", lambda: broken)
+        self.ask("short0")
+        time.sleep(0.1)
+        self.pool.add_caller("sound", lambda: sound)
+        self.wait(1)
+        self.assertEqual(sound.asked, ["short0.0.0"])
+
+    def test_question_of_a_job_that_has_ended_is_dropped(self) -> None:
+        step = make_step("gone", 1)
+        queue = step.job.submission.queue._replace(advice=AdviceTerms(1.0, 0.0, 2000.0))
+        step.job.submission = step.job.submission._replace(queue=queue)
+        step.job.cancelled = True
+        adviser = SlowAdviser()
+        self.pool.ask(step, ["t1"], (0,))
+        self.pool.add_caller("n", lambda: adviser)
+        self.wait(1)
+        self.assertEqual(adviser.asked, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
