Nothing sent means 503 also when the log is lost meanwhile; constants first; tests of the front

Cause: a submission of which nothing had left this instance got 504 if the log was found lost between the forward and the own append. Ruled out: the append itself (it tells refused from unknown). Change: 504 only if something may be in the log. Constants stand before the code that uses them. Tests: tests/unit/cluster/test_desk.py goes through each outcome of forward and append.

--- a/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
@@ -19,6 +19,14 @@
 MAX_LINES_PER_S = 2000
 """Lines a second beyond which debug events are left out."""
 
+FLUSH_S = 0.25
+"""Longest time that a line stays queued."""
+
+FLUSH_LINES = 256
+
+LINES_A_WRITE = 12
+"""Lines in one write: a pipe takes up to 4 KiB whole, so that lines are not cut."""
+
 
 class LogEvent(NamedTuple):
     """One kind of log line: a stable number, a name and the names of its fields."""
@@ -108,14 +116,6 @@
     return str(value) if isinstance(value, tuple) else value
 
 
-FLUSH_S = 0.25
-"""Longest time that a line stays queued."""
-
-FLUSH_LINES = 256
-
-LINES_A_WRITE = 12
-"""Lines in one write: a pipe takes up to 4 KiB whole, so that lines are not cut."""
-
 LINES_LEFT_OUT = LogEvent(700, "log.lines_left_out", "total")
 STARTED = LogEvent(701, "instance.started", "zone, address")
 STOPPING = LogEvent(702, "instance.stopping", "signal")
--- a/libs/cluster/src/azurecleat_cluster/_internal/front/desk.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/desk.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from enum import Enum
+from functools import partial
 from typing import NamedTuple
 
 from azurecleat_base import Clock
@@ -37,6 +38,18 @@
 MIN_APPEND_S = 0.2
 """No append is tried with less time than this left."""
 
+LOST_AGE_S = 1.5
+"""Age of the last read that was answered from which the log counts as lost, if a read since has
+failed. While all is well, reads are up to 1.6 s apart."""
+
+LOST_LOOK_S = 0.1
+
+ANSWER_S = 0.1
+"""Time kept for the answer to reach the caller."""
+
+STALE_COUNT_S = 2.5
+"""Age of the view of jobs beyond which a job is not called unknown: under the visibility bound."""
+
 
 class FrontLimits(NamedTuple):
     """Bounds on what a front may answer from its own view.
@@ -151,7 +164,7 @@
         else:
             team = admitted.team.name if admitted.team else ""
             value = r.encode_submission(r.Submission(job, team, admitted.queue, spec))
-            is_there: Callable[[], bool] = lambda: self._jobs.knows(job)  # noqa: E731
+            is_there: Callable[[], bool] = partial(self._jobs.knows, job)
             answer = self._append(r.SUBMISSION + job, value, caller.deadline, is_there)
         took_s = round(self._clock.monotonic() - started_at, 4)
         if isinstance(answer, Accepted):
@@ -203,7 +216,7 @@
             return self._no_job()
         if self._jobs.is_cancelled(job):
             return Accepted()
-        is_there: Callable[[], bool] = lambda: self._jobs.is_cancelled(job)  # noqa: E731
+        is_there: Callable[[], bool] = partial(self._jobs.is_cancelled, job)
         return self._append(r.CANCELLATION + job, b"1", caller.deadline, is_there)
 
     def state(self, job: str) -> Answer:
@@ -251,15 +264,15 @@
         forwarded = self._owner.append(key, value, left_s - ANSWER_S, self._is_log_lost)
         if forwarded is Forwarded.DONE or is_there():
             return Accepted()
-        if deadline - self._clock.monotonic() >= MIN_APPEND_S and not self._is_log_lost():
+        left_s = deadline - self._clock.monotonic()
+        outcome = Forwarded.NOT_SENT
+        if left_s >= MIN_APPEND_S and not self._is_log_lost():
             # One try with all the time there is: a slow log would take a repeat as well.
             outcome = self._append_here(key, value, deadline - ANSWER_S)
-            if outcome is Forwarded.DONE:
-                return Accepted()
-            if outcome is Forwarded.NOT_SENT is forwarded:
-                return Refused("log unavailable: it refused", RETRY_AFTER_S)
-        if is_there():
+        if outcome is Forwarded.DONE or is_there():
             return Accepted()
+        if outcome is Forwarded.NOT_SENT is forwarded:
+            return Refused("log unavailable: it took nothing", RETRY_AFTER_S)
         return Undecided("the log gave no answer in time")
 
     def _append_here(self, key: str, value: bytes, deadline: float) -> Forwarded:
@@ -283,16 +296,3 @@
         """Whether the log no longer answers this instance: waiting on would help nobody."""
         follower = self._config_follower
         return follower.is_failing and follower.age() > LOST_AGE_S
-
-
-LOST_AGE_S = 1.5
-"""Age of the last read that was answered from which the log counts as lost, if a read since has
-failed. While all is well, reads are up to 1.6 s apart."""
-
-LOST_LOOK_S = 0.1
-
-ANSWER_S = 0.1
-"""Time kept for the answer to reach the caller."""
-
-STALE_COUNT_S = 2.5
-"""Age of the view of jobs beyond which a job is not called unknown: under the visibility bound."""
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/progress.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/progress.py
@@ -27,6 +27,9 @@
 Record = tuple[str, bytes | None]
 Committed = Callable[[], None]
 
+STOP_S = 1.0
+"""How long a stopping writer repeats a failed append."""
+
 
 class ProgressWriter:
     """Appends records of one term in order.
@@ -143,7 +146,3 @@
                 for index, (key, value) in enumerate(batch):
                     self._on_recorded(LogRecord(key, value, offset + index))
                 return True
-
-
-STOP_S = 1.0
-"""How long a stopping writer repeats a failed append."""
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
@@ -70,6 +70,17 @@
 RELEASE_TRIES = 3
 RELEASE_PAUSE_S = 0.2
 
+SHORT_CALLERS_SHARE = 0.25
+"""Share of the other instances that ask only what is answered quickly: after a change of owner all
+steps ask at once, and a long answer takes as long as an urgent task."""
+
+RELEASED = "released"
+
+OWN_CLAIM = "own claim"
+
+FOLLOW_WAIT_S = 1.0
+"""Longest wait of a read: a connection may go silent for good."""
+
 
 class OwnerSettings(NamedTuple):
     """Figures of the deployment that an owner needs."""
@@ -483,16 +494,5 @@
             advice.add_caller(node, connect, short_only=number < reserved)
 
 
-SHORT_CALLERS_SHARE = 0.25
-"""Share of the other instances that ask only what is answered quickly: after a change of owner all
-steps ask at once, and a long answer takes as long as an urgent task."""
-
-RELEASED = "released"
-OWN_CLAIM = "own claim"
-
-FOLLOW_WAIT_S = 1.0
-"""Longest wait of a read: a connection may go silent for good."""
-
-
 def _node(instance: str) -> str:
     return instance.partition("#")[0]
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/suspicion.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/suspicion.py
@@ -50,6 +50,12 @@
 SINGLE_SHARE = 0.25
 """The same bound for a single run: of a step's tasks one in fifty takes twice as long."""
 
+MAX_MOVES = 2
+"""Targets that a task leaves for being slow there."""
+
+MOVE_COST_S = 0.5
+"""Time that a stop and a new start take."""
+
 
 class Suspicions:
     """Judges targets. Guarded by the lock of the owner's term."""
@@ -179,10 +185,3 @@
     left_s = (100.0 - run.percent) / 100.0 / pace
     elsewhere_s = share / pace
     return left_s > elsewhere_s + MOVE_COST_S
-
-
-MAX_MOVES = 2
-"""Targets that a task leaves for being slow there."""
-
-MOVE_COST_S = 0.5
-"""Time that a stop and a new start take."""
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
@@ -16,6 +16,9 @@
 
 Apply = Callable[[LogRecord], None]
 
+RETRY_PAUSE_S = 0.1
+"""Pause after a failed read: short beside the bound on stale configuration."""
+
 
 class Follower:
     """Keeps a local view of a stream up to date.
@@ -146,7 +149,3 @@
                     error=repr(error),
                 )
         self._applied += len(records)
-
-
-RETRY_PAUSE_S = 0.1
-"""Pause after a failed read: short beside the bound on stale configuration."""
--- a/libs/model/src/azurecleat_model/exceptions.py
+++ b/libs/model/src/azurecleat_model/exceptions.py
@@ -1,35 +1,3 @@
-"""The exception tree of azurecleat."""
+"""The exception tree of azurecleat; it lives in :mod:`azurecleat_base.exceptions`."""
 
-from azurecleat_base.exceptions import (
-    AppendUnknownError,
-    AzurecleatError,
-    DocumentError,
-    FencedError,
-    FrameError,
-    LogError,
-    LogUnavailableError,
-    NotRunError,
-    OffsetForgottenError,
-    OutcomeUnknownError,
-    PeerAnswerLostError,
-    PeerError,
-    PeerNotSentError,
-    TargetError,
-)
-
-__all__ = [
-    "AppendUnknownError",
-    "AzurecleatError",
-    "DocumentError",
-    "FencedError",
-    "FrameError",
-    "LogError",
-    "LogUnavailableError",
-    "NotRunError",
-    "OffsetForgottenError",
-    "OutcomeUnknownError",
-    "PeerAnswerLostError",
-    "PeerError",
-    "PeerNotSentError",
-    "TargetError",
-]
+from azurecleat_base.exceptions import *  # noqa: F403
--- a/tests/unit/adapter/test_documents.py
+++ b/tests/unit/adapter/test_documents.py
@@ -22,8 +22,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests import ADAPTER_FOLDER as FOLDER
 from tests.lib.site_standin import Site
-from tests.unit.adapter import FOLDER
 
 ROUTE = {
     "name": "q",
--- /dev/null
+++ b/tests/unit/cluster/test_desk.py
@@ -0,0 +1,166 @@
+"""Honest answers: a refusal says that a job never runs, and is given at once."""
+
+from __future__ import annotations
+
+import io
+import json
+import time
+import unittest
+from collections.abc import Callable
+
+from adapter.documents import SiteDecoder, decode_job
+from azurecleat_base import SystemClock
+from azurecleat_cluster import Admitted, Caller, EventLog, FrontDesk, FrontLimits
+from azurecleat_cluster._internal.configuration import ConfigurationView
+from azurecleat_cluster._internal.front.desk import Forwarded, OwnerCalls
+from azurecleat_cluster._internal.metrics import Metrics
+from azurecleat_cluster._internal.replica.appender import GroupAppender
+from azurecleat_cluster._internal.replica.follower import Follower
+from azurecleat_cluster._internal.replica.jobs import JobReplica
+from azurecleat_cluster.answers import (
+    Accepted,
+    Answer,
+    NoJob,
+    NoQueue,
+    Refused,
+    StateOf,
+    Unauthorized,
+    Undecided,
+)
+from azurecleat_cluster.ports import CONFIGURATION, JOBS
+from azurecleat_cluster.values import JobState
+from azurecleat_fakes import KeyedMemoryLog
+
+from tests.unit.adapter.test_documents import CONFIGURATION as DOCUMENT
+
+JOB = "0" * 16
+BODY = json.dumps({"spec": "x", "steps": [{"count": 1, "cpu": 1}]}).encode()
+
+
+class ScriptedOwner(OwnerCalls):
+    """Forwards appends with the outcome that a test sets."""
+
+    def __init__(self) -> None:
+        self.outcome = Forwarded.NOT_SENT
+        self.effect: Callable[[str, bytes], None] = lambda key, value: None
+
+    def append(self, key, value, timeout_s, give_up):  # noqa: ANN001, ANN201
+        self.effect(key, value)
+        return self.outcome
+
+
+class DeskTest(unittest.TestCase):
+    """One front with a log that can be away, or lose answers."""
+
+    def setUp(self) -> None:
+        clock, events = SystemClock(), EventLog("test", io.StringIO())
+        self.clock, self.log, self.owner = clock, KeyedMemoryLog(), ScriptedOwner()
+        self.view = ConfigurationView(SiteDecoder(), events)
+        self.replica = JobReplica()
+        self.config = Follower(self.log, CONFIGURATION, self.view.apply, clock, events)
+        self.jobs = Follower(self.log, JOBS, self.replica.apply_job, clock, events)
+        appender = GroupAppender(self.log, JOBS, self.jobs.offer)
+        appender.start()
+        self.addCleanup(appender.stop)
+        self.desk = FrontDesk(
+            self.view,
+            self.config,
+            self.replica,
+            self.jobs,
+            appender,
+            self.owner,
+            FrontLimits(3.5, 1.9),
+            clock,
+            events,
+            Metrics(),
+        )
+        self.log.append(CONFIGURATION, [("config", json.dumps(DOCUMENT).encode())], 1.0)
+
+    def follow(self) -> None:
+        self.config.poll()
+        self.jobs.poll()
+
+    def caller(self, key: str = "k", path: str = f"/lohu930/{JOB}") -> Caller:
+        return Caller("nony24.example", path, key, self.clock.monotonic() + 3.0)
+
+    def submit(self) -> Answer:
+        admitted = self.desk.admit(self.caller())
+        self.assertIsInstance(admitted, Admitted)
+        return self.desk.submit(admitted, JOB, decode_job(BODY), self.caller())
+
+    def in_log(self) -> bool:
+        return any(record.key == f"s/{JOB}" for record in self.log.newest(JOBS).records)
+
+    def test_admission(self) -> None:
+        self.assertIsInstance(self.desk.admit(self.caller()), Refused)
+        self.follow()
+        self.assertIsInstance(self.desk.admit(self.caller()), Admitted)
+        self.assertEqual(self.desk.admit(self.caller(key="x")), Unauthorized())
+        self.assertEqual(self.desk.admit(self.caller(path="/other/1")), NoQueue())
+
+    def test_stale_configuration_neither_admits_keys_nor_denies(self) -> None:
+        self.follow()
+        for age_s, known, unknown in ((2.5, Admitted, Refused), (4.0, Refused, Refused)):
+            self.config._fresh_at = self.clock.monotonic() - age_s
+            with self.subTest(age_s=age_s):
+                self.assertIsInstance(self.desk.admit(self.caller()), known)
+                self.assertIsInstance(self.desk.admit(self.caller(key="x")), unknown)
+                self.assertIsInstance(self.desk.admit(self.caller(path="/o/1")), unknown)
+
+    def test_each_outcome_of_forward_and_append_gets_its_true_answer(self) -> None:
+        down, lost = {"down": True}, {"lose_answers": 1}
+        for forwarded, state, expected, is_in_log in (
+            (Forwarded.NOT_SENT, {}, Accepted, True),
+            (Forwarded.NOT_SENT, down, Refused, False),
+            (Forwarded.NOT_SENT, lost, Undecided, True),
+            (Forwarded.UNKNOWN, {}, Accepted, True),
+            (Forwarded.UNKNOWN, down, Undecided, False),
+            (Forwarded.DONE, down, Accepted, False),
+        ):
+            with self.subTest(forwarded=forwarded, state=state):
+                self.setUp()
+                self.follow()
+                self.owner.outcome = forwarded
+                vars(self.log).update(state)
+                self.assertIsInstance(self.submit(), expected)
+                self.log.down = False
+                self.assertEqual(self.in_log(), is_in_log)
+
+    def test_lost_answer_of_a_job_that_is_there_is_an_acceptance(self) -> None:
+        self.follow()
+        self.owner.outcome = Forwarded.UNKNOWN
+
+        def arrive(key: str, value: bytes) -> None:
+            self.log.append(JOBS, [(key, value)], 1.0)
+            self.jobs.poll()
+
+        self.owner.effect = arrive
+        self.assertEqual(self.submit(), Accepted())
+        appends = self.log.appends
+        self.assertEqual(self.submit(), Accepted())
+        self.assertEqual(self.log.appends, appends)
+
+    def test_lost_log_is_told_at_once(self) -> None:
+        self.follow()
+        self.config._is_failing = True
+        self.config._fresh_at = self.clock.monotonic() - 1.6
+        began_at = time.monotonic()
+        self.assertIsInstance(self.submit(), Refused)
+        self.assertLess(time.monotonic() - began_at, 0.1)
+        self.assertFalse(self.in_log())
+
+    def test_states_and_cancellation(self) -> None:
+        self.follow()
+        self.assertEqual(self.desk.state(JOB), NoJob())
+        self.assertEqual(self.desk.cancel(JOB, self.caller()), NoJob())
+        self.submit()
+        self.assertEqual(self.desk.state(JOB), StateOf(JobState.QUEUED))
+        self.assertEqual(self.desk.cancel(JOB, self.caller()), Accepted())
+        self.assertEqual(self.desk.state(JOB), StateOf(JobState.CANCELLED))
+        self.log.down = True
+        self.jobs._fresh_at = self.clock.monotonic() - 3.0
+        self.assertIsInstance(self.desk.state("f" * 16), Refused)
+
+
+if __name__ == "__main__":
+    unittest.main()
