--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
@@ -14,7 +14,6 @@
 from typing import NamedTuple
 
 from azurecleat_base import Clock
-from azurecleat_base.exceptions import AzurecleatError
 
 from azurecleat_cluster._internal import eventlog
 from azurecleat_cluster._internal.eventlog import EventLog
@@ -137,7 +136,7 @@
         step = question.step
         try:
             tickets = adviser.advise(step.name, question.targets, question.cost_s + CALL_MARGIN_S)
-        except AzurecleatError as error:
+        except Exception as error:  # A question that is lost would hold up its step for good.
             self._metrics.retries.labels("advice").inc()
             self._events.write(eventlog.ADVICE_FAILED, step=step.name, adviser=name, error=error)
             with self._changed:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -25,6 +25,9 @@
 ADVICE_LEAD_S = 0.3
 """How long before a step is expected to become ready its advice should be there."""
 
+JUDGE_S = 0.2
+"""Pause between two judgements of all runs: targets are looked at each half second."""
+
 RENEW_ADVICE_S = 0.15
 """Advice with less validity left is asked anew while tasks of the step wait."""
 
@@ -50,6 +53,7 @@
         self._clock = clock
         self._events = events
         self._metrics = metrics
+        self._judged_at = float("-inf")
         self._thread = threading.Thread(target=self._run, name="dispatch", daemon=True)
 
     def start(self) -> None:
@@ -83,15 +87,15 @@
     def dispatch(self, now: float) -> int:
         """Starts what can start now, best ranked first; returns the number of starts."""
         term = self._term
-        term.move_slow_runs(now)
+        if now - self._judged_at >= JUDGE_S:
+            self._judged_at = now
+            term.move_slow_runs(now)
         usable = [link.work for link in term.links.values() if is_usable(link.work, now)]
         if not usable:
             return 0
         settled = term.succession is None or term.succession.is_settled()
         waiting: list[tuple[tuple, StepWork]] = []
-        for job in list(term.jobs.values()):
-            if not job.is_open:
-                continue
+        for job in list(term.open_jobs.values()):
             for step in job.steps.values():
                 if step.pending and (settled or not job.before_claim):
                     self._consider(step, waiting, usable, now)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -35,6 +35,7 @@
         if job.cancelled:
             return
         job.cancelled = True
+        self.open_jobs.pop(job.id, None)
         job.finished_at = self._clock.monotonic()
         self._stop_runs(job, "cancelled")
 
@@ -42,6 +43,7 @@
         if job.outcome:
             return
         job.outcome = outcome.value
+        self.open_jobs.pop(job.id, None)
         job.finished_at = self._clock.monotonic()
         self._events.write(
             eventlog.JOB_ENDED,
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
@@ -93,6 +93,8 @@
         self.authority = authority
         self.configuration = configuration
         self.jobs: dict[str, JobWork] = {}
+        self.open_jobs: dict[str, JobWork] = {}
+        """Those of which tasks may still be started."""
         self.links: dict[str, Link] = {}
         self.use = TeamUse()
         self.suspicions = Suspicions(events, preferences)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -108,6 +108,8 @@
                 team.name, team.weight, now
             )
         self.jobs[name] = job
+        if job.is_open:
+            self.open_jobs[name] = job
         self.open_due_occurrences(job)
         if job.outcome:
             job.finished_at = now
--- a/tests/unit/cluster/test_advice.py
+++ b/tests/unit/cluster/test_advice.py
@@ -90,6 +90,16 @@
         self.wait(1)
         self.assertEqual(sound.asked, ["short0.0.0"])
 
+    def test_odd_answer_loses_no_question(self) -> None:
+        odd, sound = SlowAdviser(), SlowAdviser()
+        odd.advise = lambda step, targets, timeout_s: {}["tickets"]
+        self.pool.add_caller("odd", lambda: odd)
+        self.ask("short0")
+        time.sleep(0.1)
+        self.pool.add_caller("sound", lambda: sound)
+        self.wait(1)
+        self.assertEqual(sound.asked, ["short0.0.0"])
+
     def test_question_of_a_job_that_has_ended_is_dropped(self) -> None:
         step = make_step("gone", 1)
         queue = step.job.submission.queue._replace(advice=AdviceTerms(1.0, 0.0, 2000.0))
