What may run on targets that a new owner has not reached counts against team limits

Ruled out: runs on targets lost within a term (their room and use stay taken until their end is known). Change: until a succession is settled, each pending task that a former owner may have started counts as running.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -4,7 +4,7 @@
 
 import threading
 
-from azurecleat_base import Clock
+from azurecleat_base import ZERO, Clock, Resources
 
 from azurecleat_cluster._internal import eventlog
 from azurecleat_cluster._internal.eventlog import EventLog
@@ -54,6 +54,7 @@
         self._events = events
         self._metrics = metrics
         self._judged_at = float("-inf")
+        self._hidden: dict[str, Resources] = {}
         self._thread = threading.Thread(target=self._run, name="dispatch", daemon=True)
 
     def start(self) -> None:
@@ -94,6 +95,7 @@
         if not usable:
             return 0
         settled = term.succession is None or term.succession.is_settled()
+        self._hidden = {} if settled else self._hidden_use()
         waiting: list[tuple[tuple, StepWork]] = []
         for job in list(term.open_jobs.values()):
             for step in job.steps.values():
@@ -107,6 +109,21 @@
         self._metrics.waiting.set(sum(len(step.pending) for _, step in waiting))
         return started
 
+    def _hidden_use(self) -> dict[str, Resources]:
+        """What teams may have running on targets that this owner has not reached yet.
+
+        Every task that a former owner may have started, and that is seen nowhere, counts.
+        """
+        hidden: dict[str, Resources] = {}
+        for job in self._term.open_jobs.values():
+            if not job.before_claim:
+                continue
+            for step in job.steps.values():
+                if step.pending and step.is_ready:
+                    known = hidden.get(job.team, ZERO)
+                    hidden[job.team] = known.plus(step.spec.need, len(step.pending))
+        return hidden
+
     def _consider(
         self,
         step: StepWork,
@@ -200,7 +217,7 @@
         team = self._term.configuration.team_named(step.job.team)
         if team is None:
             return count
-        used = self._term.use.of(team.name)
+        used = self._term.use.of(team.name).plus(self._hidden.get(team.name, ZERO))
         for value, need, bound in zip(used, step.spec.need, team.limit, strict=True):
             if need and bound:
                 count = min(count, (bound - value) // need)
--- a/tests/unit/cluster/test_faults.py
+++ b/tests/unit/cluster/test_faults.py
@@ -97,6 +97,26 @@
         self.assertTrue(second.term.succession.is_settled())
 
 
+class UnreachedTargetsTest(unittest.TestCase):
+    """A new owner does not reach targets on which a team's tasks may be at work."""
+
+    def test_what_may_run_there_counts_against_the_limit(self) -> None:
+        world = World(3, longest_s=20.0)
+        first, second = world.nodes[:2]
+        first.take_over()
+        for number in range(8):
+            world.submit(f"{number:016x}")
+        world.run(1.0)
+        busy = [target.id for target in world.targets if any(target.used())]
+        first.paused_until = world.clock.monotonic() + 60.0
+        second.cut_targets = set(busy[:2])
+        second.take_over()
+        for number in range(8, 14):
+            world.submit(f"{number:016x}")
+        world.run(1.5)
+        self.assertEqual([line for line in world.checker.broken if "QUOTA" in line], [])
+
+
 def tasks_left_out(world: World) -> list[str]:
     """Returns tasks of completed jobs that no target has ended as done."""
     owner = next(node for node in world.nodes if node.term is not None)
