Advice is asked by few names, and for all targets of a large pool in the end

The job is an all-at-once run of 21 with one member a target. Each question named the first 100 of 176 targets; 22 or 23 of them were allowed, 21 had to be free at one time, and the other 76 were never asked about. The step asked ten times for the same 100 names, 1.38 s each. Change: a question names about as many targets as the step needs (30 at least), best places first; a denied target is not named again for that step, a renewal names only allowed ones. Claims go to the instance with the most processor. The dispatcher pauses between looks, advised steps look only at targets with tickets, a report without news wakes nobody, acknowledged ends are not acknowledged again.

--- a/libs/cluster/src/azurecleat_cluster/_internal/application.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/application.py
@@ -41,13 +41,18 @@
 
 
 class InstanceSettings(NamedTuple):
-    """What an instance has to know; ``peer_address`` is where other instances reach it."""
+    """What an instance has to know.
+
+    :param peer_address: Where other instances reach it.
+    :param cores: Processor that its machine gives it, in cores of the usual speed.
+    """
 
     node: str
     zone: str
     peer_address: str
     front: FrontLimits
     owner: OwnerSettings
+    cores: float = 1.0
 
 
 class InstancePorts(NamedTuple):
@@ -160,7 +165,9 @@
 
     def _register(self) -> None:
         """Tells other instances where this one is, until the log has taken it."""
-        entry = r.InstanceEntry(self._settings.peer_address, self._clock.wall())
+        entry = r.InstanceEntry(
+            self._settings.peer_address, self._clock.wall(), self._settings.cores
+        )
         record = (r.INSTANCE + self._settings.node, r.encode_instance(entry))
         while not self._stopping.is_set():
             try:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
@@ -33,9 +33,6 @@
 VALID_MARGIN_S = 0.4
 """Taken off the validity of tickets for the way to the target."""
 
-MAX_TARGETS = 100
-"""Targets that the service takes in one question."""
-
 
 class _Question(NamedTuple):
     rank: tuple
@@ -99,13 +96,12 @@
     def ask(self, step: StepWork, targets: list[str], rank: tuple) -> None:
         """Queues a question; lower ranks are asked first."""
         terms = step.job.queue.advice
-        named = targets[:MAX_TARGETS]
         question = _Question(
             rank,
             next(self._numbers),
             step,
-            named,
-            terms.cost_s(len(named)),
+            targets,
+            terms.cost_s(len(targets)),
             terms.valid_ms / 1000.0,
             self._clock.monotonic(),
         )
@@ -150,9 +146,11 @@
             eventlog.ADVICE_GIVEN,
             step=step.name,
             adviser=name,
+            named=len(question.targets),
             allowed=len(tickets),
             waited_s=round(sent_at - question.asked_at, 3),
             took_s=round(now - sent_at, 3),
         )
-        self._on_advice(step, Advice(tickets, now + question.valid_s - VALID_MARGIN_S))
+        valid_until = now + question.valid_s - VALID_MARGIN_S
+        self._on_advice(step, Advice(tuple(question.targets), tickets, valid_until))
         return True
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
@@ -72,12 +72,13 @@
         """
         return self._logged_at > lease_end
 
-    def proved_at(self) -> float:
-        return max(self._logged_at, self.majority_at())
-
     def may_act(self) -> bool:
         """Whether orders may be sent and leases renewed now."""
-        return not self._lost and self._clock.monotonic() - self.proved_at() < PROOF_S
+        if self._lost:
+            return False
+        oldest = self._clock.monotonic() - PROOF_S
+        # The log's word is nearly always there, and cheaper than that of all targets.
+        return self._logged_at > oldest or self.majority_at() > oldest
 
     def lease_end(self, renewed_at: float) -> float:
         """Own time after which a lease given at the latest at ``renewed_at`` is surely over."""
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Iterable
 
 from azurecleat_base import ZERO, Clock, Resources
 
@@ -16,6 +17,7 @@
     place,
     place_gang,
 )
+from azurecleat_cluster._internal.owner.questions import FIRST_NAMES, AllowedShares, names_to_ask
 from azurecleat_cluster._internal.owner.term import OwnerTerm
 from azurecleat_cluster._internal.owner.work import Advice, JobWork, StepWork, TargetWork
 
@@ -28,8 +30,15 @@
 JUDGE_S = 0.2
 """Pause between two judgements of all runs: targets are looked at each half second."""
 
-RENEW_ADVICE_S = 0.15
-"""Advice with less validity left is asked anew while tasks of the step wait."""
+ASK_PAUSE_S = 0.1
+"""Pause between two looks whether a waiting step lacks advice: each goes through all targets."""
+
+BUSY_SHARE = 0.3
+"""Share of the time that may be spent on looking for work; reports need the rest."""
+
+MAX_PAUSE_S = 0.03
+MIN_PAUSE_S = 0.005
+"""Bounds of the pause between two looks: a tenth and a fiftieth of the shortest objective."""
 
 MAX_LATE_OBJECTIVES = 3.0
 """A job later than this many objectives is worth nothing more; others go first."""
@@ -55,6 +64,7 @@
         self._metrics = metrics
         self._judged_at = float("-inf")
         self._hidden: dict[str, Resources] = {}
+        self._allowed = AllowedShares()
         self._thread = threading.Thread(target=self._run, name="dispatch", daemon=True)
 
     def start(self) -> None:
@@ -68,7 +78,9 @@
         """Takes in the adviser's answer."""
         with self._term.lock:
             step.asking = False
-            step.advice = advice
+            if advice is not None:
+                step.advice.take(advice)
+                self._allowed.note(step.job.queue.name, len(advice.named), len(advice.tickets))
         self._term.wake()
 
     def _run(self) -> None:
@@ -80,10 +92,14 @@
                 term.dirty = False
                 if term.stopping or not term.authority.may_act():
                     continue
+                began_at = self._clock.monotonic()
                 try:
-                    self.dispatch(self._clock.monotonic())
+                    self.dispatch(began_at)
                 except Exception as error:  # One bad job must not end all dispatching.
                     self._events.write(eventlog.FAILED, component="dispatch", error=repr(error))
+            took_s = self._clock.monotonic() - began_at
+            pause_s = took_s * (1.0 / BUSY_SHARE - 1.0)
+            term.ending.wait(min(MAX_PAUSE_S, max(MIN_PAUSE_S, pause_s)))
 
     def dispatch(self, now: float) -> int:
         """Starts what can start now, best ranked first; returns the number of starts."""
@@ -91,8 +107,8 @@
         if now - self._judged_at >= JUDGE_S:
             self._judged_at = now
             term.move_slow_runs(now)
-        usable = [link.work for link in term.links.values() if is_usable(link.work, now)]
-        if not usable:
+        pools = _usable_by_pool((link.work for link in term.links.values()), now)
+        if not pools:
             return 0
         settled = term.succession is None or term.succession.is_settled()
         self._hidden = {} if settled else self._hidden_use()
@@ -100,12 +116,14 @@
         for job in list(term.open_jobs.values()):
             for step in job.steps.values():
                 if step.pending and (settled or not job.before_claim):
-                    self._consider(step, waiting, usable, now)
+                    self._consider(step, waiting, pools, now)
         waiting.sort(key=lambda pair: pair[0])
-        pools = _by_pool(usable)
         started = 0
-        for _, step in waiting:
-            started += self._place(step, pools.get(self._pool_of(step.job), []), now)
+        for rank, step in waiting:
+            pool = pools.get(self._pool_of(step.job))
+            if pool is not None:
+                started += self._place(step, pool, now)
+                self._ask(step, pool, rank, now)
         self._metrics.waiting.set(sum(len(step.pending) for _, step in waiting))
         return started
 
@@ -128,7 +146,7 @@
         self,
         step: StepWork,
         waiting: list[tuple[tuple, StepWork]],
-        usable: list[TargetWork],
+        pools: dict[str, UsablePool],
         now: float,
     ) -> None:
         """Adds a step that may start tasks; asks for advice ahead where it is due."""
@@ -136,15 +154,17 @@
             if step.ready_at is None:
                 step.ready_at = now
             if now >= step.not_before:
-                rank = self.rank(step, now)
-                waiting.append((rank, step))
-                self._ask(step, usable, rank, now)
-        elif step.job.queue.advice is not None and self._is_near(step, usable, now):
-            self._ask(step, usable, self.rank(step, now), now)
-
-    def _is_near(self, step: StepWork, usable: list[TargetWork], now: float) -> bool:
-        """Whether the steps before this one are expected to end before advice could come."""
-        lead_s = step.job.queue.advice.cost_s(len(usable)) + ADVICE_LEAD_S
+                waiting.append((self.rank(step, now), step))
+        elif step.job.queue.advice is not None and self._is_near(step, now):
+            pool = pools.get(self._pool_of(step.job))
+            if pool is not None:
+                self._ask(step, pool, self.rank(step, now), now)
+
+    def _is_near(self, step: StepWork, now: float) -> bool:
+        """Whether advice is due: the steps before are expected to end before it could come."""
+        if step.asking or now - step.asked_at < ASK_PAUSE_S:
+            return False
+        lead_s = step.job.queue.advice.cost_s(FIRST_NAMES) + ADVICE_LEAD_S
         for index in step.spec.depends_on:
             before = step.job.steps[step.occurrence, index]
             if before.pending or (not before.active and not before.is_done):
@@ -155,12 +175,15 @@
                     return False
         return True
 
-    def _ask(self, step: StepWork, usable: list[TargetWork], rank: tuple, now: float) -> None:
-        if step.job.queue.advice is None or step.asking:
+    def _ask(self, step: StepWork, pool: UsablePool, rank: tuple, now: float) -> None:
+        """Asks for the advice that tasks of a step still lack."""
+        if step.job.queue.advice is None or step.asking or not step.pending:
             return
-        if step.advice is not None and now < step.advice.valid_until - RENEW_ADVICE_S:
+        if now - step.asked_at < ASK_PAUSE_S:
             return
-        names = [work.id for work in usable if work.entry.pool == self._pool_of(step.job)]
+        step.asked_at = now
+        share = self._allowed.of(step.job.queue.name)
+        names = names_to_ask(step, pool.targets, now, share, self._preferences)
         if names:
             step.asking = True
             self._advice.ask(step, names, rank)
@@ -190,7 +213,12 @@
         queue = self._term.configuration.queue_named(job.queue.name)
         return (queue or job.queue).pool
 
-    def _place(self, step: StepWork, targets: list[TargetWork], now: float) -> int:
+    def _place(self, step: StepWork, pool: UsablePool, now: float) -> int:
+        if not pool.may_hold(step.spec.room):
+            return 0
+        targets = pool.targets
+        if step.job.queue.advice is not None:
+            targets = pool.named(step.advice.valid_targets(now))
         if step.spec.gang:
             return self._place_gang(step, targets, now)
         indices = sorted(step.pending)[: self._affordable(step, len(step.pending))]
@@ -224,8 +252,32 @@
         return max(0, count)
 
 
-def _by_pool(targets: list[TargetWork]) -> dict[str, list[TargetWork]]:
-    pools: dict[str, list[TargetWork]] = {}
+class UsablePool:
+    """The targets of one pool that may be given work, as they are in one look."""
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, TargetWork] = {}
+        self._largest = ZERO
+
+    @property
+    def targets(self) -> list[TargetWork]:
+        return list(self._by_id.values())
+
+    def add(self, target: TargetWork) -> None:
+        self._by_id[target.id] = target
+        self._largest = Resources(*map(max, self._largest, target.free))
+
+    def named(self, names: Iterable[str]) -> list[TargetWork]:
+        return [self._by_id[name] for name in names if name in self._by_id]
+
+    def may_hold(self, room: Resources) -> bool:
+        """Whether a task may find room; False is certain, for room only shrinks in one look."""
+        return room.fits_in(self._largest)
+
+
+def _usable_by_pool(targets: Iterable[TargetWork], now: float) -> dict[str, UsablePool]:
+    pools: dict[str, UsablePool] = {}
     for target in targets:
-        pools.setdefault(target.entry.pool, []).append(target)
+        if is_usable(target, now):
+            pools.setdefault(target.entry.pool, UsablePool()).add(target)
     return pools
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/placement.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/placement.py
@@ -61,15 +61,16 @@
     )
 
 
+def has_label(step: StepWork, target: TargetWork) -> bool:
+    label = step.spec.required_label
+    return not label or label in target.entry.labels
+
+
 def allows(step: StepWork, target: TargetWork, now: float) -> bool:
     """Whether a step's rules let it run on a target, room aside."""
-    spec = step.spec
-    if spec.required_label and spec.required_label not in target.entry.labels:
+    if not has_label(step, target):
         return False
-    if step.job.queue.advice is None:
-        return True
-    advice = step.advice
-    return advice is not None and now < advice.valid_until and target.id in advice.tickets
+    return step.job.queue.advice is None or step.advice.is_valid(target.id, now)
 
 
 def on_target(step: StepWork, target: TargetWork) -> int:
@@ -107,7 +108,7 @@
         if allows(step, target, now) and (count := capacity_for(step, target))
     }
     chosen: list[tuple[int, TargetWork]] = []
-    for target, count in _in_order(step, list(room.values()), len(indices), preferences):
+    for target, count in in_order(step, list(room.values()), len(indices), preferences):
         left = [index for index in indices if index not in {index for index, _ in chosen}]
         fitting = [index for index in left if target.id not in step.avoid.get(index, ())]
         chosen.extend((index, target) for index in fitting[:count])
@@ -156,16 +157,18 @@
 Room = tuple[TargetWork, int]
 
 
-def _in_order(
-    step: StepWork, room: list[Room], wanted: int, preferences: Preferences
-) -> list[Room]:
+def in_order(step: StepWork, room: list[Room], wanted: int, preferences: Preferences) -> list[Room]:
     """Orders targets for the tasks of one step, best first."""
     if step.spec.fills:
         return sorted(room, key=lambda each: _filling_cost(each[0]))
-    wanted_kinds = {target.entry.kind: _kind_cost(step, target, preferences) for target, _ in room}
+    kind_costs: dict[str, tuple] = {}
+    places: dict[str, tuple[tuple, str]] = {}
     zones: dict[tuple[tuple, str], int] = {}
     for target, count in room:
-        place = (wanted_kinds[target.entry.kind], target.entry.zone)
+        kind = target.entry.kind
+        if kind not in kind_costs:
+            kind_costs[kind] = _kind_cost(step, kind, preferences)
+        place = places[target.id] = (kind_costs[kind], target.entry.zone)
         zones[place] = zones.get(place, 0) + count
     homes = {
         run.target.entry.zone for each in step.job.steps.values() for run in each.active.values()
@@ -183,7 +186,7 @@
         # Of targets that hold all, the fullest; otherwise, those that hold the most.
         return (
             is_far,
-            rank[wanted_kinds[target.entry.kind], target.entry.zone],
+            rank[places[target.id]],
             not holds_all,
             target.free.cpu_milli if holds_all else -count,
         )
@@ -191,9 +194,9 @@
     return sorted(room, key=cost)
 
 
-def _kind_cost(step: StepWork, target: TargetWork, preferences: Preferences) -> tuple:
+def _kind_cost(step: StepWork, kind: str, preferences: Preferences) -> tuple:
     """Prefers the slowest kind that is fast enough, so that the fast ones stay free."""
-    slowness = round(preferences.slowness(target.entry.kind), 1)
+    slowness = round(preferences.slowness(kind), 1)
     is_enough = slowness <= max(1.0, SLACK_SHARE * step.job.queue.stretch)
     return not is_enough, -slowness if is_enough else slowness
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -73,8 +73,7 @@
         return run
 
     def send_start(self, run: Run) -> None:
-        advice = run.step.advice
-        ticket = advice.tickets.get(run.target.id, "") if advice is not None else ""
+        ticket = run.step.advice.ticket(run.target.id)
         link = self.links[run.target.id]
         link.order_start(run, run.step.job.submission.spec.payload, ticket)
 
@@ -158,7 +157,7 @@
         self._release(run)
         match reason:
             case "ticket":
-                step.advice = None
+                step.advice.refused(run.target.id)
             case "old":
                 pass  # The next run has a higher number.
             case "room":
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
@@ -19,6 +19,7 @@
 from azurecleat_cluster._internal.owner.authority import Authority
 from azurecleat_cluster._internal.owner.directory import DirectoryWatch
 from azurecleat_cluster._internal.owner.dispatch import Dispatcher
+from azurecleat_cluster._internal.owner.line import ClaimOrder, node_of
 from azurecleat_cluster._internal.owner.link import Losses, TargetLink
 from azurecleat_cluster._internal.owner.placement import Preferences
 from azurecleat_cluster._internal.owner.progress import ProgressWriter
@@ -59,6 +60,10 @@
 GAP_S = 2.0
 """A pause between two reads beyond which silence is counted anew: nothing could be heard."""
 
+FIRST_CLAIM_S = 0.6
+"""Time that instances have to announce themselves before the very first claim: they start within
+0.3 s of each other."""
+
 TURN_S = 0.03
 """Time that an instance has for its claim before the next one's turn: two appends."""
 
@@ -130,6 +135,7 @@
         self._replica = replica
         self._jobs = jobs_follower
         self._progress = progress_follower
+        self._order = ClaimOrder(instance, replica)
         self._configuration = configuration
         self._clock = clock
         self._events = events
@@ -147,6 +153,7 @@
         self._heard_at = float("-inf")
         self._heard = (0, 0)
         self._failing_since: float | None = None
+        self._started_at = clock.monotonic()
         self._thread = threading.Thread(target=self._run, name="owner", daemon=True)
 
     @property
@@ -223,7 +230,7 @@
             if epoch:
                 self._serve(epoch, reason == RELEASED)
                 return
-        in_line = self._instances_before()
+        in_line = self._order.ahead()
         self._nudged.wait(POLL_S if in_line < CLOSE_STANDBYS else SLOW_POLL_S)
 
     def _vacancy(self, now: float) -> str:
@@ -231,22 +238,23 @@
         claim = self._replica.claim
         if self._configuration.current is None:
             return ""
+        if not claim.epoch and now - self._started_at < FIRST_CLAIM_S:
+            return ""
         if claim.released or (claim.epoch == self._vacated and claim.epoch):
             return RELEASED
         if claim.instance == self._instance:
             return "own term ended" if claim.epoch <= self._served else OWN_CLAIM
-        if _node(claim.instance) == _node(self._instance):
+        if node_of(claim.instance) == node_of(self._instance):
             return RELEASED  # An earlier life of this process: it has surely ended.
         patience_s = SILENCE_S + SILENT_LATENCIES * self._ports.log.latency_s()
         return "silent" if now - self._heard_at > patience_s else ""
 
     def _is_first_in_line(self) -> bool:
-        """Waits while instances that started later may claim, and looks at the log again.
+        """Waits while the instances ahead may claim, and looks at the log again.
 
-        A rolling restart comes last to those that started last, so that they keep ownership
-        longest; and a slow log gets one claim, not one of each instance.
+        A slow log gets one claim then, not one of each instance.
         """
-        before = self._instances_before()
+        before = self._order.ahead()
         if not before:
             return True
         claim = self._replica.claim
@@ -254,17 +262,6 @@
         self._jobs.poll()
         return self._replica.claim == claim
 
-    def _instances_before(self) -> int:
-        """Counts the instances that are to claim before this one: those that started later."""
-        instances = self._replica.instances
-        own = instances.get(_node(self._instance))
-        owner = _node(self._replica.claim.instance)
-        return sum(
-            entry.started > own.started
-            for node, entry in instances.items()
-            if own is not None and node != owner
-        )
-
     def _claim(self, reason: str, now: float) -> int:
         """Claims the next epoch; returns it if the claim was the first, 0 otherwise."""
         if reason == OWN_CLAIM:
@@ -487,12 +484,8 @@
             return
         peers = self._replica.instances
         advice.add_caller(self._instance, lambda: own, short_only=True)
-        others = sorted(node for node in peers if node != _node(self._instance))
+        others = sorted(node for node in peers if node != node_of(self._instance))
         reserved = int(len(others) * SHORT_CALLERS_SHARE)
         for number, node in enumerate(others):
             connect = partial(self._ports.connect_adviser, peers[node].address)
             advice.add_caller(node, connect, short_only=number < reserved)
-
-
-def _node(instance: str) -> str:
-    return instance.partition("#")[0]
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
@@ -90,6 +90,8 @@
     ) -> None:
         self.lock = threading.RLock()
         self.changed = threading.Condition(self.lock)
+        self.ending = threading.Event()
+        """Set when the term stops or is lost."""
         self.authority = authority
         self.configuration = configuration
         self.jobs: dict[str, JobWork] = {}
@@ -126,6 +128,7 @@
             if self.authority.lost_reason:
                 return
             self.authority.lose(reason)
+            self.ending.set()
             self.changed.notify_all()
         self._on_lost(reason)
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -54,6 +54,7 @@
         """Sends nothing more."""
         with self.changed:
             self._stopping = True
+            self.ending.set()
             links = list(self.links.values())
             self.changed.notify_all()
         for link in links:
@@ -161,7 +162,7 @@
 
     def _update_entry(self, work: TargetWork, entry: TargetEntry) -> None:
         was_ready = work.entry.state is TargetState.READY
-        work.entry = entry
+        work.renew(entry)
         work.listed = True
         if was_ready and entry.state is TargetState.DRAINING:
             self._events.write(
@@ -260,6 +261,7 @@
                 link.inherit_lease(now)
             if not work.answering and work.reached:
                 self._events.write(eventlog.TARGET_BACK, target=work.id, runs=len(work.runs))
+            runs_before, was_known = len(work.runs), work.reached and work.answering
             ended = {(end.task, end.run) for end in report.ended}
             for end in report.ended:
                 if end.number > link.processed:
@@ -271,10 +273,12 @@
                 running = {(status.task, status.run) for status in report.running}
                 self._drop_missing(work, running | ended, sent_at)
             work.reached = work.answering = True
-            if link.processed:
+            if report.ended:
                 number = link.processed
                 self._writer.after(lambda: link.acknowledge(number))
-        self.wake()
+            is_changed = bool(report.ended) or len(work.runs) != runs_before or not was_known
+        if is_changed:
+            self.wake()
 
     def _take_status(self, work: TargetWork, status: RunStatus, now: float) -> None:
         run = work.runs.get((status.task, status.run))
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/work.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/work.py
@@ -93,12 +93,51 @@
 
 
 class Advice(NamedTuple):
-    """Tickets by target, and the own time until which they are used."""
+    """An answer: targets that were named, tickets by target, own time until which they are used."""
 
+    named: tuple[str, ...]
     tickets: dict[str, str]
     valid_until: float
 
 
+class StepAdvice:
+    """What answers have told of one step. A target that was allowed once always is."""
+
+    def __init__(self) -> None:
+        self._tickets: dict[str, tuple[str, float]] = {}
+        self.denied: set[str] = set()
+
+    @property
+    def is_known(self) -> bool:
+        """Whether any answer is there."""
+        return bool(self._tickets or self.denied)
+
+    def take(self, advice: Advice) -> None:
+        for target in advice.named:
+            if target in advice.tickets:
+                self._tickets[target] = (advice.tickets[target], advice.valid_until)
+            else:
+                self.denied.add(target)
+
+    def is_allowed(self, target: str) -> bool:
+        return target in self._tickets
+
+    def is_valid(self, target: str, now: float) -> bool:
+        """Whether the target's ticket can still be used at a time."""
+        return target in self._tickets and now < self._tickets[target][1]
+
+    def ticket(self, target: str) -> str:
+        return self._tickets.get(target, ("", 0.0))[0]
+
+    def refused(self, target: str) -> None:
+        """Notes that a target took its ticket no more; it is to be renewed."""
+        if target in self._tickets:
+            self._tickets[target] = ("", float("-inf"))
+
+    def valid_targets(self, now: float) -> list[str]:
+        return [target for target, (_, until) in self._tickets.items() if now < until]
+
+
 class StepWork:
     """One step of one occurrence of a job."""
 
@@ -121,8 +160,10 @@
         """Target and duration of runs that were done."""
         self.kinds: list[tuple[str, float]] = []
         """Kind of target and duration of the same runs."""
-        self.advice: Advice | None = None
+        self.advice = StepAdvice()
         self.asking = False
+        self.asked_at = float("-inf")
+        """Own time when it was last looked whether advice is missing."""
         self.ready_at: float | None = None
         self.not_before = 0.0
         """Own time before which no task is started again after quick failures."""
@@ -232,6 +273,7 @@
         self.entry = entry
         self.runs: dict[tuple[TaskId, int], Run] = {}
         self.used = ZERO
+        self.free = entry.capacity
         self.reached = False
         """Whether it has answered a hold under the present fence."""
         self.answering = False
@@ -247,17 +289,22 @@
     def id(self) -> str:
         return self.entry.id
 
-    @property
-    def free(self) -> Resources:
-        return self.entry.capacity.plus(self.used, -1)
+    def renew(self, entry: TargetEntry) -> None:
+        """Takes in what the same life says of itself now."""
+        self.entry = entry
+        self.free = entry.capacity.plus(self.used, -1)
 
     def add(self, run: Run) -> None:
         self.runs[run.key] = run
-        self.used = self.used.plus(run.room)
+        self._use(run.room, 1)
 
     def remove(self, run: Run) -> None:
         if self.runs.pop(run.key, None) is not None:
-            self.used = self.used.plus(run.room, -1)
+            self._use(run.room, -1)
+
+    def _use(self, room: Resources, times: int) -> None:
+        self.used = self.used.plus(room, times)
+        self.free = self.entry.capacity.plus(self.used, -1)
 
 
 class TeamUse:
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
@@ -46,10 +46,14 @@
 
 
 class InstanceEntry(NamedTuple):
-    """Where an instance is reached by others, and when it started (Unix seconds)."""
+    """Where an instance is reached, when it started (Unix seconds) and its processor.
+
+    ``cores`` is the processor that the machine gives it, in cores of the usual speed.
+    """
 
     address: str
     started: float
+    cores: float = 1.0
 
 
 class TaskProgress(NamedTuple):
--- a/tests/lib/site_standin.py
+++ b/tests/lib/site_standin.py
@@ -116,6 +116,8 @@
 front = "127.0.0.1:{front}"
 readiness = "127.0.0.1:{ready}"
 [limits]
+cpu_share = 1.0
+cores = 1
 memory_mb = 300
 [bounds]
 max_hold_ms = 10000
--- a/tests/unit/cluster/test_placement.py
+++ b/tests/unit/cluster/test_placement.py
@@ -86,7 +86,7 @@
         queue = step.job.submission.queue._replace(advice=AdviceTerms(1, 1, 2000))
         step.job.submission = step.job.submission._replace(queue=queue)
         self.assertEqual(place(step, range(2), targets, 0.0, Preferences()), [])
-        step.advice = Advice({"t2": "x", "t3": "y"}, 5.0)
+        step.advice.take(Advice(("t2", "t3"), {"t2": "x", "t3": "y"}, 5.0))
         step.avoid[0] = {"t2"}
         chosen = dict(place(step, range(2), targets, 1.0, Preferences()))
         self.assertEqual(chosen[0].id, "t3")
