A soak of our own: real processes under faults that come from outside them

Ruled out: faults inside the processes (they would share the code's view); one proxy for all callers (an owner cut off alone could not be played). The stand-in of the site shows each instance its own addresses, so that peers and targets are met through proxies.

--- a/tests/functional/test_site_program.py
+++ b/tests/functional/test_site_program.py
@@ -2,22 +2,15 @@
 
 from __future__ import annotations
 
-import http.client
-import json
-import os
 import signal
-import socket
-import subprocess
-import sys
 import tempfile
 import time
 import unittest
 from pathlib import Path
-from typing import Any
 
+from tests.lib.site_process import InstanceProcess, wait_for
 from tests.lib.site_standin import Site
 
-ROOT = Path(__file__).resolve().parents[2]
 JOB = {
     "spec": "payload",
     "steps": [
@@ -25,77 +18,6 @@
         {"count": 2, "cpu": 2000, "mem_mb": 100, "estimate_ms": 200, "depends_on": [0]},
     ],
 }
-TIMEOUT_S = 20.0
-
-
-def free_ports() -> list[int]:
-    """Returns two free ports, and the first of two neighbouring ones."""
-    while True:
-        sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
-        ports = [each.getsockname()[1] for each in sockets]
-        try:
-            sockets.append(socket.create_server(("127.0.0.1", ports[2] + 1)))
-            return ports
-        except OSError:
-            continue
-        finally:
-            for each in sockets:
-                each.close()
-
-
-class Instance:
-    """One process of the program."""
-
-    def __init__(self, site: Site, folder: Path, node: str) -> None:
-        self._ports = free_ports()
-        self._log_path = folder / f"{node}-{time.monotonic_ns()}.log"
-        path = site.write_settings(folder, node, self._ports)
-        with self._log_path.open("wb") as output:
-            self.process = subprocess.Popen(
-                [sys.executable, str(ROOT / "platform" / "instance.py")],
-                env={**os.environ, "AZURECLEAT_SETTINGS": str(path)},
-                stdout=output,
-                stderr=subprocess.STDOUT,
-            )
-
-    def call(
-        self, method: str, path: str, body: Any = None, key: str = "key"
-    ) -> tuple[int, dict[str, Any]]:
-        connection = http.client.HTTPConnection("127.0.0.1", self._ports[0], timeout=5.0)
-        try:
-            headers = {"Host": "h.example", "Api-Key": key, "X-Deadline-Ms": "3000"}
-            payload = None if body is None else json.dumps(body)
-            connection.request(method, path, payload, headers)
-            response = connection.getresponse()
-            return response.status, json.loads(response.read() or b"{}")
-        finally:
-            connection.close()
-
-    def is_ready(self) -> bool:
-        connection = http.client.HTTPConnection("127.0.0.1", self._ports[1], timeout=2.0)
-        try:
-            connection.request("GET", "/ready")
-            return connection.getresponse().status == 200
-        except OSError:
-            return False
-        finally:
-            connection.close()
-
-    def events(self) -> list[dict[str, Any]]:
-        lines = self._log_path.read_text(encoding="utf-8").splitlines()
-        return [json.loads(line) for line in lines if line.startswith("{")]
-
-    def kill(self) -> None:
-        self.process.kill()
-        self.process.wait()
-
-
-def wait_for(condition: Any, what: str, timeout_s: float = TIMEOUT_S) -> None:
-    deadline = time.monotonic() + timeout_s
-    while not condition():
-        if time.monotonic() > deadline:
-            raise AssertionError(f"not in time: {what}")
-        time.sleep(0.05)
 
 
 class SiteProgramTest(unittest.TestCase):
@@ -112,25 +34,25 @@
         for instance in self.instances:
             wait_for(instance.is_ready, "an instance is ready")
 
-    def start(self, node: str) -> Instance:
-        instance = Instance(self.site, self.folder, node)
+    def start(self, node: str) -> InstanceProcess:
+        instance = InstanceProcess(self.site, self.folder, node)
         self.addCleanup(instance.kill)
         return instance
 
-    def submit(self, number: int, instance: Instance) -> str:
+    def submit(self, number: int, instance: InstanceProcess) -> str:
         job = f"{number:016x}"
         self.site.promise(job, JOB)
         self.assertEqual(instance.call("POST", f"/jobs/{job}", JOB)[0], 200)
         return job
 
-    def wait_completed(self, job: str, instance: Instance) -> None:
+    def wait_completed(self, job: str, instance: InstanceProcess) -> None:
         def completed() -> bool:
             return instance.call("GET", f"/jobs/{job}") == (200, {"state": "completed"})
 
         wait_for(completed, f"{job} is completed")
 
-    def owner(self) -> Instance:
-        def serving() -> list[Instance]:
+    def owner(self) -> InstanceProcess:
+        def serving() -> list[InstanceProcess]:
             return [
                 each
                 for each in self.instances
--- a/tests/lib/cluster_targets.py
+++ b/tests/lib/cluster_targets.py
@@ -48,11 +48,16 @@
         self.done: set[TaskId] = set()
         self.noted_failures: dict[TaskId, int] = {}
         self.broken: list[str] = []
+        self.failed_ends: dict[TaskId, int] = {}
+        """Runs that ended as failed, whether anybody took note of it or not."""
         self.starts = 0
+        self.started_at: dict[TaskId, float] = {}
+        """Newest start of each task."""
 
     def on_start(self, target: SimTarget, order: StartOrder, now: float) -> None:
         task = order.task
         self.starts += 1
+        self.started_at[task] = now
         promise = self.promises.get((task.job, task.step))
         if promise is None:
             self._break(now, "UNASKED", task, target.id)
@@ -239,6 +244,9 @@
         self._ended.append((RunEnd(self._count, task, number, kind, ""), False))
         if kind is EndKind.DONE:
             self.world_ended.add(task)
+        elif kind is EndKind.FAILED:
+            failed = self._checker.failed_ends
+            failed[task] = failed.get(task, 0) + 1
         self._checker.on_end(self, run.order.task, number)
 
 
--- /dev/null
+++ b/tests/lib/site_process.py
@@ -0,0 +1,101 @@
+"""Processes of the program for the users' platform, as tests start them."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from tests.lib.site_standin import Site
+
+ROOT = Path(__file__).resolve().parents[2]
+TIMEOUT_S = 20.0
+
+
+def free_ports() -> list[int]:
+    """Returns two free ports, and the first of two neighbouring ones."""
+    while True:
+        sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
+        ports = [each.getsockname()[1] for each in sockets]
+        try:
+            sockets.append(socket.create_server(("127.0.0.1", ports[2] + 1)))
+            return ports
+        except OSError:
+            continue
+        finally:
+            for each in sockets:
+                each.close()
+
+
+class InstanceProcess:
+    """One process of the program, and the logs of all its lives.
+
+    :param ports: Where it listens: callers, readiness, and the first of two for other instances.
+    :param addresses: See :meth:`Site.settings`.
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        folder: Path,
+        node: str,
+        ports: list[int] | None = None,
+        addresses: Mapping[str, str] | None = None,
+    ) -> None:
+        self.node = node
+        self.ports = ports or free_ports()
+        self._log_path = folder / f"{node}-{time.monotonic_ns()}.log"
+        path = site.write_settings(folder, node, self.ports, addresses)
+        with self._log_path.open("wb") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, str(ROOT / "platform" / "instance.py")],
+                env={**os.environ, "AZURECLEAT_SETTINGS": str(path)},
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def call(
+        self, method: str, path: str, body: Any = None, key: str = "key"
+    ) -> tuple[int, dict[str, Any]]:
+        connection = http.client.HTTPConnection("127.0.0.1", self.ports[0], timeout=5.0)
+        try:
+            headers = {"Host": "h.example", "Api-Key": key, "X-Deadline-Ms": "3000"}
+            payload = None if body is None else json.dumps(body)
+            connection.request(method, path, payload, headers)
+            response = connection.getresponse()
+            return response.status, json.loads(response.read() or b"{}")
+        finally:
+            connection.close()
+
+    def is_ready(self) -> bool:
+        connection = http.client.HTTPConnection("127.0.0.1", self.ports[1], timeout=2.0)
+        try:
+            connection.request("GET", "/ready")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+        finally:
+            connection.close()
+
+    def events(self) -> list[dict[str, Any]]:
+        lines = self._log_path.read_text(encoding="utf-8").splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def kill(self) -> None:
+        self.process.kill()
+        self.process.wait()
+
+
+def wait_for(condition: Any, what: str, timeout_s: float = TIMEOUT_S) -> None:
+    deadline = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError(f"not in time: {what}")
+        time.sleep(0.05)
--- a/tests/lib/site_standin.py
+++ b/tests/lib/site_standin.py
@@ -9,16 +9,23 @@
 import json
 import random
 import struct
+import sys
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from functools import partial
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 from azurecleat_base import Resources
-from azurecleat_base.exceptions import FencedError, LogUnavailableError, OffsetForgottenError
+from azurecleat_base.exceptions import (
+    FencedError,
+    LogUnavailableError,
+    OffsetForgottenError,
+    OutcomeUnknownError,
+)
 from azurecleat_cluster.ports import StartOrder, Writer
 from azurecleat_cluster.values import Step, TargetEntry, TargetState, TaskId
 from azurecleat_fakes import KeyedMemoryLog
@@ -26,12 +33,26 @@
 from tests.lib.cluster_targets import Checker, Promise, SimTarget
 
 Answer = tuple[int, bytes]
+"""Status and body; a status of 0 closes the connection without an answer."""
+
+LOST_ANSWER_S = 3.0
+"""How long a call whose answer is lost stays open: longer than any caller waits."""
 
 
 def to_answer(status: int, value: Any) -> Answer:
     return status, json.dumps(value).encode()
 
 
+class _QuietServer(ThreadingHTTPServer):
+    """Server whose callers may end or reset their connections at any time."""
+
+    daemon_threads = True
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        if not isinstance(sys.exc_info()[1], OSError):
+            super().handle_error(request, client_address)
+
+
 class Server:
     """An HTTP server on a free port of loopback."""
 
@@ -45,10 +66,13 @@
                 parts = urlsplit(self.path)
                 query = {name: values[0] for name, values in parse_qs(parts.query).items()}
                 status, answer = handle(self.command, parts.path, query, body, self.headers)
-                self.send_response(status)
-                self.send_header("Content-Length", str(len(answer)))
-                self.end_headers()
+                if not status:
+                    self.close_connection = True
+                    return
                 try:
+                    self.send_response(status)
+                    self.send_header("Content-Length", str(len(answer)))
+                    self.end_headers()
                     self.wfile.write(answer)
                 except OSError:
                     self.close_connection = True  # The caller has gone.
@@ -58,8 +82,7 @@
             def log_message(self, *arguments: object) -> None:
                 pass
 
-        self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-        self._server.daemon_threads = True
+        self._server = _QuietServer(("127.0.0.1", 0), Handler)
         self.address = f"127.0.0.1:{self._server.server_port}"
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
@@ -68,25 +91,53 @@
         self._server.server_close()
 
 
+class StoreView:
+    """The store as one instance sees it: some addresses stand for others.
+
+    :param shown: For each true address the one that is shown instead.
+    """
+
+    def __init__(self, shown: dict[str, str]) -> None:
+        self.shown = shown
+
+    def to_instance(self, value: bytes) -> bytes:
+        for true, shown in list(self.shown.items()):
+            value = value.replace(f'"{true}"'.encode(), f'"{shown}"'.encode())
+        return value
+
+    def from_instance(self, value: bytes | None) -> bytes | None:
+        if value is None:
+            return None
+        for true, shown in list(self.shown.items()):
+            value = value.replace(f'"{shown}"'.encode(), f'"{true}"'.encode())
+        return value
+
+
 class Site:
     """The platform with a few targets of one pool.
 
-    :param task_s: How long a task takes.
+    :param task_s: How long a task takes, or a function of the task that tells it.
     """
 
-    def __init__(self, targets: int = 3, task_s: float = 0.2) -> None:
+    def __init__(self, targets: int = 3, task_s: float | Callable[[TaskId], float] = 0.2) -> None:
         self.log = KeyedMemoryLog()
         self.checker = Checker()
         self.lock = threading.RLock()
         self.targets: dict[str, SimTarget] = {}
         self.ended: set[TaskId] = set()
-        self._task_s = task_s
-        self._servers = [Server(self._store), Server(self._machines), Server(self._advise)]
+        self._duration = task_s if callable(task_s) else lambda task: task_s
+        self._slots: list[SimTarget] = []
+        self._lives = 0
+        self.lose_answers = 0
+        """Appends of instances that are still to take effect without an answer."""
+        self._servers = [Server(self._serve_store), Server(self._machines), Server(self._advise)]
         self.store_address, self.cloud_address, self.advice_address = (
             server.address for server in self._servers
         )
         for number in range(targets):
-            self._add_target(f"i-{number}", number)
+            server = Server(partial(self._serve_target, number))
+            self._servers.append(server)
+            self._slots.append(self._make_target(f"i-{number}", server.address))
 
     def close(self) -> None:
         for server in self._servers:
@@ -103,15 +154,26 @@
         value["services"] = [{"name": "pool", "admission_check": False}]
         self.log.append("keyed.op", [("config", json.dumps(value).encode())], 1.0)
 
-    def settings(self, node: str, ports: list[int]) -> str:
-        """Returns the settings file of a process."""
+    def settings(
+        self, node: str, ports: list[int], addresses: Mapping[str, str] | None = None
+    ) -> str:
+        """Returns the settings file of a process.
+
+        :param addresses: Shown instead of those of the store, the machine list and the adviser.
+        """
         front, ready, first = ports
+        shown = {
+            "store": self.store_address,
+            "machines": self.cloud_address,
+            "advice": self.advice_address,
+            **(addresses or {}),
+        }
         return f"""
 node = "{node}"
 zone = "z"
 ip = "127.0.0.1"
 port_range = [{first}, {first + 2}]
-advice = "{self.advice_address}"
+advice = "{shown["advice"]}"
 [listen]
 front = "127.0.0.1:{front}"
 readiness = "127.0.0.1:{ready}"
@@ -127,14 +189,20 @@
 grace_s = 6
 far_factor = 2
 [platform]
-address = "{self.store_address}"
+address = "{shown["store"]}"
 [cloud]
-address = "{self.cloud_address}"
+address = "{shown["machines"]}"
 """
 
-    def write_settings(self, folder: Path, node: str, ports: list[int]) -> Path:
+    def write_settings(
+        self,
+        folder: Path,
+        node: str,
+        ports: list[int],
+        addresses: Mapping[str, str] | None = None,
+    ) -> Path:
         path = folder / f"{node}.toml"
-        path.write_text(self.settings(node, ports), encoding="utf-8")
+        path.write_text(self.settings(node, ports, addresses), encoding="utf-8")
         return path
 
     def promise(self, job: str, body: dict[str, Any]) -> None:
@@ -147,38 +215,73 @@
             )
             self.checker.promises[job, number] = Promise(spec, "team", 3)
 
-    def _add_target(self, name: str, number: int) -> None:
-        server = Server(lambda *arguments: self._serve_target(name, *arguments))
+    def replace_target(self, number: int, keeps_id: bool = False) -> None:
+        """Ends a target's life and begins another at its address."""
+        with self.lock:
+            old = self._slots[number]
+            old.crash()
+            name = old.id if keeps_id else f"i-{number}-{self._lives}"
+            if not keeps_id:
+                del self.targets[old.id]
+                self.log.append("keyed.servers", [(old.id, None)], 1.0)
+            self._slots[number] = self._make_target(name, old.entry.address)
+
+    def advance(self) -> None:
+        """Ends on all targets what is over by now."""
+        with self.lock:
+            for target in self._slots:
+                target.advance(time.monotonic())
+
+    def view_store(self, view: StoreView) -> str:
+        """Returns an address of the store that shows other addresses to one instance."""
+        server = Server(partial(self._store, view))
         self._servers.append(server)
+        return server.address
+
+    @property
+    def target_addresses(self) -> list[str]:
+        return [target.entry.address for target in self._slots]
+
+    def _make_target(self, name: str, address: str) -> SimTarget:
+        self._lives += 1
+        born = 1000 + self._lives
         entry = TargetEntry(
-            name, "pool", server.address, "z", TargetState.READY, 1000, Resources(16000, 64000, 0)
+            name, "pool", address, "z", TargetState.READY, born, Resources(16000, 64000, 0)
         )
-        rng = random.Random(number)
-        self.targets[name] = SimTarget(
-            entry, self.checker, rng, 1.0, self.ended, lambda task: self._task_s
-        )
-        value = {"service": "pool", "address": server.address, "zone": "z", "version": "v1"}
-        value |= {"slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1000}
+        rng = random.Random(self._lives)
+        target = SimTarget(entry, self.checker, rng, 1.0, self.ended, self._duration)
+        self.targets[name] = target
+        value = {"service": "pool", "address": address, "zone": "z", "version": "v1"}
+        value |= {"slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": born}
         value |= {"capacity": {"cpu": 16000, "mem_mb": 64000, "gpu": 0}, "labels": ["a", "r1"]}
         self.log.append("keyed.servers", [(name, json.dumps(value).encode())], 1.0)
+        return target
+
+    def _serve_store(self, *request: Any) -> Answer:
+        return self._store(StoreView({}), *request)
 
-    def _store(self, method: str, path: str, query: dict, body: bytes, headers: Any) -> Answer:
+    def _store(
+        self, view: StoreView, method: str, path: str, query: dict, body: bytes, headers: Any
+    ) -> Answer:
         topic = query.get("topic", "")
         try:
             match path:
                 case "/log-append":
-                    return self._append(topic, query, body)
+                    return self._append(view, topic, query, body)
                 case "/log-read":
                     wait_s = int(query.get("wait_ms", 0)) / 1000.0
                     page = self.log.read(topic, int(query["from"]), wait_s)
-                    frames = b"".join(frame(each.key, each.value) for each in page.records)
+                    frames = b"".join(
+                        frame(each.key, each.value and view.to_instance(each.value))
+                        for each in page.records
+                    )
                     return 200, struct.pack(">QQ", page.end, 0) + frames
                 case "/log-newest":
                     page = self.log.newest(topic)
                     items = [
                         {
                             "key": each.key,
-                            "value": base64.b64encode(each.value).decode(),
+                            "value": base64.b64encode(view.to_instance(each.value)).decode(),
                             "offset": each.offset,
                         }
                         for each in page.records
@@ -190,22 +293,27 @@
             return to_answer(410, {"first": 0})
         return to_answer(404, {})
 
-    def _append(self, topic: str, query: dict, body: bytes) -> Answer:
+    def _append(self, view: StoreView, topic: str, query: dict, body: bytes) -> Answer:
         writer = None
         if "producer" in query:
             writer = Writer(query["producer"], int(query["epoch"]), int(query["seq"]))
         try:
-            offset = self.log.append(topic, unframe(body), 1.0, writer)
+            records = [(key, view.from_instance(value)) for key, value in unframe(body)]
+            offset = self.log.append(topic, records, 1.0, writer)
         except FencedError:
             return to_answer(409, {"reason": "fenced"})
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            time.sleep(LOST_ANSWER_S)
+            return 0, b""
         return to_answer(200, {"offset": offset, "end": offset})
 
     def _machines(self, method: str, path: str, query: dict, body: bytes, headers: Any) -> Answer:
-        rows = [
-            {"machine": f"m-{name}", "state": "up", "id": name}
-            for name, target in self.targets.items()
-            if target.is_up
-        ]
+        with self.lock:
+            rows = [
+                {"machine": f"m-{number}", "state": "up", "id": target.id}
+                for number, target in enumerate(self._slots)
+            ]
         return to_answer(200, {"machines": rows, "next_token": None})
 
     def _advise(self, method: str, path: str, query: dict, body: bytes, headers: Any) -> Answer:
@@ -213,10 +321,10 @@
         return to_answer(200, {"allowed": [[name, f"t-{name}"] for name in names]})
 
     def _serve_target(
-        self, name: str, method: str, path: str, query: dict, body: bytes, headers: Any
+        self, number: int, method: str, path: str, query: dict, body: bytes, headers: Any
     ) -> Answer:
-        target, fields = self.targets[name], json.loads(body)
-        if headers["X-Expect-Instance"] != name:
+        target, fields = self._slots[number], json.loads(body)
+        if headers["X-Expect-Instance"] != target.id:
             return to_answer(421, {})
         try:
             match path:
@@ -231,6 +339,8 @@
                     return to_answer(200, {"clock_ms": target.clock_ms(time.monotonic())})
         except FencedError:
             return to_answer(409, {"reason": "fence", "clock_ms": 0})
+        except OutcomeUnknownError:
+            return 0, b""  # Its life ended meanwhile.
         return to_answer(404, {})
 
     def _start(self, target: SimTarget, fields: dict[str, Any]) -> Answer:
