Filling tasks are paced by the tails of the serving tasks beside them

Cause: all filling tasks worked at full pace whatever they did to others (HARM, and serving tasks that earn nothing); orders for a pace existed and nothing sent them. Ruled out: a model of the disturbance by image (it changes within seconds; the tail is told each half second); stopping them at once (their work is lost where they keep no checkpoint).

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -107,6 +107,7 @@
         if now - self._judged_at >= JUDGE_S:
             self._judged_at = now
             term.move_slow_runs(now)
+            term.pace_filling_runs(now)
         pools = _usable_by_pool((link.work for link in term.links.values()), now)
         if not pools:
             return 0
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/link.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/link.py
@@ -13,7 +13,7 @@
 
 from azurecleat_cluster._internal.exceptions import TargetReplacedError
 from azurecleat_cluster._internal.owner.authority import Authority
-from azurecleat_cluster._internal.owner.work import Run, TargetWork
+from azurecleat_cluster._internal.owner.work import UNKNOWN_PACE, Run, TargetWork
 from azurecleat_cluster._internal.ports import StartOrder, StartResult, TargetClient
 from azurecleat_cluster._internal.values import TargetReport
 
@@ -335,7 +335,7 @@
         except FencedError as error:
             self._observer.on_fenced(self, error.epoch)
         except TargetError:
-            run.pace = -1  # Unknown; the next look at the target sends it again.
+            run.pace = UNKNOWN_PACE  # The next look at the target sends it again.
 
     def _pause(self, seconds: float) -> None:
         with self._changed:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -5,6 +5,7 @@
 from azurecleat_base.exceptions import TargetError
 
 from azurecleat_cluster._internal import eventlog
+from azurecleat_cluster._internal.owner.pacing import pace_target
 from azurecleat_cluster._internal.owner.state import TermState
 from azurecleat_cluster._internal.owner.work import (
     JobWork,
@@ -114,6 +115,25 @@
             if not self.spare(run):
                 self.stop_run(run, "target is slow")
 
+    def pace_filling_runs(self, now: float) -> None:
+        """Slows filling tasks down where they disturb, and moves those that stand still."""
+        for link in self.links.values():
+            pacing = pace_target(link.work, now)
+            for run, percent in pacing.paces:
+                run.pace = percent
+                self._events.write(
+                    eventlog.RUN_PACED,
+                    task=run.task,
+                    run=run.number,
+                    target=link.work.id,
+                    percent=percent,
+                    tail_share=round(pacing.worst_share, 2),
+                )
+                link.order_pace(run, percent)
+            for run in pacing.moves:
+                run.step.avoid.setdefault(run.task.index, set()).add(link.work.id)
+                self.stop_run(run, "it disturbs tasks that serve")
+
     def on_start(self, run: Run, result: StartResult) -> None:
         now = self._clock.monotonic()
         job = run.step.job
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -16,6 +16,7 @@
 from azurecleat_cluster._internal.owner.runs import RunTransitions
 from azurecleat_cluster._internal.owner.state import Link
 from azurecleat_cluster._internal.owner.work import (
+    UNKNOWN_PACE,
     JobWork,
     Run,
     RunState,
@@ -303,6 +304,7 @@
         run.state = RunState.RUNNING
         run.settled_at = self._clock.monotonic()
         run.ordered_at = run.settled_at
+        run.pace = UNKNOWN_PACE
         index = status.task.index
         step.last_run = max(step.last_run, status.run)
         work.add(run)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/work.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/work.py
@@ -19,6 +19,10 @@
     """The run is no longer wanted; its room is taken until its end is known."""
 
 
+FULL_PACE = 100
+UNKNOWN_PACE = -1
+
+
 class Run:
     """One run of a task on one target."""
 
@@ -56,7 +60,8 @@
         """When a target's answer settled that the run is there, or never will be."""
         self.percent = 0.0
         self.load = 0.0
-        self.pace = 100
+        self.pace = FULL_PACE
+        """Percent at which a filling task was told to work; ``UNKNOWN_PACE`` if not known."""
         self.until = 0.0
         """Own clock: the run cannot begin, or go on without a later renewal, after this."""
         self.checkpoint = ""
@@ -282,6 +287,9 @@
         self.suspect_until = 0.0
         self.on_probation = False
         """Whether it gets one run at a time until one is done."""
+        self.pace = FULL_PACE
+        """Percent at which its filling tasks work."""
+        self.paced_at = float("-inf")
         self.outcomes: list[tuple[float, str, bool]] = []
         """Recent ends: own time, job, whether it was done."""
 
--- a/tests/lib/site_standin.py
+++ b/tests/lib/site_standin.py
@@ -63,6 +63,9 @@
             def _serve(self) -> None:
                 length = int(self.headers.get("Content-Length") or 0)
                 body = self.rfile.read(length)
+                if len(body) < length:
+                    self.close_connection = True  # The caller has gone.
+                    return
                 parts = urlsplit(self.path)
                 query = {name: values[0] for name, values in parse_qs(parts.query).items()}
                 status, answer = handle(self.command, parts.path, query, body, self.headers)
