Submissions leave a gathering instance that has lost its log

And instances without a way to the store refused what the gathering instance could have appended for them. Ruled out: a slow log (all others read at once); a dead owner (it answered each question). Change: a front whose own way to the log is quick waits 0.5 s and four answers of the log for a gathered append, then appends itself (one job by its id) and avoids that instance for a second. A gathering instance whose log is lost says so. A front without its log asks the gathering instance for up to 0.3 s before it refuses. Ports of test processes lie below the system's own (a soak's instance failed to start when a proxy had got its port). Tests: test_desk (the first fails on the old code: it waits until the caller's time is over).

--- a/libs/cli/src/azurecleat_cli/_internal/commands/__init__.py
+++ b/libs/cli/src/azurecleat_cli/_internal/commands/__init__.py
@@ -28,6 +28,7 @@
     "status": CommandInfo("status", "StatusCommand"),
     "targets": CommandInfo("status", "TargetsCommand"),
     "why": CommandInfo("why", "WhyCommand"),
+    "explain": CommandInfo("explain", "ExplainCommand"),
     "drain": CommandInfo("drain", "DrainCommand"),
 }
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/application.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/application.py
@@ -124,7 +124,11 @@
             self.metrics,
         )
         self.peer_application = PeerApplication(
-            self.replica, self._appender, self.owner, ports.adviser
+            self.replica,
+            self._appender,
+            self.owner,
+            ports.adviser,
+            lambda: self._config_follower.is_lost,
         )
 
     @property
--- a/libs/cluster/src/azurecleat_cluster/_internal/front/desk.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/desk.py
@@ -38,9 +38,15 @@
 MIN_APPEND_S = 0.2
 """No append is tried with less time than this left."""
 
-LOST_AGE_S = 1.5
-"""Age of the last read that was answered from which the log counts as lost, if a read since has
-failed. While all is well, reads are up to 1.6 s apart."""
+GATHER_S = 0.5
+"""How long a gathering instance may take for an append beyond what the log takes for one from
+here: twenty usual ones. It may have lost its own way to the log."""
+
+GATHER_LATENCIES = 4
+"""Answers of the log that are added to it: a slow log takes one append after the other."""
+
+LOST_GATHER_S = 0.3
+"""The same time while the log does not answer here: a caller had better ask elsewhere."""
 
 LOST_LOOK_S = 0.1
 
@@ -258,15 +264,15 @@
         left_s = deadline - self._clock.monotonic()
         if left_s < MIN_APPEND_S:
             return Refused("too little time left", RETRY_AFTER_S)
-        if self._is_log_lost():
-            return Refused("log unavailable: it does not answer", RETRY_AFTER_S)
-        # One instance gathers what comes in at all of them: a slow log takes few appends.
-        forwarded = self._owner.append(key, value, left_s - ANSWER_S, self._is_log_lost)
+        # One instance gathers what comes in at all of them: a slow log takes few appends. It may
+        # reach the log where this instance does not.
+        patience = partial(self._is_gatherer_slow, self._clock.monotonic())
+        forwarded = self._owner.append(key, value, left_s - ANSWER_S, patience)
         if forwarded is Forwarded.DONE or is_there():
             return Accepted()
         left_s = deadline - self._clock.monotonic()
         outcome = Forwarded.NOT_SENT
-        if left_s >= MIN_APPEND_S and not self._is_log_lost():
+        if left_s >= MIN_APPEND_S and not self._config_follower.is_lost:
             # One try with all the time there is: a slow log would take a repeat as well.
             outcome = self._append_here(key, value, deadline - ANSWER_S)
         if outcome is Forwarded.DONE or is_there():
@@ -279,7 +285,9 @@
         """Appends a record from this instance, until the deadline or until the log is lost."""
         left_s = deadline - self._clock.monotonic()
         append = self._appender.submit(key, value, left_s)
-        while (left_s := deadline - self._clock.monotonic()) > 0 and not self._is_log_lost():
+        while (
+            left_s := deadline - self._clock.monotonic()
+        ) > 0 and not self._config_follower.is_lost:
             try:
                 append.result(min(left_s, LOST_LOOK_S))
                 return Forwarded.DONE
@@ -292,7 +300,9 @@
         self._metrics.retries.labels("append_unknown").inc()
         return Forwarded.UNKNOWN
 
-    def _is_log_lost(self) -> bool:
-        """Whether the log no longer answers this instance: waiting on would help nobody."""
-        follower = self._config_follower
-        return follower.is_failing and follower.age() > LOST_AGE_S
+    def _is_gatherer_slow(self, since: float) -> bool:
+        """Whether an append since a time takes the gathering instance longer than it would here."""
+        waited_s = self._clock.monotonic() - since
+        if self._config_follower.is_lost:
+            return waited_s > LOST_GATHER_S
+        return waited_s > GATHER_S + GATHER_LATENCIES * self._config_follower.latency_s()
--- a/libs/cluster/src/azurecleat_cluster/_internal/peers.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/peers.py
@@ -134,7 +134,10 @@
             outcome = Forwarded(self._ask(address, "append", fields, ASK_TIMEOUT_S)["outcome"])
             while outcome is Forwarded.QUEUED:
                 left_s = deadline - self._clock.monotonic()
-                if left_s <= 0 or give_up():
+                if give_up():
+                    self._avoid(address)
+                    return Forwarded.UNKNOWN
+                if left_s <= 0:
                     return Forwarded.UNKNOWN
                 answer = self._ask(address, "appended", {"key": key}, QUEUED_WAIT_S + ASK_TIMEOUT_S)
                 outcome = Forwarded(answer["outcome"])
@@ -183,9 +186,12 @@
         try:
             return peer.ask(question, fields, timeout_s)
         except AzurecleatError:
-            self._avoid_until[address] = self._clock.monotonic() + AVOID_S
+            self._avoid(address)
             raise
 
+    def _avoid(self, address: str) -> None:
+        self._avoid_until[address] = self._clock.monotonic() + AVOID_S
+
 
 class PeerApplication:
     """WSGI application that answers other instances."""
@@ -196,9 +202,11 @@
         appender: GroupAppender,
         owner: OwnerService,
         adviser: Adviser | None,
+        is_log_lost: Callable[[], bool],
     ) -> None:
         self._replica = replica
         self._appender = appender
+        self._is_log_lost = is_log_lost
         self._appends: dict[str, Future[int]] = {}
         self._owner = owner
         self._adviser = adviser
@@ -238,6 +246,8 @@
         return None
 
     def _append(self, key: str, value: bytes) -> Forwarded:
+        if self._is_log_lost():
+            return Forwarded.NOT_SENT
         self._appends[key] = self._appender.submit(key, value, APPEND_TIMEOUT_S)
         return self._await(key, APPEND_WAIT_S)
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
@@ -19,6 +19,10 @@
 RETRY_PAUSE_S = 0.1
 """Pause after a failed read: short beside the bound on stale configuration."""
 
+LOST_AGE_S = 1.5
+"""Age of the last read that was answered from which the log counts as lost, if a read since has
+failed. While all is well, reads are up to 1.6 s apart."""
+
 
 class Follower:
     """Keeps a local view of a stream up to date.
@@ -55,6 +59,15 @@
         """Whether the last read of :meth:`run` gave no answer."""
         return self._is_failing
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the log no longer answers this instance: waiting on would help nobody."""
+        return self._is_failing and self.age() > LOST_AGE_S
+
+    def latency_s(self) -> float:
+        """Time that the log takes to answer this instance, in seconds."""
+        return self._log.latency_s()
+
     @property
     def next_offset(self) -> int:
         return self._next or 0
--- a/tests/lib/site_process.py
+++ b/tests/lib/site_process.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import os
+import random
 import socket
 import subprocess
 import sys
@@ -17,15 +18,20 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 TIMEOUT_S = 20.0
+PORTS = range(15_000, 30_000, 2)
 
 
 def free_ports() -> list[int]:
-    """Returns two free ports, and the first of two neighbouring ones."""
+    """Returns two free ports, and the first of two neighbouring ones.
+
+    They lie below those that the system deals out, so that nobody else gets them meanwhile.
+    """
     while True:
-        sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
-        ports = [each.getsockname()[1] for each in sockets]
+        ports = random.sample(PORTS, 3)
+        sockets = []
         try:
-            sockets.append(socket.create_server(("127.0.0.1", ports[2] + 1)))
+            for port in (*ports, ports[2] + 1):
+                sockets.append(socket.create_server(("127.0.0.1", port)))
             return ports
         except OSError:
             continue
--- a/tests/lib/site_standin.py
+++ b/tests/lib/site_standin.py
@@ -131,6 +131,7 @@
         self._duration = task_s if callable(task_s) else lambda task: task_s
         self._slots: list[SimTarget] = []
         self._lives = 0
+        self._unannounced: list[tuple[str, bytes | None]] = []
         self.lose_answers = 0
         """Appends of instances that are still to take effect without an answer."""
         self._servers = [Server(self._serve_store), Server(self._machines), Server(self._advise)]
@@ -226,7 +227,7 @@
             name = old.id if keeps_id else f"i-{number}-{self._lives}"
             if not keeps_id:
                 del self.targets[old.id]
-                self.log.append("keyed.servers", [(old.id, None)], 1.0)
+                self._announce(old.id, None)
             self._slots[number] = self._make_target(name, old.entry.address)
 
     def advance(self) -> None:
@@ -234,6 +235,8 @@
         with self.lock:
             for target in self._slots:
                 target.advance(time.monotonic())
+            if self._unannounced and not self.log.down:
+                self._announce(*self._unannounced.pop())
 
     def view_store(self, view: StoreView) -> str:
         """Returns an address of the store that shows other addresses to one instance."""
@@ -257,9 +260,16 @@
         value = {"service": "pool", "address": address, "zone": "z", "version": "v1"}
         value |= {"slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": born}
         value |= {"capacity": {"cpu": 16000, "mem_mb": 64000, "gpu": 0}, "labels": ["a", "r1"]}
-        self.log.append("keyed.servers", [(name, json.dumps(value).encode())], 1.0)
+        self._announce(name, json.dumps(value).encode())
         return target
 
+    def _announce(self, name: str, value: bytes | None) -> None:
+        """Writes a target's entry, or takes it away, once the store is there."""
+        self._unannounced.append((name, value))
+        if not self.log.down:
+            self.log.append("keyed.servers", self._unannounced, 1.0)
+            self._unannounced = []
+
     def _serve_store(self, *request: Any) -> Answer:
         return self._store(StoreView({}), *request)
 
--- a/tests/unit/cluster/test_desk.py
+++ b/tests/unit/cluster/test_desk.py
@@ -14,6 +14,7 @@
 from azurecleat_cluster._internal.configuration import ConfigurationView
 from azurecleat_cluster._internal.front.desk import Forwarded, OwnerCalls
 from azurecleat_cluster._internal.metrics import Metrics
+from azurecleat_cluster._internal.peers import PeerApplication
 from azurecleat_cluster._internal.replica.appender import GroupAppender
 from azurecleat_cluster._internal.replica.follower import Follower
 from azurecleat_cluster._internal.replica.jobs import JobReplica
@@ -45,6 +46,7 @@
         self.effect: Callable[[str, bytes], None] = lambda key, value: None
 
     def append(self, key, value, timeout_s, give_up):  # noqa: ANN001, ANN201
+        self.give_up = give_up
         self.effect(key, value)
         return self.outcome
 
@@ -140,10 +142,60 @@
         self.assertEqual(self.submit(), Accepted())
         self.assertEqual(self.log.appends, appends)
 
-    def test_lost_log_is_told_at_once(self) -> None:
-        self.follow()
+    def lose_log(self) -> None:
         self.config._is_failing = True
         self.config._fresh_at = self.clock.monotonic() - 1.6
+
+    def hang(self, key: str, value: bytes) -> None:
+        """Keeps an append until the front gives it up, or its caller's time is over."""
+        deadline = time.monotonic() + 2.9
+        while not self.owner.give_up() and time.monotonic() < deadline:
+            time.sleep(0.01)
+
+    def test_gatherer_without_its_log_holds_nobody_up(self) -> None:
+        # The day's pattern: the store turns the owner away in silence, and serves all others.
+        self.follow()
+
+        self.owner.effect, self.owner.outcome = self.hang, Forwarded.UNKNOWN
+        began_at = time.monotonic()
+        self.assertEqual(self.submit(), Accepted())
+        self.assertLess(time.monotonic() - began_at, 1.0)
+        self.assertTrue(self.in_log())
+
+    def test_a_slow_log_gets_no_second_append(self) -> None:
+        self.follow()
+        self.log.latency_s = lambda: 0.7
+        self.owner.effect = lambda key, value: self.assertFalse(
+            self.desk._is_gatherer_slow(self.clock.monotonic() - 2.5)
+        )
+        self.submit()
+
+    def test_instance_without_its_log_accepts_through_another(self) -> None:
+        self.follow()
+        self.lose_log()
+        self.owner.outcome = Forwarded.DONE
+        self.assertEqual(self.submit(), Accepted())
+
+    def test_instance_without_its_log_waits_briefly_for_another(self) -> None:
+        self.follow()
+        self.lose_log()
+
+        self.owner.effect, self.owner.outcome = self.hang, Forwarded.UNKNOWN
+        began_at = time.monotonic()
+        self.assertIsInstance(self.submit(), Undecided)
+        self.assertLess(time.monotonic() - began_at, 0.6)
+
+    def test_gathering_instance_without_its_log_says_that_it_took_nothing(self) -> None:
+        appender = GroupAppender(self.log, JOBS, self.jobs.offer)
+        application = PeerApplication(self.replica, appender, None, None, lambda: True)
+        self.assertEqual(
+            application._answer("/append", {"key": "s/1", "value": "{}"}),
+            {"outcome": Forwarded.NOT_SENT.value},
+        )
+
+    def test_lost_log_is_told_at_once(self) -> None:
+        self.follow()
+        self.lose_log()
         began_at = time.monotonic()
         self.assertIsInstance(self.submit(), Refused)
         self.assertLess(time.monotonic() - began_at, 0.1)
