azurecleat explain: a job's time line and cause from logs

Cause: on-call engineers had to join lines of all instances by hand. Ruled out: asking instances (they may be gone, or out of reach). Change: libs/cli operations/explain.py and its command; reads files or standard input, needs no instance. Advice is asked in questions of 30 names side by side, with 2.5 times the room that is needed, and ahead by the progress of the steps before instead of their declared times.

--- a/libs/cli/src/azurecleat_cli/_internal/operations/explain.py
+++ b/libs/cli/src/azurecleat_cli/_internal/operations/explain.py
@@ -14,16 +14,8 @@
 CONTEXT_S = 1.0
 """How long before and after a job's own lines changes of its surroundings are shown."""
 
-CONTEXT_EVENTS = frozenset(
-    (
-        "owner.claimed",
-        "owner.serving",
-        "owner.ended",
-        "dependency.lost",
-        "dependency.back",
-        "log.lines_left_out",
-    )
-)
+OWNER_EVENTS = frozenset(("owner.claimed", "owner.serving", "owner.ended"))
+INSTANCE_EVENTS = frozenset(("dependency.lost", "dependency.back", "log.lines_left_out"))
 TARGET_EVENTS = frozenset(
     ("target.lost", "target.back", "target.gone", "target.suspect", "target.draining")
 )
@@ -99,12 +91,15 @@
 def _with_context(own: list[LogLine], ordered: list[LogLine]) -> Iterator[LogLine]:
     first, last = own[0].at - CONTEXT_S, own[-1].at + CONTEXT_S
     targets = {line.target for line in own if line.target}
+    instances = {line.instance for line in own}
     mine = {id(line) for line in own}
     for line in ordered:
-        is_near = first <= line.at <= last
-        is_context = line.name in CONTEXT_EVENTS
-        is_target = line.name in TARGET_EVENTS and line.target in targets
-        if id(line) in mine or (is_near and (is_context or is_target)):
+        is_context = (
+            line.name in OWNER_EVENTS
+            or (line.name in INSTANCE_EVENTS and line.instance in instances)
+            or (line.name in TARGET_EVENTS and line.target in targets)
+        )
+        if id(line) in mine or (is_context and first <= line.at <= last):
             yield line
 
 
@@ -131,7 +126,7 @@
 def _refusal(job: str, refused: list[LogLine], ordered: list[LogLine]) -> str:
     last = refused[-1]
     fields = last.fields
-    text = f"{job} was refused at {last.instance}: {fields.get('outcome')} {fields.get('reason')}"
+    text = f"{job} got {fields.get('outcome')} at {last.instance}: {fields.get('reason')}"
     lost = [
         line
         for line in ordered
@@ -153,7 +148,9 @@
         between = [line for line in ordered if accepted.at <= line.at <= seen.at]
         is_change = any(line.name in ("owner.claimed", "owner.serving") for line in between)
         reason = "ownership changed" if is_change else "the owner read the log late"
-        yield Phase(max(0.0, seen.at - accepted.at), f"until an owner saw it: {reason}")
+        # The times are those of two machines; the append comes between both events.
+        entered_at = accepted.at - float(accepted.fields.get("took_s", 0.0))
+        yield Phase(max(0.0, seen.at - entered_at), f"until an owner saw it: {reason}")
 
 
 def _start_phases(own: list[LogLine], seen: LogLine | None) -> Iterator[Phase]:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -17,7 +17,12 @@
     place,
     place_gang,
 )
-from azurecleat_cluster._internal.owner.questions import FIRST_NAMES, AllowedShares, names_to_ask
+from azurecleat_cluster._internal.owner.questions import (
+    FIRST_NAMES,
+    AllowedShares,
+    names_to_ask,
+    questions,
+)
 from azurecleat_cluster._internal.owner.term import OwnerTerm
 from azurecleat_cluster._internal.owner.work import Advice, JobWork, StepWork, TargetWork
 
@@ -77,7 +82,6 @@
     def on_advice(self, step: StepWork, advice: Advice | None) -> None:
         """Takes in the adviser's answer."""
         with self._term.lock:
-            step.asking = False
             if advice is not None:
                 step.advice.take(advice)
                 self._allowed.note(step.job.queue.name, len(advice.named), len(advice.tickets))
@@ -163,22 +167,20 @@
 
     def _is_near(self, step: StepWork, now: float) -> bool:
         """Whether advice is due: the steps before are expected to end before it could come."""
-        if step.asking or now - step.asked_at < ASK_PAUSE_S:
+        if now - step.asked_at < ASK_PAUSE_S:
             return False
         lead_s = step.job.queue.advice.cost_s(FIRST_NAMES) + ADVICE_LEAD_S
         for index in step.spec.depends_on:
             before = step.job.steps[step.occurrence, index]
             if before.pending or (not before.active and not before.is_done):
                 return False
-            for run in before.active.values():
-                left_s = before.spec.estimate_ms / 1000.0 - (now - run.ordered_at)
-                if left_s > lead_s:
-                    return False
+            if any(run.left_s(now) > lead_s for run in before.active.values()):
+                return False
         return True
 
     def _ask(self, step: StepWork, pool: UsablePool, rank: tuple, now: float) -> None:
         """Asks for the advice that tasks of a step still lack."""
-        if step.job.queue.advice is None or step.asking or not step.pending:
+        if step.job.queue.advice is None or not step.pending:
             return
         if now - step.asked_at < ASK_PAUSE_S:
             return
@@ -186,8 +188,9 @@
         share = self._allowed.of(step.job.queue.name)
         names = names_to_ask(step, pool.targets, now, share, self._preferences)
         if names:
-            step.asking = True
-            self._advice.ask(step, names, rank)
+            step.advice.asked.update(names)
+            for question in questions(names):
+                self._advice.ask(step, question, rank)
 
     def rank(self, step: StepWork, now: float) -> tuple:
         """Orders steps: the lowest goes first.
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/questions.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/questions.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Iterator
 
 from azurecleat_cluster._internal.owner.placement import (
@@ -24,9 +25,12 @@
 """Targets that the first question of a step names at least: most of the answer's time is the same
 for any number of them."""
 
-SPARE_ROOM = 1.5
+SPARE_ROOM = 2.5
 """Room to be expected against the room needed: other steps take some of it meanwhile."""
 
+NAMES_A_QUESTION = 30
+"""Targets that one question names: callers ask side by side, and shorter questions sooner."""
+
 RENEW_S = 0.15
 """Tickets with less validity left count as lapsed."""
 
@@ -57,25 +61,28 @@
     share: float,
     preferences: Preferences,
 ) -> list[str]:
-    """Returns the targets that the next question of a step names; none if enough are allowed.
+    """Returns the targets that the next questions of a step name; none if enough are allowed.
 
     :param targets: Usable targets of the step's pool.
     :param share: Share of the named targets that is expected to be allowed.
     """
-    valid_room = 0
+    expected_room = 0.0
     lapsed: list[tuple[TargetWork, int]] = []
     unknown: list[tuple[TargetWork, int]] = []
     for target in targets:
         if not has_label(step, target) or target.id in step.advice.denied:
             continue
         room = capacity_for(step, target)
+        is_allowed = step.advice.is_allowed(target.id)
         if step.advice.is_valid(target.id, now + RENEW_S):
-            valid_room += room
-        elif step.advice.is_allowed(target.id):
+            expected_room += room
+        elif target.id in step.advice.asked:
+            expected_room += room if is_allowed else room * share / SPARE_ROOM
+        elif is_allowed:
             lapsed.append((target, room))
         else:
             unknown.append((target, room))
-    missing = len(step.pending) - valid_room
+    missing = len(step.pending) - expected_room
     if missing <= 0:
         return []
     lapsed.sort(key=lambda each: -each[1])
@@ -87,6 +94,13 @@
     return names[:MAX_NAMES]
 
 
+def questions(names: list[str]) -> list[list[str]]:
+    """Splits names into questions that are asked side by side."""
+    count = math.ceil(len(names) / NAMES_A_QUESTION)
+    size = math.ceil(len(names) / count)
+    return [names[first : first + size] for first in range(0, len(names), size)]
+
+
 def _until(wanted: float, rooms: Iterable[tuple[TargetWork, int]]) -> Iterator[str]:
     """Names targets until they have the room that is wanted."""
     for target, room in rooms:
@@ -105,7 +119,8 @@
     """Names targets that no answer has told of yet; full ones only in a first question."""
     with_room = [each for each in unknown if each[1]]
     names = list(_until(wanted, _in_order(step, with_room, preferences)))
-    if not step.advice.is_known and len(names) < FIRST_NAMES:
+    is_first = not step.advice.is_known and not step.advice.asked
+    if is_first and len(names) < FIRST_NAMES:
         rest = [target.id for target, _ in _in_order(step, unknown, preferences)]
         names.extend([name for name in rest if name not in names][: FIRST_NAMES - len(names)])
     return names
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/work.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/work.py
@@ -88,6 +88,14 @@
         if since_s >= MIN_PACE_S or not self.looked_at:
             self.looked_at, self.percent = now, percent
 
+    def left_s(self, now: float) -> float:
+        """Estimates the time until the run is done: by its progress, or else as was declared."""
+        at_work_s = self.looked_at - self.began_at
+        progress = self.percent - self.first_percent
+        if at_work_s >= MIN_PACE_S and progress > 0:
+            return (100.0 - self.percent) / progress * at_work_s - (now - self.looked_at)
+        return self.step.spec.estimate_ms / 1000.0 - (now - self.ordered_at)
+
     @property
     def key(self) -> tuple[TaskId, int]:
         return self.task, self.number
@@ -111,6 +119,8 @@
     def __init__(self) -> None:
         self._tickets: dict[str, tuple[str, float]] = {}
         self.denied: set[str] = set()
+        self.asked: set[str] = set()
+        """Targets that questions on their way name."""
 
     @property
     def is_known(self) -> bool:
@@ -118,6 +128,7 @@
         return bool(self._tickets or self.denied)
 
     def take(self, advice: Advice) -> None:
+        self.asked.difference_update(advice.named)
         for target in advice.named:
             if target in advice.tickets:
                 self._tickets[target] = (advice.tickets[target], advice.valid_until)
@@ -166,7 +177,6 @@
         self.kinds: list[tuple[str, float]] = []
         """Kind of target and duration of the same runs."""
         self.advice = StepAdvice()
-        self.asking = False
         self.asked_at = float("-inf")
         """Own time when it was last looked whether advice is missing."""
         self.ready_at: float | None = None
--- /dev/null
+++ b/tests/unit/test_explain.py
@@ -0,0 +1,78 @@
+"""``azurecleat explain`` on logs that were recorded in a run with faults."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from pathlib import Path
+
+from azurecleat_cli._internal.commands.explain import ExplainCommand
+from azurecleat_cli._internal.operations.explain import explain, read_lines
+from cleo.application import Application
+from cleo.testers.command_tester import CommandTester
+
+LOGS = Path(__file__).resolve().parents[1] / "data" / "explain.log"
+REFUSED, LOST, CANCELLED, FAILED = (
+    "71f90df6b11efed1",
+    "e48f91d7f0a7504c",
+    "0d847dfe22a714e8",
+    "6d0cbb9627850785",
+)
+
+
+class ExplainTest(unittest.TestCase):
+    """Three kinds of failed request and a cancelled one."""
+
+    def setUp(self) -> None:
+        self.texts = LOGS.read_text(encoding="utf-8").splitlines()
+
+    def cause(self, job: str) -> str:
+        return explain(job, read_lines(self.texts)).cause
+
+    def test_job_that_was_not_accepted(self) -> None:
+        self.assertEqual(
+            self.cause(REFUSED),
+            f"{REFUSED} got Undecided at edge-tas-burnie-1: the log gave no answer in time; "
+            "configuration 32, 1.154 s old",
+        )
+
+    def test_job_that_was_late_for_a_lost_target(self) -> None:
+        cause = self.cause(LOST)
+        self.assertIn("completed after 15.93 s", cause)
+        self.assertIn("was started 3 times: failed on i-bbdf02304c, no entry", cause)
+
+    def test_job_that_failed(self) -> None:
+        self.assertEqual(
+            self.cause(FAILED),
+            f"{FAILED} failed after 8.71 s: {FAILED}.0.0.0 failed 2 times, "
+            "on i-dbe2f29bd3, i-3340f0029f",
+        )
+
+    def test_job_that_was_cancelled(self) -> None:
+        self.assertIn("was cancelled", self.cause(CANCELLED))
+
+    def test_unknown_job(self) -> None:
+        self.assertEqual(self.cause("0" * 16), f"nothing is known of {'0' * 16} in these logs")
+
+    def test_order_of_lines_and_other_text_do_not_matter(self) -> None:
+        causes = {job: self.cause(job) for job in (REFUSED, LOST, FAILED)}
+        random.Random(1).shuffle(self.texts)
+        self.texts = ["no log line", '{"at": "x"}', *(f"host-1: {text}" for text in self.texts)]
+        self.assertEqual({job: self.cause(job) for job in causes}, causes)
+
+    def test_command_prints_a_time_line_and_the_cause_last(self) -> None:
+        application = Application()
+        application.add(ExplainCommand())
+        tester = CommandTester(application.find("explain"))
+        self.assertEqual(tester.execute(f"{LOST} {LOGS}"), 0)
+        lines = tester.io.fetch_output().splitlines()
+        times = [float(line.split()[0]) for line in lines[:-1]]
+        self.assertEqual(times, sorted(times))
+        self.assertTrue(lines[-1].startswith(f"cause: {LOST} completed"))
+        self.assertTrue(any("target.lost" in line for line in lines))
+        self.assertEqual(tester.execute(f"{'0' * 16} {LOGS}"), 1)
+        self.assertEqual(tester.execute(f"{LOST} /nowhere"), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
