--- a/libs/cluster/src/azurecleat_cluster/_internal/application.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/application.py
@@ -14,7 +14,8 @@
 from azurecleat_cluster._internal.eventlog import EventLog
 from azurecleat_cluster._internal.front.desk import FrontDesk, FrontLimits
 from azurecleat_cluster._internal.metrics import Metrics
-from azurecleat_cluster._internal.owner.service import OwnerPorts, OwnerService, OwnerSettings
+from azurecleat_cluster._internal.owner.service import OwnerService
+from azurecleat_cluster._internal.owner.tenure import OwnerParts, OwnerPorts, OwnerSettings
 from azurecleat_cluster._internal.owner.term import Connect
 from azurecleat_cluster._internal.peers import Peer, PeerAdviser, PeerApplication, PeerDirectory
 from azurecleat_cluster._internal.ports import (
@@ -91,24 +92,26 @@
         self._appender = GroupAppender(ports.log, JOBS, self._jobs_follower.offer)
         peers = PeerDirectory(self.name, settings.peer_address, self.replica, clock)
         self.owner = OwnerService(
-            self.name,
-            settings.peer_address,
-            settings.owner,
-            OwnerPorts(
-                ports.log,
-                ports.decoder,
-                ports.connect,
-                ports.adviser,
-                PeerAdviser,
-                ports.directory,
+            OwnerParts(
+                self.name,
+                settings.peer_address,
+                settings.owner,
+                OwnerPorts(
+                    ports.log,
+                    ports.decoder,
+                    ports.connect,
+                    ports.adviser,
+                    PeerAdviser,
+                    ports.directory,
+                ),
+                self.replica,
+                self._jobs_follower,
+                self._progress_follower,
+                self.configuration,
+                clock,
+                events,
+                self.metrics,
             ),
-            self.replica,
-            self._jobs_follower,
-            self._progress_follower,
-            self.configuration,
-            clock,
-            events,
-            self.metrics,
             self._tell_vacancy,
         )
         self.desk = FrontDesk(
