Orders that meet the next life of a target start no second run

Found with it by test_faults: a stale entry of an older life replaced a newer one that had answered; a hold acknowledged, with numbers of the old life, ends of the new one that nobody had seen (a done task ran again). Ruled out: a second owner (one epoch throughout); a late order of the network (both arrived in 10 ms). Change: runs that no report of the old life showed are stopped in the next life, and their tasks wait for its answer and a look. Ends are acknowledged and leases renewed only over the connection of the last hold, whose other end is one life; after a change of connection a hold only looks. An older life's entry is left out. A new life that may have taken an order's lease, given by the old clock, counts as leased for the longest time that targets grant.

--- a/libs/base/src/azurecleat_base/_internal/http_exchange.py
+++ b/libs/base/src/azurecleat_base/_internal/http_exchange.py
@@ -72,14 +72,16 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         timeout_s: float = 5.0,
+        kept_only: bool = False,
     ) -> HttpAnswer:
         """Makes one call and returns the whole answer.
 
         :param timeout_s: Longest wait for progress on the connection.
+        :param kept_only: Sends nothing unless a connection of an earlier call is still there.
         :raises NotSentError: Nothing was sent.
         :raises AnswerLostError: Something was sent and no whole answer came.
         """
-        connection = self._connect()
+        connection = self._connect(kept_only)
         connection.sock.settimeout(timeout_s)
         try:
             connection.request(method, path, body, dict(headers or {}))
@@ -100,7 +102,7 @@
         for connection in idle:
             connection.close()
 
-    def _connect(self) -> http.client.HTTPConnection:
+    def _connect(self, kept_only: bool) -> http.client.HTTPConnection:
         while True:
             with self._lock:
                 connection = self._idle.pop() if self._idle else None
@@ -110,6 +112,8 @@
                 return connection
             # The server closed it while idle; a request sent over it would be lost.
             connection.close()
+        if kept_only:
+            raise NotSentError("no connection of an earlier call is left")
         host, _, port = self._address.rpartition(":")
         connection = _CountingConnection(host, int(port), timeout=self._connect_timeout_s)
         try:
--- a/libs/cluster/src/azurecleat_cluster/_internal/exceptions.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/exceptions.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-from azurecleat_base.exceptions import AzurecleatError, TargetError
+from azurecleat_base.exceptions import AzurecleatError, NotRunError, TargetError
 
 
 class TargetReplacedError(TargetError):
     """Another life of the target answered: whatever the former one ran has ended."""
 
 
+class ConnectionChangedError(NotRunError):
+    """The connection of the last hold is gone: the target may have begun another life since."""
+
+
 class OwnershipLostError(AzurecleatError):
     """This instance no longer owns the jobs, or cannot prove that it does."""
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
@@ -27,11 +27,15 @@
     """Keeps the proofs of one term. Guarded by the lock of the term.
 
     :param lease_s: Length of the leases given to targets.
+    :param longest_lease_s: Longest lease that a target grants, whatever it is asked for.
     """
 
-    def __init__(self, fence: int, lease_s: float, clock: Clock) -> None:
+    def __init__(
+        self, fence: int, lease_s: float, clock: Clock, longest_lease_s: float = 0.0
+    ) -> None:
         self.fence = fence
         self.lease_s = lease_s
+        self.lease_beyond_s = max(0.0, longest_lease_s - lease_s) * CLOCK_RATE
         self._clock = clock
         self._logged_at = NEVER
         self._answered: dict[str, float] = {}
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/link.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/link.py
@@ -11,7 +11,10 @@
 from azurecleat_base import Clock
 from azurecleat_base.exceptions import FencedError, NotRunError, OutcomeUnknownError, TargetError
 
-from azurecleat_cluster._internal.exceptions import TargetReplacedError
+from azurecleat_cluster._internal.exceptions import (
+    ConnectionChangedError,
+    TargetReplacedError,
+)
 from azurecleat_cluster._internal.owner.authority import Authority
 from azurecleat_cluster._internal.owner.work import UNKNOWN_PACE, Run, TargetWork
 from azurecleat_cluster._internal.ports import StartOrder, StartResult, TargetClient
@@ -128,6 +131,9 @@
         self._acknowledged = 0
         self._processed = 0
         self._failures = 0
+        self._is_same_life = False
+        """Whether the connection of the last hold, which showed the life, is still in use."""
+        self._is_looking = False
         self._renewed_at = float("-inf")
         self._orders = ThreadPoolExecutor(ORDER_THREADS, thread_name_prefix=f"order-{work.id}")
         self._thread = threading.Thread(target=self._run, name=f"hold-{work.id}", daemon=True)
@@ -165,6 +171,10 @@
         """Notes that a former owner may have renewed the target's lease until now."""
         self._renewed_at = max(self._renewed_at, reached_at)
 
+    def doubt_lease(self) -> None:
+        """Notes that orders with another life's clock may have given the longest lease."""
+        self._renewed_at = self._clock.monotonic() + self._authority.lease_beyond_s
+
     def acknowledge(self, number: int) -> None:
         """Lets the target forget ends up to a number: they are in the log."""
         with self._changed:
@@ -194,6 +204,11 @@
                     continue
                 self._hold()
                 self._failures = 0
+            except ConnectionChangedError:
+                # The next hold only looks. A target that keeps no connection gets no storm.
+                if self._is_looking:
+                    self._pause(RETRY_PAUSE_S)
+                self._is_looking = True
             except FencedError as error:
                 self._observer.on_fenced(self, error.epoch)
                 self._pause(RETRY_PAUSE_S)
@@ -215,17 +230,24 @@
 
     def _hold(self) -> None:
         sent_at = self._clock.monotonic()
-        until_ms = None if self._failures else self._lease(sent_at)
-        # The first holds only look: they learn the clock and what runs.
+        # Only a look, which learns the clock and what runs, may meet another life of the target:
+        # ends would be acknowledged there that nobody has seen, and leases given by a clock that
+        # it does not have.
+        is_same_life, self._is_same_life = self._is_same_life, False
+        until_ms = self._lease(sent_at) if is_same_life else None
+        acknowledged = self._acknowledged if is_same_life else 0
         is_settled = until_ms is not None and self._acknowledged >= self._processed
         wait_s = self._wait_s() if is_settled else 0.0
         report = self._client.hold(
             self._authority.fence,
-            self._acknowledged,
+            acknowledged,
             until_ms,
             wait_s,
             wait_s + HOLD_MARGIN_S,
+            is_same_life,
         )
+        self._is_same_life = True
+        self._is_looking = self._is_looking and not is_same_life
         self._target_clock.note(report.clock_ms, self._clock.monotonic())
         self._observer.on_report(self, report, sent_at)
         self._await_record()
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
@@ -43,6 +43,8 @@
 
     def inherit_lease(self, reached_at: float) -> None: ...
 
+    def doubt_lease(self) -> None: ...
+
     def acknowledge(self, number: int) -> None: ...
 
     def order_start(self, run: Run, payload: str, ticket: str) -> None: ...
@@ -102,6 +104,8 @@
         self.suspicions = Suspicions(events, preferences)
         self.succession: Succession | None = None
         self.dirty = True
+        self._doubtful: dict[str, list[Run]] = {}
+        """Runs of lost lives of targets whose orders a next life under the id may have met."""
         self._replica = replica
         self._writer = writer
         self._make_link = make_link
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/tenure.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/tenure.py
@@ -60,6 +60,7 @@
     """Figures of the deployment that an owner needs."""
 
     lease_s: float
+    longest_lease_s: float
     kept_s: float
     preferences: Preferences
 
@@ -117,7 +118,8 @@
         self._over = threading.Event()
         self._ended = threading.Event()
         self._is_serving = False
-        authority = Authority(epoch, parts.settings.lease_s, parts.clock)
+        settings = parts.settings
+        authority = Authority(epoch, settings.lease_s, parts.clock, settings.longest_lease_s)
         self._writer = ProgressWriter(
             parts.ports.log,
             epoch,
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -136,6 +136,8 @@
         """Takes in a target's entry."""
         with self.lock:
             link = self.links.get(entry.id)
+            if link is not None and _is_former_life(link.work.entry, entry):
+                return  # Its next life has answered already.
             if link is not None and _same_life(link.work.entry, entry):
                 self._update_entry(link.work, entry)
             else:
@@ -195,6 +197,11 @@
         work = TargetWork(entry)
         link = self._make_link(work, self)
         self.links[entry.id] = link
+        doubtful = self._doubtful.pop(entry.id, ())
+        for run in doubtful:
+            self._make_sure(run, work)
+        if doubtful:
+            link.doubt_lease()
         self._events.write(
             eventlog.TARGET_ADDED,
             target=entry.id,
@@ -209,6 +216,22 @@
         else:
             self._writer.put(r.TARGET + entry.id, lambda: encoded, lambda: self._begin(link))
 
+    def _make_sure(self, run: Run, work: TargetWork) -> None:
+        """Makes sure that a run that was ordered of a target's former life is not in its next one.
+
+        An order names only the target's id, which both share. The task waits, if it is not at work
+        elsewhere, until the next life has answered a stop and a look.
+        """
+        step, index = run.step, run.task.index
+        run.target, run.settled_at, run.until = work, None, 0.0
+        run.state = RunState.RUNNING
+        work.add(run)
+        self.use.add(run)
+        if index in step.pending and index not in step.active:
+            step.pending.discard(index)
+            step.active[index] = run
+        self.stop_run(run, "its target began anew")
+
     def _begin(self, link: Link) -> None:
         with self.lock:
             if self._stopping or self.links.get(link.work.id) is not link:
@@ -222,6 +245,9 @@
         if self.links.get(work.id) is not link:
             return
         del self.links[work.id]
+        doubtful = [run for run in work.runs.values() if not run.is_listed]
+        if doubtful:
+            self._doubtful[work.id] = doubtful
         self._events.write(eventlog.TARGET_GONE, target=work.id, reason=reason, runs=len(work.runs))
         self._lose_runs(work, reason)
         self.authority.remove_target(work.id)
@@ -287,6 +313,7 @@
             run = self._adopt(work, status)
             if run is None:
                 return
+        run.is_listed = True
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
             run.settled_at = run.settled_at or now
@@ -429,3 +456,7 @@
     same_address = known.address == reported.address
     same_birth = known.born_ms == reported.born_ms or not (known.born_ms and reported.born_ms)
     return same_address and same_birth
+
+
+def _is_former_life(known: TargetEntry, reported: TargetEntry) -> bool:
+    return known.address == reported.address and 0 < reported.born_ms < known.born_ms
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/work.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/work.py
@@ -46,6 +46,7 @@
         "first_percent",
         "pace_before",
         "pace_now",
+        "is_listed",
     )
 
     def __init__(self, task: TaskId, step: StepWork, number: int, target: TargetWork) -> None:
@@ -65,6 +66,8 @@
         self.until = 0.0
         """Own clock: the run cannot begin, or go on without a later renewal, after this."""
         self.checkpoint = ""
+        self.is_listed = False
+        """Whether a report of its target's present life has shown it."""
         self.progressed_at = 0.0
         self.looked_at = 0.0
         self.began_at = 0.0
--- a/libs/cluster/src/azurecleat_cluster/_internal/ports.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/ports.py
@@ -127,8 +127,20 @@
     """
 
     def hold(
-        self, fence: int, acknowledged: int, until_ms: int | None, wait_s: float, timeout_s: float
-    ) -> TargetReport: ...
+        self,
+        fence: int,
+        acknowledged: int,
+        until_ms: int | None,
+        wait_s: float,
+        timeout_s: float,
+        same_connection: bool = False,
+    ) -> TargetReport:
+        """Returns what runs and what ended.
+
+        :param same_connection: Asks only over the connection of the last hold, whose other end is
+            the same life of the target. Both lives may share an id, and count ends and time anew.
+        :raises ConnectionChangedError: It is gone; nothing was asked.
+        """
 
     def start(self, order: StartOrder, timeout_s: float) -> StartResult: ...
 
--- a/tests/lib/cluster_world.py
+++ b/tests/lib/cluster_world.py
@@ -46,6 +46,7 @@
     Pool,
     Queue,
     Step,
+    TargetEntry,
     TargetState,
     Team,
 )
@@ -146,13 +147,19 @@
         self.processed = 0
         self._node = node
         self._term = term
-        self._target = node.world.targets_by_id[work.id]
         self._clock = TargetClock()
         self._acknowledged = 0
         self._renewed_at = float("-inf")
         self._failures = 0
+        self._held: SimTarget | None = None
+        """Life at the other end of the connection of the last hold."""
         self.is_stopped = False
 
+    @property
+    def _target(self) -> SimTarget:
+        """The life that answers under the target's id now."""
+        return self._node.world.targets_by_id[self.work.id]
+
     @property
     def lease_end(self) -> float:
         return self._term.authority.lease_end(self._renewed_at)
@@ -169,6 +176,9 @@
     def inherit_lease(self, reached_at: float) -> None:
         self._renewed_at = max(self._renewed_at, reached_at)
 
+    def doubt_lease(self) -> None:
+        pass  # Lives share one clock here.
+
     def acknowledge(self, number: int) -> None:
         self._acknowledged = max(self._acknowledged, number)
 
@@ -195,8 +205,14 @@
         if not self._term.authority.may_act():
             return
         now = world.clock.monotonic()
-        until_ms = None if self._failures else self._lease(now)
-        arguments = (self._term.authority.fence, self._acknowledged, until_ms)
+        is_same_life = self._held is self._target and not self._failures
+        self._held = life = self._target
+        until_ms = self._lease(now) if is_same_life else None
+        arguments = (
+            self._term.authority.fence,
+            self._acknowledged if is_same_life else 0,
+            until_ms,
+        )
 
         def reply(report) -> None:  # noqa: ANN001
             self._failures = 0
@@ -211,7 +227,7 @@
             if self._failures >= 2:
                 self._term.on_silent(self, error)
 
-        world.call(self, lambda at: self._target.hold(*arguments, at), reply, fail)
+        world.call(self, lambda at: life.hold(*arguments, at), reply, fail)
 
     def _send_start(self, run: Run) -> None:
         world, term = self._node.world, self._term
@@ -435,9 +451,21 @@
         old.crash()
         life = old.entry.born_ms - 999
         self.targets[number] = self._make_target(number, life)
+        self._announce(self.targets[number])
+
+    def rebirth(self, number: int, notice_s: float) -> None:
+        """Replaces a target by a new life under its id, which the owners hear of later."""
+        old = self.targets[number]
+        old.crash()
+        born_ms = old.entry.born_ms + 1
+        entry = old.entry._replace(born_ms=born_ms)
+        self.targets[number] = new = self._make_life(entry)
+        self.later(notice_s, lambda: self._announce(new))
+
+    def _announce(self, target: SimTarget) -> None:
         for node in self.nodes:
             if node.term is not None:
-                node.term.on_target(self.targets[number].entry)
+                node.term.on_target(target.entry)
 
     def run(self, seconds: float) -> None:
         end = self.clock.monotonic() + seconds
@@ -479,8 +507,11 @@
             heapq.heappush(self._queue, entry)
 
     def _make_target(self, number: int, life: int) -> SimTarget:
+        return self._make_life(make_entry(number, life))
+
+    def _make_life(self, entry: TargetEntry) -> SimTarget:
         target = SimTarget(
-            make_entry(number, life),
+            entry,
             self.checker,
             self.rng,
             rate=self.rng.uniform(0.98, 1.0),
--- a/tests/unit/cluster/test_faults.py
+++ b/tests/unit/cluster/test_faults.py
@@ -97,6 +97,23 @@
         self.assertTrue(second.term.succession.is_settled())
 
 
+class RebornTargetsTest(unittest.TestCase):
+    """Targets begin anew under their ids while orders are on their way to them."""
+
+    def test_an_order_that_met_the_next_life_starts_no_second_run(self) -> None:
+        for seed in range(12):
+            world = World(seed, nodes=1, targets=3)
+            world.nodes[0].take_over()
+            world.run(0.3)
+            for number in range(12):
+                world.submit(f"{number:016x}")
+                world.run(world.rng.choice((0.02, 0.04, 0.06, 0.3)))
+                world.rebirth(world.rng.randrange(3), world.rng.uniform(0.0, 0.4))
+            world.run(3.0)
+            with self.subTest(seed=seed):
+                self.assertEqual(world.checker.broken, [])
+
+
 class UnreachedTargetsTest(unittest.TestCase):
     """A new owner does not reach targets on which a team's tasks may be at work."""
 
--- a/tests/unit/cluster/test_link.py
+++ b/tests/unit/cluster/test_link.py
@@ -12,7 +12,7 @@
 from azurecleat_cluster._internal.owner.authority import Authority
 from azurecleat_cluster._internal.owner.link import START_TRIES, Losses, TargetClock, TargetLink
 from azurecleat_cluster._internal.owner.work import Run
-from azurecleat_cluster.exceptions import TargetReplacedError
+from azurecleat_cluster.exceptions import ConnectionChangedError, TargetReplacedError
 from azurecleat_cluster.ports import StartResult
 from azurecleat_cluster.values import EndKind, RunEnd, TargetReport
 
@@ -29,11 +29,23 @@
         self.starts: list = []
         self.stops: list = []
         self.ended: tuple[RunEnd, ...] = ()
+        self.is_connection_gone = False
         self.on_hold: Callable[[], None] = lambda: None
         self.on_start: Callable[[], StartResult] = lambda: StartResult(True, "", 1.0)
         self.on_stop: Callable[[], None] = lambda: None
 
-    def hold(self, fence, acknowledged, until_ms, wait_s, timeout_s):  # noqa: ANN001, ANN201
+    def hold(  # noqa: ANN201
+        self,
+        fence,
+        acknowledged,
+        until_ms,
+        wait_s,
+        timeout_s,
+        same_connection=False,  # noqa: ANN001
+    ):
+        if same_connection and self.is_connection_gone:
+            self.is_connection_gone = False
+            raise ConnectionChangedError("gone", step="hold")
         self.holds.append((acknowledged, until_ms, wait_s))
         self.on_hold()
         ended = tuple(end for end in self.ended if end.number > acknowledged)
@@ -123,6 +135,33 @@
         self.link.start()
         self.observer.wait_for("report", 2)
 
+    def test_new_connection_is_only_looked_at(self) -> None:
+        # Another life under the same id counts ends anew: one that nobody saw must not be
+        # acknowledged, and it has another clock.
+        self.begin()
+        self.link.acknowledge(3)
+        self.client.is_connection_gone = True
+        self.observer.wait_for("report", len(self.observer.named("report")) + 3)
+        looks = [hold for hold in self.client.holds if hold[:2] == (0, None)]
+        self.assertEqual(len(looks), 2)
+        self.assertEqual(self.client.holds[self.client.holds.index(looks[1], 1) + 1][0], 3)
+
+    def test_failed_hold_is_followed_by_a_look(self) -> None:
+        self.begin()
+        self.link.acknowledge(3)
+
+        failed: list[int] = []
+
+        def fail() -> None:
+            self.client.on_hold = lambda: None
+            failed.append(len(self.client.holds))
+            raise OutcomeUnknownError("reset", step="hold")
+
+        self.client.on_hold = fail
+        self.observer.wait_for("doubt")
+        self.observer.wait_for("report", len(self.observer.named("report")) + 2)
+        self.assertEqual(self.client.holds[failed[0]][:2], (0, None))
+
     def test_first_look_renews_nothing_and_later_ones_do(self) -> None:
         self.begin()
         self.assertIsNone(self.client.holds[0][1])
