--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -102,6 +102,7 @@
                 except Exception as error:  # One bad job must not end all dispatching.
                     self._events.write(eventlog.FAILED, component="dispatch", error=repr(error))
             took_s = self._clock.monotonic() - began_at
+            self._advice.repeat_overdue(began_at)
             pause_s = took_s * (1.0 / BUSY_SHARE - 1.0)
             term.ending.wait(min(MAX_PAUSE_S, max(MIN_PAUSE_S, pause_s)))
 
--- a/tests/unit/cluster/test_advice.py
+++ b/tests/unit/cluster/test_advice.py
@@ -90,6 +90,23 @@
         self.wait(1)
         self.assertEqual(sound.asked, ["short0.0.0"])
 
+    def test_question_of_a_caller_that_is_cut_off_is_asked_by_another(self) -> None:
+        # The pattern of a cut zone: the call through an instance there hangs until its time-out.
+        cut, sound = SlowAdviser(), SlowAdviser()
+        answer = cut.advise
+        cut.advise = lambda step, targets, timeout_s: (time.sleep(1.5), answer(step, targets, 0))[1]
+        self.pool.add_caller("cut", lambda: cut)
+        self.ask("short0")
+        self.pool.add_caller("sound", lambda: sound)
+        began_at = time.monotonic()
+        self.pool.repeat_overdue(began_at)
+        self.assertEqual(sound.asked, [])
+        while not self.answers and time.monotonic() - began_at < 5.0:
+            self.pool.repeat_overdue(time.monotonic())
+            time.sleep(0.02)
+        self.assertLess(time.monotonic() - began_at, 1.0)
+        self.assertEqual(sound.asked, ["short0.0.0"])
+
     def test_odd_answer_loses_no_question(self) -> None:
         odd, sound = SlowAdviser(), SlowAdviser()
         odd.advise = lambda step, targets, timeout_s: {}["tickets"]
