A settings file that changes without a signal is read

Cause: only SIGHUP led to a look at the file, and what differed was only logged. Ruled out: inotify (not available on the platform's machines).

--- a/libs/cluster/src/azurecleat_cluster/_internal/front/desk.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/desk.py
@@ -141,6 +141,10 @@
         self._events = events
         self._metrics = metrics
 
+    def apply_limits(self, limits: FrontLimits) -> None:
+        """Puts other limits in force for calls from now on."""
+        self._limits = limits
+
     def admit(self, caller: Caller) -> Admitted | Answer:
         """Checks queue and key against a configuration that is fresh enough."""
         age_s = self._config_follower.age()
--- a/tests/functional/test_site_program.py
+++ b/tests/functional/test_site_program.py
@@ -125,6 +125,21 @@
         wait_for(first.is_ready, "the instance is ready again")
         self.wait_completed(self.submit(2, first), first)
 
+    def test_settings_that_change_without_a_signal_are_read(self) -> None:
+        first = self.instances[0]
+        path = self.folder / f"{first.node}.toml"
+        good = path.read_text(encoding="utf-8")
+        for text, event in (("node = 3", "reload_refused"), (good + "#\n", "reloaded")):
+            path.write_text(text, encoding="utf-8")
+            wait_for(
+                lambda event=event: any(
+                    line["name"] == f"settings.{event}" for line in first.events()
+                ),
+                f"the settings are {event}",
+                5.0,
+            )
+            self.wait_completed(self.submit(len(text) % 7 + 1, first), first)
+
     def test_bad_entries_and_settings_end_nothing(self) -> None:
         first = self.instances[0]
         for value in (b"\xff\x00", b"[]", b'{"service": 3}', b'{"service":"pool","state":"odd"}'):
