Questions to the advice service are bounded by its callers; a bench of the owner's load

Hundreds of waiting steps renewed tickets one or two at a time at 0.65 s each; the queue of long questions reached 32 s and served by rank, so that late jobs were never asked for. Ruled out: lost questions (each was answered or repeated), a stuck dispatcher (starts went on). Change: one round of questions a step at a time, with a pause of twice a question's cost; tickets for full targets are renewed only for as many waiting steps as there are callers; an all-at-once step that cannot fit is not asked about. azurecleat-bench owner: a term with its threads among stand-ins.

--- a/libs/bench/src/azurecleat_bench/_internal/commands/__init__.py
+++ b/libs/bench/src/azurecleat_bench/_internal/commands/__init__.py
@@ -28,6 +28,7 @@
     "idle": BenchInfo("idle", "IdleCommand"),
     "slopes": BenchInfo("slopes", "SlopesCommand"),
     "capacity": BenchInfo("capacity", "CapacityCommand"),
+    "owner": BenchInfo("owner", "OwnerCommand"),
 }
 
 
--- /dev/null
+++ b/libs/bench/src/azurecleat_bench/_internal/commands/owner.py
@@ -0,0 +1,165 @@
+"""Processor time and waiting of an owner's term by targets and jobs, without a network."""
+
+from __future__ import annotations
+
+import os
+import random
+import time
+from typing import Any
+
+from azurecleat_base import SystemClock
+from azurecleat_cluster import EventLog, Preferences
+from azurecleat_cluster._internal.configuration import ConfigurationView
+from azurecleat_cluster._internal.metrics import Metrics
+from azurecleat_cluster._internal.owner.advice import AdvicePool
+from azurecleat_cluster._internal.owner.authority import Authority
+from azurecleat_cluster._internal.owner.dispatch import Dispatcher
+from azurecleat_cluster._internal.owner.link import Losses, TargetLink
+from azurecleat_cluster._internal.owner.progress import ProgressWriter
+from azurecleat_cluster._internal.owner.term import OwnerTerm
+from azurecleat_cluster._internal.owner.work import JobWork
+from azurecleat_cluster._internal.replica import records as r
+from azurecleat_cluster._internal.replica.jobs import JobReplica
+from azurecleat_cluster.ports import LogRecord
+from azurecleat_cluster.values import JobSpec, Queue
+from azurecleat_fakes import KeyedMemoryLog
+from cleo.helpers import option
+
+from azurecleat_bench._internal.base import COMMON_OPTIONS, Bench, quantile, rss_mb
+from azurecleat_bench._internal.owner_load import (
+    PATIENT,
+    URGENT,
+    LoadAdviser,
+    LoadDecoder,
+    LoadTarget,
+    make_entry,
+    make_steps,
+)
+
+LEASE_S = 3.2
+CALLERS = 30
+SETTLE_S = 1.0
+
+
+class OwnerLoad:
+    """One term with its threads, among stand-ins."""
+
+    def __init__(self, targets: int, seed: int) -> None:
+        clock = SystemClock()
+        self._events = EventLog("bench", open(os.devnull, "w", encoding="utf-8"))  # noqa: SIM115
+        self._events.start()
+        metrics, self._replica = Metrics(), JobReplica()
+        configuration = ConfigurationView(LoadDecoder(), self._events)
+        configuration.apply(LogRecord("config", b"{}", 0))
+        authority = Authority(1, LEASE_S, clock)
+        losses, preferences = Losses(clock), Preferences()
+        self._writer = ProgressWriter(
+            KeyedMemoryLog(),
+            1,
+            clock,
+            metrics,
+            self._replica.apply_progress,
+            authority.proved_by_log,
+            lambda reason: None,
+        )
+        self.term = OwnerTerm(
+            authority,
+            self._replica,
+            configuration,
+            self._writer,
+            lambda work, observer: TargetLink(
+                work, LoadTarget(work.entry, seed), authority, observer, losses, clock
+            ),
+            preferences,
+            clock,
+            self._events,
+            metrics,
+            lambda reason: None,
+        )
+        self._advice = AdvicePool(
+            clock,
+            self._events,
+            metrics,
+            lambda step, answer: self._dispatcher.on_advice(step, answer),
+        )
+        self._dispatcher = Dispatcher(
+            self.term, self._advice, preferences, clock, self._events, metrics
+        )
+        self._targets = targets
+
+    def start(self) -> None:
+        self._writer.fence()
+        self.term.take_over({}, former_gone=True)
+        self._writer.start()
+        for number in range(self._targets):
+            self.term.on_target(make_entry(number))
+        for number in range(CALLERS):
+            self._advice.add_caller(f"c{number}", LoadAdviser)
+        self._dispatcher.start()
+        time.sleep(SETTLE_S)
+
+    def submit(self, name: str, queue: Queue, rng: random.Random) -> None:
+        spec = JobSpec(queue.name, make_steps(queue, rng))
+        value = r.encode_submission(r.Submission(name, "team", queue, spec))
+        self._replica.apply_job(LogRecord(r.SUBMISSION + name, value, 0))
+        self.term.on_job_record(r.SUBMISSION + name)
+
+    def stop(self) -> None:
+        self.term.stop()
+        self._advice.stop()
+        self._writer.stop(1.0)
+        self._events.stop()
+
+    def finished(self, queue: Queue) -> list[JobWork]:
+        jobs = list(self.term.jobs.values())
+        return [job for job in jobs if job.finished_at and job.queue.name == queue.name]
+
+
+class OwnerCommand(Bench):
+    """Submits jobs of two queues at given rates and measures what the owner takes for them."""
+
+    name = "owner"
+    description = "Processor time of an owner by targets and jobs, without a network."
+    options = [
+        *COMMON_OPTIONS,
+        option("targets", None, "Targets.", flag=False, default="176"),
+        option("urgent", None, "Urgent jobs a second.", flag=False, default="20"),
+        option("patient", None, "Patient jobs a second.", flag=False, default="2"),
+        option("seconds", None, "Length of the measurement.", flag=False, default="8"),
+    ]
+
+    def measure(self) -> dict[str, Any]:
+        """Measures one size."""
+        rng = random.Random(self.seed)
+        load = OwnerLoad(self.number("targets"), self.seed)
+        load.start()
+        began_at, began_cpu = time.monotonic(), time.process_time()
+        jobs = self._submit(load, rng, began_at + float(self.option("seconds")))
+        took_s = time.monotonic() - began_at
+        cpu_s = time.process_time() - began_cpu
+        done = sum(
+            len(step.done) for job in list(load.term.jobs.values()) for step in job.steps.values()
+        )
+        ages = [job.finished_at - job.seen_at for job in load.finished(URGENT)]
+        load.stop()
+        return {
+            "targets": self.number("targets"),
+            "jobs": jobs,
+            "tasks_done": done,
+            "cores": round(cpu_s / took_s, 3),
+            "ms_a_task": round(1000 * cpu_s / done, 2) if done else None,
+            "urgent_p50_s": round(quantile(ages, 0.5), 3),
+            "urgent_p95_s": round(quantile(ages, 0.95), 3),
+            "rss_mb": rss_mb(),
+        }
+
+    def _submit(self, load: OwnerLoad, rng: random.Random, until: float) -> int:
+        urgent, patient = float(self.option("urgent")), float(self.option("patient"))
+        count, at = 0, time.monotonic()
+        while urgent + patient > 0 and (at := at + rng.expovariate(urgent + patient)) < until:
+            time.sleep(max(0.0, at - time.monotonic()))
+            count += 1
+            queue = URGENT if rng.random() * (urgent + patient) < urgent else PATIENT
+            load.submit(f"{count:016x}", queue, rng)
+        time.sleep(max(0.0, until - time.monotonic()))
+        return count
--- /dev/null
+++ b/libs/bench/src/azurecleat_bench/_internal/owner_load.py
@@ -0,0 +1,152 @@
+"""Stand-ins around an owner's term: targets and an advice service without a network."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+import zlib
+from collections.abc import Sequence
+
+from azurecleat_base import Resources
+from azurecleat_cluster.ports import LogRecord, StartOrder, StartResult
+from azurecleat_cluster.values import (
+    AdviceTerms,
+    Configuration,
+    EndKind,
+    Pool,
+    Queue,
+    RunEnd,
+    RunStatus,
+    Step,
+    TargetEntry,
+    TargetReport,
+    TargetState,
+    TaskId,
+    Team,
+)
+
+URGENT = Queue(
+    "urgent",
+    "host",
+    "/u/",
+    "pool",
+    attempts=4,
+    stretch=1.5,
+    objective_ms=250,
+    advice=AdviceTerms(32, 0.28, 2500),
+)
+PATIENT = Queue(
+    "patient", "host", "/p/", "pool", 2, 2, 2.2, 1200, advice=AdviceTerms(624, 5.6, 2500)
+)
+NO_LIMIT = Resources(0, 0, 0)
+CAPACITY = Resources(64_000, 256_000, 0)
+TARGETS_A_RACK = 20
+ZONES = 3
+MEAN_S = {"urgent": 0.64, "patient": 3.8}
+
+
+class LoadTarget:
+    """A target that runs whatever it is told, for as long as its queue's tasks take."""
+
+    def __init__(self, entry: TargetEntry, seed: int) -> None:
+        self.entry = entry
+        self._rng = random.Random(f"{seed}/{entry.id}")
+        self._changed = threading.Condition()
+        self._running: dict[tuple[TaskId, int], tuple[float, float]] = {}
+        self._ended: list[RunEnd] = []
+        self._count = 0
+
+    def hold(
+        self,
+        fence: int,
+        acknowledged: int,
+        until_ms: int | None,
+        wait_s: float,
+        timeout_s: float,
+        same_connection: bool = False,
+    ) -> TargetReport:
+        deadline = time.monotonic() + wait_s
+        with self._changed:
+            self._ended = [end for end in self._ended if end.number > acknowledged]
+            while not self._advance() and (now := time.monotonic()) < deadline:
+                next_end = min((end for _, end in self._running.values()), default=deadline)
+                self._changed.wait(max(0.0, min(deadline, next_end) - now))
+            now = time.monotonic()
+            running = tuple(
+                RunStatus(task, run, "", round(100 * (now - began) / (end - began)), 1.0)
+                for (task, run), (began, end) in self._running.items()
+            )
+            return TargetReport(now * 1000, self.entry.born_ms, running, tuple(self._ended))
+
+    def start(self, order: StartOrder, timeout_s: float) -> StartResult:
+        now = time.monotonic()
+        took_s = MEAN_S[order.payload] * self._rng.uniform(0.6, 1.5)
+        with self._changed:
+            self._running[order.task, order.run] = (now, now + took_s)
+            self._changed.notify_all()
+        return StartResult(True, "", now * 1000)
+
+    def stop(self, task: TaskId, run: int, fence: int, timeout_s: float) -> None:
+        with self._changed:
+            self._running.pop((task, run), None)
+
+    def pace(self, task: TaskId, run: int, percent: int, fence: int, timeout_s: float) -> None:
+        pass  # Nothing here disturbs anything.
+
+    def close(self) -> None:
+        pass  # There is no connection.
+
+    def _advance(self) -> bool:
+        now = time.monotonic()
+        for key, (_, end) in list(self._running.items()):
+            if end <= now:
+                del self._running[key]
+                self._count += 1
+                self._ended.append(RunEnd(self._count, *key, EndKind.DONE, ""))
+        return bool(self._ended)
+
+
+class LoadAdviser:
+    """Allows half of the targets for each step, after the time of an urgent question."""
+
+    def advise(self, step: str, targets: Sequence[str], timeout_s: float) -> dict[str, str]:
+        time.sleep(URGENT.advice.cost_s(len(targets)))
+        return {target: "ticket" for target in targets if _is_allowed(step, target)}
+
+
+def _is_allowed(step: str, target: str) -> bool:
+    return zlib.crc32(f"{step}/{target}".encode()) % 2 == 0
+
+
+class LoadDecoder:
+    """Knows one configuration."""
+
+    def configuration(self, record: LogRecord) -> Configuration:
+        team = Team("team", frozenset(("key",)), 1e6, NO_LIMIT)
+        return Configuration(1, (URGENT, PATIENT), {"pool": Pool("pool")}, {"team": team})
+
+    def target(self, record: LogRecord) -> TargetEntry:
+        raise NotImplementedError("targets are added without the log")
+
+
+def make_entry(number: int) -> TargetEntry:
+    return TargetEntry(
+        id=f"t{number}",
+        pool="pool",
+        address=f"10.0.{number // 250}.{number % 250}:80",
+        zone=f"z{number % ZONES}",
+        state=TargetState.READY,
+        born_ms=1,
+        capacity=CAPACITY,
+        labels=(f"k{number % 3}", f"r{number // TARGETS_A_RACK}"),
+    )
+
+
+def make_steps(queue: Queue, rng: random.Random) -> tuple[Step, ...]:
+    """Returns the steps of a job as the grown sites have them."""
+    if queue is URGENT:
+        first = Step(count=10, need=Resources(8_900, 1_000, 0), estimate_ms=640)
+        return (first, first._replace(depends_on=(0,))) if rng.random() < 0.6 else (first,)
+    first = Step(count=21, need=Resources(9_000, 1_000, 0), estimate_ms=3800)
+    return first, first._replace(depends_on=(0,))
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
@@ -91,6 +91,11 @@
         """Questions on their way that were asked once, and when each is overdue."""
         self._stopping = False
 
+    @property
+    def callers(self) -> int:
+        """Number of callers that ask anything, however long its answer takes."""
+        return sum(not caller.short_only for caller in list(self._callers.values()))
+
     def stop(self) -> None:
         with self._lock:
             self._stopping = True
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -35,9 +35,13 @@
 JUDGE_S = 0.2
 """Pause between two judgements of all runs: targets are looked at each half second."""
 
-ASK_PAUSE_S = 0.1
+LOOK_PAUSE_S = 0.1
 """Pause between two looks whether a waiting step lacks advice: each goes through all targets."""
 
+ASK_COSTS = 2.0
+"""Pause between two questions of a step, in costs of a short one: many steps wait when targets are
+full, and what all of them may ask is bounded by the callers."""
+
 BUSY_SHARE = 0.3
 """Share of the time that may be spent on looking for work; reports need the rest."""
 
@@ -125,11 +129,14 @@
                     self._consider(step, waiting, pools, now)
         waiting.sort(key=lambda pair: pair[0])
         started = 0
+        # As many waiting steps as there are callers keep their tickets valid, the first ones.
+        eager_left = self._advice.callers
         for rank, step in waiting:
             pool = pools.get(self._pool_of(step.job))
             if pool is not None:
                 started += self._place(step, pool, now)
-                self._ask(step, pool, rank, now)
+                self._ask(step, pool, rank, now, is_eager=eager_left > 0)
+                eager_left -= bool(step.pending and step.job.queue.advice)
         self._metrics.waiting.set(sum(len(step.pending) for _, step in waiting))
         return started
 
@@ -161,14 +168,14 @@
                 step.ready_at = now
             if now >= step.not_before:
                 waiting.append((self.rank(step, now), step))
-        elif step.job.queue.advice is not None and self._is_near(step, now):
+        elif self._is_near(step, now):
             pool = pools.get(self._pool_of(step.job))
             if pool is not None:
                 self._ask(step, pool, self.rank(step, now), now)
 
     def _is_near(self, step: StepWork, now: float) -> bool:
         """Whether advice is due: the steps before are expected to end before it could come."""
-        if now - step.asked_at < ASK_PAUSE_S:
+        if not _may_ask(step, now):
             return False
         lead_s = step.job.queue.advice.cost_s(FIRST_NAMES) + ADVICE_LEAD_S
         for index in step.spec.depends_on:
@@ -179,16 +186,22 @@
                 return False
         return True
 
-    def _ask(self, step: StepWork, pool: UsablePool, rank: tuple, now: float) -> None:
+    def _ask(
+        self,
+        step: StepWork,
+        pool: UsablePool,
+        rank: tuple,
+        now: float,
+        is_eager: bool = False,
+    ) -> None:
         """Asks for the advice that tasks of a step still lack."""
-        if step.job.queue.advice is None or not step.pending:
-            return
-        if now - step.asked_at < ASK_PAUSE_S:
+        if not step.pending or not _may_ask(step, now):
             return
-        step.asked_at = now
+        step.looked_at = now
         share = self._allowed.of(step.job.queue.name)
-        names = names_to_ask(step, pool.targets, now, share, self._preferences)
+        names = names_to_ask(step, pool.targets, now, share, self._preferences, is_eager)
         if names:
+            step.asked_at = now
             step.advice.asked.update(names)
             for question in questions(names):
                 self._advice.ask(step, question, rank)
@@ -257,6 +270,14 @@
         return max(0, count)
 
 
+def _may_ask(step: StepWork, now: float) -> bool:
+    """Whether a step takes advice, and no question of it is on its way or too recent."""
+    terms = step.job.queue.advice
+    if terms is None or step.advice.asked or now - step.looked_at < LOOK_PAUSE_S:
+        return False
+    return now - step.asked_at >= ASK_COSTS * terms.cost_s(1)
+
+
 class UsablePool:
     """The targets of one pool that may be given work, as they are in one look."""
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/questions.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/questions.py
@@ -60,34 +60,39 @@
     now: float,
     share: float,
     preferences: Preferences,
+    is_eager: bool = False,
 ) -> list[str]:
-    """Returns the targets that the next questions of a step name; none if enough are allowed.
+    """Returns the targets that the next questions of a step name; none if asking is of no use.
 
     :param targets: Usable targets of the step's pool.
     :param share: Share of the named targets that is expected to be allowed.
+    :param is_eager: Renews tickets for full targets as well, so that a task starts as soon as one
+        of them has room.
     """
-    expected_room = 0.0
+    valid_room = 0
     lapsed: list[tuple[TargetWork, int]] = []
     unknown: list[tuple[TargetWork, int]] = []
     for target in targets:
         if not has_label(step, target) or target.id in step.advice.denied:
             continue
         room = capacity_for(step, target)
-        is_allowed = step.advice.is_allowed(target.id)
         if step.advice.is_valid(target.id, now + RENEW_S):
-            expected_room += room
-        elif target.id in step.advice.asked:
-            expected_room += room if is_allowed else room * share / SPARE_ROOM
-        elif is_allowed:
-            lapsed.append((target, room))
-        else:
+            valid_room += room
+        elif not step.advice.is_allowed(target.id):
             unknown.append((target, room))
-    missing = len(step.pending) - expected_room
+        elif room or is_eager:
+            lapsed.append((target, room))
+    lapsed_room = sum(room for _, room in lapsed)
+    if step.spec.gang and step.advice.is_known and not is_eager:
+        most = valid_room + lapsed_room + sum(room for _, room in unknown)
+        if most < step.spec.count:
+            return []
+    missing = len(step.pending) - valid_room
     if missing <= 0:
         return []
     lapsed.sort(key=lambda each: -each[1])
-    names = list(_until(missing, lapsed))
-    missing -= sum(room for _, room in lapsed)
+    names = list(_until(missing, lapsed))[:NAMES_A_QUESTION]
+    missing -= lapsed_room
     if missing > 0:
         named = _new_names(step, unknown, missing * SPARE_ROOM / share, preferences)
         names.extend(named[: MAX_NAMES - len(names)])
@@ -119,8 +124,7 @@
     """Names targets that no answer has told of yet; full ones only in a first question."""
     with_room = [each for each in unknown if each[1]]
     names = list(_until(wanted, _in_order(step, with_room, preferences)))
-    is_first = not step.advice.is_known and not step.advice.asked
-    if is_first and len(names) < FIRST_NAMES:
+    if not step.advice.is_known and len(names) < FIRST_NAMES:
         rest = [target.id for target, _ in _in_order(step, unknown, preferences)]
         names.extend([name for name in rest if name not in names][: FIRST_NAMES - len(names)])
     return names
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/work.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/work.py
@@ -181,6 +181,8 @@
         """Kind of target and duration of the same runs."""
         self.advice = StepAdvice()
         self.asked_at = float("-inf")
+        """Own time when advice was last asked for."""
+        self.looked_at = float("-inf")
         """Own time when it was last looked whether advice is missing."""
         self.ready_at: float | None = None
         self.not_before = 0.0
--- a/tests/lib/cluster_world.py
+++ b/tests/lib/cluster_world.py
@@ -22,6 +22,7 @@
 from azurecleat_cluster import EventLog, Preferences
 from azurecleat_cluster._internal.configuration import ConfigurationView
 from azurecleat_cluster._internal.metrics import Metrics
+from azurecleat_cluster._internal.owner.advice import AdvicePool
 from azurecleat_cluster._internal.owner.authority import Authority
 from azurecleat_cluster._internal.owner.dispatch import Dispatcher
 from azurecleat_cluster._internal.owner.link import TargetClock
@@ -363,8 +364,9 @@
                 term.add_former_target(
                     self.world.targets_by_id[name].entry._replace(state=TargetState.DRAINING)
                 )
+        advice = AdvicePool(self.world.clock, self.events, self.metrics, lambda step, answer: None)
         self._dispatcher = Dispatcher(
-            term, None, preferences, self.world.clock, self.events, self.metrics
+            term, advice, preferences, self.world.clock, self.events, self.metrics
         )
 
     def end_term(self) -> None:
--- a/tests/unit/cluster/test_questions.py
+++ b/tests/unit/cluster/test_questions.py
@@ -97,6 +97,27 @@
         self.assertTrue(self.ask(step, {self.targets[-1].id}, 0.2))
         self.assertEqual(len(place(step, range(10), self.targets, 0.3, self.preferences)), 7)
 
+    def test_a_full_pool_is_not_asked_about_by_all_that_wait(self) -> None:
+        # The overload in which hundreds of waiting steps kept the callers busy with renewals, and
+        # those ranked last were never asked about.
+        step = make_advised("waits", 10, 8_900)
+        self.ask(step, {target.id for target in self.targets}, 0.0)
+        for number, target in enumerate(self.targets):
+            start(make_step(f"o{number}", 1, 64_000), 0, target, 0.0)
+        for is_eager in (False, True):
+            names = names_to_ask(
+                step, self.targets, VALID_S, 0.5, self.preferences, is_eager=is_eager
+            )
+            self.assertEqual(bool(names), is_eager)
+            self.assertLessEqual(len(names), FIRST_NAMES)
+
+    def test_a_gang_without_room_is_not_asked_about(self) -> None:
+        gang = make_advised("gang", 21, 16_700, gang=True, max_per_target=1)
+        self.ask(gang, {f"t{n}" for n in range(8)}, 0.0)
+        for number, target in enumerate(self.targets[8:]):
+            start(make_step(f"o{number}", 1, 64_000), 0, target, 0.0)
+        self.assertEqual(names_to_ask(gang, self.targets, VALID_S, 0.5, self.preferences), [])
+
     def test_a_refused_ticket_is_renewed(self) -> None:
         step = make_advised("refused", 3, 8_900)
         self.ask(step, {"t0"}, 0.0)
