A front looks whether the log is slow before it leaves the gathering instance

Ruled out: the latency of earlier calls as a measure (a front makes few calls, and none as the store turns slow). Change: GatherPatience: after 0.5 s a read of the log; only if that takes under 0.1 s is the append made from here. Pools are looked at only if something waits.

--- a/libs/cluster/src/azurecleat_cluster/_internal/front/desk.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/desk.py
@@ -39,11 +39,11 @@
 """No append is tried with less time than this left."""
 
 GATHER_S = 0.5
-"""How long a gathering instance may take for an append beyond what the log takes for one from
-here: twenty usual ones. It may have lost its own way to the log."""
+"""How long a gathering instance may take for an append before a front looks whether the log is slow
+or that instance has lost its way to it: twenty usual appends."""
 
-GATHER_LATENCIES = 4
-"""Answers of the log that are added to it: a slow log takes one append after the other."""
+QUICK_READ_S = 0.1
+"""Time for a read below which the log is not slow: ten usual ones."""
 
 LOST_GATHER_S = 0.3
 """The same time while the log does not answer here: a caller had better ask elsewhere."""
@@ -114,6 +114,32 @@
         return Forwarded.NOT_SENT
 
 
+class GatherPatience:
+    """Tells when to wait no longer for an append by a gathering instance."""
+
+    def __init__(self, config_follower: Follower, jobs_follower: Follower, clock: Clock) -> None:
+        self._config_follower = config_follower
+        self._jobs_follower = jobs_follower
+        self._clock = clock
+        self._since = clock.monotonic()
+        self._look_at = self._since + GATHER_S
+
+    def is_over(self) -> bool:
+        """Whether the gathering instance takes longer than an append from here would."""
+        now = self._clock.monotonic()
+        if self._config_follower.is_lost:
+            return now - self._since > LOST_GATHER_S
+        if now < self._look_at:
+            return False
+        self._look_at = now + GATHER_S
+        try:
+            self._jobs_follower.poll()
+        except LogError:
+            return False
+        # A slow log would take a second append as slowly, and both of them.
+        return self._clock.monotonic() - now < QUICK_READ_S
+
+
 class FrontDesk:
     """Answers callers of one instance."""
 
@@ -270,8 +296,8 @@
             return Refused("too little time left", RETRY_AFTER_S)
         # One instance gathers what comes in at all of them: a slow log takes few appends. It may
         # reach the log where this instance does not.
-        patience = partial(self._is_gatherer_slow, self._clock.monotonic())
-        forwarded = self._owner.append(key, value, left_s - ANSWER_S, patience)
+        patience = GatherPatience(self._config_follower, self._jobs_follower, self._clock)
+        forwarded = self._owner.append(key, value, left_s - ANSWER_S, patience.is_over)
         if forwarded is Forwarded.DONE or is_there():
             return Accepted()
         left_s = deadline - self._clock.monotonic()
@@ -303,10 +329,3 @@
                 break
         self._metrics.retries.labels("append_unknown").inc()
         return Forwarded.UNKNOWN
-
-    def _is_gatherer_slow(self, since: float) -> bool:
-        """Whether an append since a time takes the gathering instance longer than it would here."""
-        waited_s = self._clock.monotonic() - since
-        if self._config_follower.is_lost:
-            return waited_s > LOST_GATHER_S
-        return waited_s > GATHER_S + GATHER_LATENCIES * self._config_follower.latency_s()
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -117,9 +117,7 @@
             self._judged_at = now
             term.move_slow_runs(now)
             term.pace_filling_runs(now)
-        pools = _usable_by_pool((link.work for link in term.links.values()), now)
-        if not pools:
-            return 0
+        pools = UsablePools([link.work for link in term.links.values()], now)
         settled = term.succession is None or term.succession.is_settled()
         self._hidden = {} if settled else self._hidden_use()
         waiting: list[tuple[tuple, StepWork]] = []
@@ -132,7 +130,7 @@
         # As many waiting steps as there are callers keep their tickets valid, the first ones.
         eager_left = self._advice.callers
         for rank, step in waiting:
-            pool = pools.get(self._pool_of(step.job))
+            pool = pools.of(self._pool_of(step.job))
             if pool is not None:
                 started += self._place(step, pool, now)
                 self._ask(step, pool, rank, now, is_eager=eager_left > 0)
@@ -159,7 +157,7 @@
         self,
         step: StepWork,
         waiting: list[tuple[tuple, StepWork]],
-        pools: dict[str, UsablePool],
+        pools: UsablePools,
         now: float,
     ) -> None:
         """Adds a step that may start tasks; asks for advice ahead where it is due."""
@@ -169,7 +167,7 @@
             if now >= step.not_before:
                 waiting.append((self.rank(step, now), step))
         elif self._is_near(step, now):
-            pool = pools.get(self._pool_of(step.job))
+            pool = pools.of(self._pool_of(step.job))
             if pool is not None:
                 self._ask(step, pool, self.rank(step, now), now)
 
@@ -301,9 +299,19 @@
         return room.fits_in(self._largest)
 
 
-def _usable_by_pool(targets: Iterable[TargetWork], now: float) -> dict[str, UsablePool]:
-    pools: dict[str, UsablePool] = {}
-    for target in targets:
-        if is_usable(target, now):
-            pools.setdefault(target.entry.pool, UsablePool()).add(target)
-    return pools
+class UsablePools:
+    """The pools as they are in one look; most looks find nothing that waits for them."""
+
+    def __init__(self, targets: list[TargetWork], now: float) -> None:
+        self._targets = targets
+        self._now = now
+        self._pools: dict[str, UsablePool] | None = None
+
+    def of(self, name: str) -> UsablePool | None:
+        """Returns a pool, None if it has no usable target."""
+        if self._pools is None:
+            self._pools = {}
+            for target in self._targets:
+                if is_usable(target, self._now):
+                    self._pools.setdefault(target.entry.pool, UsablePool()).add(target)
+        return self._pools.get(name)
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
@@ -64,10 +64,6 @@
         """Whether the log no longer answers this instance: waiting on would help nobody."""
         return self._is_failing and self.age() > LOST_AGE_S
 
-    def latency_s(self) -> float:
-        """Time that the log takes to answer this instance, in seconds."""
-        return self._log.latency_s()
-
     @property
     def next_offset(self) -> int:
         return self._next or 0
--- a/tests/unit/cluster/test_desk.py
+++ b/tests/unit/cluster/test_desk.py
@@ -12,7 +12,12 @@
 from azurecleat_base import SystemClock
 from azurecleat_cluster import Admitted, Caller, EventLog, FrontDesk, FrontLimits
 from azurecleat_cluster._internal.configuration import ConfigurationView
-from azurecleat_cluster._internal.front.desk import Forwarded, OwnerCalls
+from azurecleat_cluster._internal.front.desk import (
+    GATHER_S,
+    Forwarded,
+    GatherPatience,
+    OwnerCalls,
+)
 from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.peers import PeerApplication
 from azurecleat_cluster._internal.replica.appender import GroupAppender
@@ -163,12 +168,23 @@
         self.assertTrue(self.in_log())
 
     def test_a_slow_log_gets_no_second_append(self) -> None:
+        # The pattern of a slow store: each front would append once more, one after the other.
         self.follow()
-        self.log.latency_s = lambda: 0.7
-        self.owner.effect = lambda key, value: self.assertFalse(
-            self.desk._is_gatherer_slow(self.clock.monotonic() - 2.5)
-        )
-        self.submit()
+        read = self.log.read
+
+        def read_slowly(*arguments: object) -> object:
+            time.sleep(0.25)
+            return read(*arguments)
+
+        self.log.read = read_slowly
+        patience = GatherPatience(self.config, self.jobs, self.clock)
+        began_at = time.monotonic()
+        while time.monotonic() - began_at < 1.6:
+            self.assertFalse(patience.is_over())
+            time.sleep(0.05)
+        self.log.read = read
+        time.sleep(GATHER_S)
+        self.assertTrue(patience.is_over())
 
     def test_instance_without_its_log_accepts_through_another(self) -> None:
         self.follow()
