--- a/libs/bench/src/azurecleat_bench/_internal/commands/owner.py
+++ b/libs/bench/src/azurecleat_bench/_internal/commands/owner.py
@@ -9,17 +9,22 @@
 
 from azurecleat_base import SystemClock
 from azurecleat_cluster import EventLog, Preferences
-from azurecleat_cluster._internal.configuration import ConfigurationView
-from azurecleat_cluster._internal.metrics import Metrics
-from azurecleat_cluster._internal.owner.advice import AdvicePool
-from azurecleat_cluster._internal.owner.authority import Authority
-from azurecleat_cluster._internal.owner.dispatch import Dispatcher
-from azurecleat_cluster._internal.owner.link import Losses, TargetLink
-from azurecleat_cluster._internal.owner.progress import ProgressWriter
-from azurecleat_cluster._internal.owner.term import OwnerTerm
-from azurecleat_cluster._internal.owner.work import JobWork
-from azurecleat_cluster._internal.replica import records as r
-from azurecleat_cluster._internal.replica.jobs import JobReplica
+from azurecleat_cluster.parts import (
+    SUBMISSION,
+    AdvicePool,
+    Authority,
+    ConfigurationView,
+    Dispatcher,
+    JobReplica,
+    JobWork,
+    Losses,
+    Metrics,
+    OwnerTerm,
+    ProgressWriter,
+    Submission,
+    TargetLink,
+    encode_submission,
+)
 from azurecleat_cluster.ports import LogRecord
 from azurecleat_cluster.values import JobSpec, Queue
 from azurecleat_fakes import KeyedMemoryLog
@@ -100,9 +105,9 @@
 
     def submit(self, name: str, queue: Queue, rng: random.Random) -> None:
         spec = JobSpec(queue.name, make_steps(queue, rng))
-        value = r.encode_submission(r.Submission(name, "team", queue, spec))
-        self._replica.apply_job(LogRecord(r.SUBMISSION + name, value, 0))
-        self.term.on_job_record(r.SUBMISSION + name)
+        value = encode_submission(Submission(name, "team", queue, spec))
+        self._replica.apply_job(LogRecord(SUBMISSION + name, value, 0))
+        self.term.on_job_record(SUBMISSION + name)
 
     def stop(self) -> None:
         self.term.stop()
