Holds do not shorten a lease that is in doubt

Cause: read in the diff: a target's new life may hold the longest lease, given by an order with the old life's clock; the first renewal on its new link set the bound back to the usual lease, so that its runs could have been taken for over while they went on. Ruled out: the same for inherited leases (bounded by the usual lease). Change: the bound only rises.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/link.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/link.py
@@ -173,7 +173,8 @@
 
     def doubt_lease(self) -> None:
         """Notes that orders with another life's clock may have given the longest lease."""
-        self._renewed_at = self._clock.monotonic() + self._authority.lease_beyond_s
+        doubted_at = self._clock.monotonic() + self._authority.lease_beyond_s
+        self._renewed_at = max(self._renewed_at, doubted_at)
 
     def acknowledge(self, number: int) -> None:
         """Lets the target forget ends up to a number: they are in the log."""
@@ -270,7 +271,7 @@
     def _lease(self, now: float) -> int | None:
         until_ms = self._target_clock.until_ms(now, self._authority.lease_s)
         if until_ms is not None:
-            self._renewed_at = now
+            self._renewed_at = max(self._renewed_at, now)
         return until_ms
 
     def _start_run(self, run: Run, payload: str, ticket: str) -> None:
--- a/tests/unit/cluster/test_link.py
+++ b/tests/unit/cluster/test_link.py
@@ -146,6 +146,14 @@
         self.assertEqual(len(looks), 2)
         self.assertEqual(self.client.holds[self.client.holds.index(looks[1], 1) + 1][0], 3)
 
+    def test_holds_do_not_shorten_a_lease_that_is_in_doubt(self) -> None:
+        self.authority.lease_beyond_s = 7.0
+        self.begin()
+        self.link.doubt_lease()
+        lease_end = self.link.lease_end
+        self.observer.wait_for("report", len(self.observer.named("report")) + 2)
+        self.assertGreaterEqual(self.link.lease_end, lease_end)
+
     def test_failed_hold_is_followed_by_a_look(self) -> None:
         self.begin()
         self.link.acknowledge(3)
