Log and count attempts to start a run that get no answer

E768 run.unanswered names the run, its target, the attempt and the error; retries{reason="start"} counts them. No change of logic.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -138,6 +138,18 @@
                 run.step.avoided.setdefault(run.task.index, set()).add(session.target.id)
                 self.stop_run(run, "it slows serving tasks down")
 
+    def on_start_unanswered(self, run: Run, attempt: int, error: TargetError) -> None:
+        """Records that an attempt to start a run got no answer; it may still be executed."""
+        self._metrics.retries.labels("start").inc()
+        self._events.write(
+            eventlog.RUN_UNANSWERED,
+            task=run.task,
+            run=run.number,
+            target=run.target.id,
+            attempt=attempt,
+            error=error,
+        )
+
     def on_start(self, run: Run, result: StartResult) -> None:
         now = self._clock.monotonic()
         job = run.step.job
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
@@ -70,6 +70,8 @@
 
     def on_fenced(self, session: TargetSession, epoch: int) -> None: ...
 
+    def on_start_unanswered(self, run: Run, attempt: int, error: TargetError) -> None: ...
+
     def on_start(self, run: Run, result: StartResult) -> None: ...
 
     def on_start_failed(self, run: Run, error: TargetError, may_run: bool) -> None: ...
@@ -324,7 +326,7 @@
             ticket,
         )
         try:
-            result = self._send_start(command)
+            result = self._send_start(run, command)
         except FencedError as error:
             self._observer.on_start_failed(run, error, may_run=False)
             self._observer.on_fenced(self, error.epoch)
@@ -340,14 +342,14 @@
                 self._target_clock.note(result.clock_ms, self._clock.monotonic())
             self._observer.on_start(run, result)
 
-    def _send_start(self, command: StartCommand) -> StartResult:
+    def _send_start(self, run: Run, command: StartCommand) -> StartResult:
         """Sends a start, and sends it again while no answer comes.
 
         :raises NotRunError: The run was not started.
         :raises OutcomeUnknownError: The run may have been started.
         """
         unknown: OutcomeUnknownError | None = None
-        for _ in range(START_ATTEMPTS):
+        for attempt in range(1, START_ATTEMPTS + 1):
             if not self._authority.may_act():
                 break
             try:
@@ -355,6 +357,7 @@
             except OutcomeUnknownError as error:
                 unknown = error
                 self._losses.note()
+                self._observer.on_start_unanswered(run, attempt, error)
             except NotRunError as error:
                 if unknown is None:
                     raise
--- a/tests/unit/cluster/test_target_session.py
+++ b/tests/unit/cluster/test_target_session.py
@@ -107,6 +107,9 @@
     def on_fenced(self, session, epoch) -> None:  # noqa: ANN001
         self.note("fenced", epoch)
 
+    def on_start_unanswered(self, run, attempt, error) -> None:  # noqa: ANN001
+        self.note("unanswered", attempt)
+
     def on_start(self, run, result) -> None:  # noqa: ANN001
         self.note("started", result.started)
 
@@ -204,6 +207,7 @@
         self.assertEqual(self.observer.wait_for("started"), [("started", True)])
         self.assertEqual(len(set(self.client.starts)), 1)
         self.assertEqual(len(self.client.starts), 2)
+        self.assertEqual(self.observer.named("unanswered"), [("unanswered", 1)])
 
     def test_start_that_is_never_answered_may_have_run(self) -> None:
         self.begin()
