The checker of the simulations sees a repeat before its acknowledgement

The rule forbids a start after a run has ended as done if that end is acknowledged then or later. The checker knew only ends acknowledged before the start, so that a task that was started again in between passed: the order of the incident TWICE. It now remembers the starts after such an end and reports them once the end is acknowledged, unless the lease lapsed in between or the step is speculative.

--- a/tests/lib/simulated_targets.py
+++ b/tests/lib/simulated_targets.py
@@ -49,6 +49,11 @@
         self.cancelled_at: dict[str, float] = {}
         self.running: dict[TaskId, set[tuple[str, int]]] = {}
         self.done: set[TaskId] = set()
+        """Tasks with an acknowledged run that ended as done."""
+        self._unacknowledged: dict[TaskId, set[tuple[str, int]]] = {}
+        """Targets and numbers of runs that ended as done and are not acknowledged."""
+        self._repeated: set[tuple[TaskId, str, int]] = set()
+        """Those of them after whose end the task was started again."""
         self.acknowledged_failures: dict[TaskId, int] = {}
         self.violations: list[str] = []
         """One line per violation: time, rule, task and detail."""
@@ -70,6 +75,9 @@
             self._add_violation(now, "TWICE running", task, f"{target.id} and {self.running[task]}")
         if task in self.done:
             self._add_violation(now, "TWICE after done", task, target.id)
+        if not expected.step.speculative:
+            ended = self._unacknowledged.get(task, ())
+            self._repeated.update((task, where, run) for where, run in ended)
         if self.acknowledged_failures.get(task, 0) >= expected.attempts:
             self._add_violation(now, "BUDGET", task, target.id)
         for index in expected.step.depends_on:
@@ -94,13 +102,22 @@
         if used > limit.cpu_milli * 1.1 + expected.step.need.cpu_milli:
             self._add_violation(now, "QUOTA", task, f"{used} of {limit.cpu_milli}")
 
-    def on_end(self, target: SimTarget, task: TaskId, run: int) -> None:
+    def on_end(self, target: SimTarget, task: TaskId, run: int, kind: EndKind) -> None:
         self.running.get(task, set()).discard((target.id, run))
+        if kind is EndKind.DONE:
+            self._unacknowledged.setdefault(task, set()).add((target.id, run))
+
+    def on_acknowledged(self, target: SimTarget, end: RunEnd, now: float) -> None:
+        """Records a run end that was acknowledged before the target's lease expired.
 
-    def on_acknowledged(self, end: RunEnd) -> None:
-        """Records a run end that was acknowledged before the target's lease expired."""
+        A task must not start again after an end as done, even if the acknowledgement comes later
+        than the start.
+        """
         if end.kind is EndKind.DONE:
             self.done.add(end.task)
+            self._unacknowledged.get(end.task, set()).discard((target.id, end.run))
+            if (end.task, target.id, end.run) in self._repeated:
+                self._add_violation(now, "TWICE after done", end.task, f"{target.id} {end.run}")
         elif end.kind is EndKind.FAILED:
             self.acknowledged_failures[end.task] = self.acknowledged_failures.get(end.task, 0) + 1
 
@@ -199,7 +216,7 @@
             self._until_ms = max(self._until_ms, until_ms)
         for end, lapsed in self._ended:
             if end.number <= acknowledged and not lapsed:
-                self._checker.on_acknowledged(end)
+                self._checker.on_acknowledged(self, end, now)
         self._ended = [each for each in self._ended if each[0].number > acknowledged]
         running = tuple(
             RunStatus(task, number, "", run.percent(now), 0.0)
@@ -239,7 +256,7 @@
         """Ends this incarnation. Its runs end without any report."""
         self.is_up = False
         for task, run in self._runs:
-            self._checker.on_end(self, task, run)
+            self._checker.on_end(self, task, run, EndKind.LAPSED)
         self._runs.clear()
 
     def _check_fencing_token(self, fencing_token: int) -> None:
@@ -262,7 +279,7 @@
         elif kind is EndKind.FAILED:
             failed = self._checker.failed_ends
             failed[task] = failed.get(task, 0) + 1
-        self._checker.on_end(self, run.command.task, number)
+        self._checker.on_end(self, run.command.task, number, kind)
 
 
 def make_entry(number: int, incarnation: int, cpu: int = 8000) -> TargetEntry:
