--- a/tests/lib/cluster_simulation.py
+++ b/tests/lib/cluster_simulation.py
@@ -241,11 +241,17 @@
             return
         run.valid_until = term.authority.lease_end(now)
         command = StartCommand(run.task, run.number, "", until_ms, term.authority.epoch)
+        self._attempt_start(run, command, simulation.start_attempts)
+
+    def _attempt_start(self, run: Run, command: StartCommand, attempts_left: int) -> None:
+        simulation, term = self._node.simulation, self._term
 
         def fail(error) -> None:  # noqa: ANN001
             if isinstance(error, FencedError):
                 term.on_start_failed(run, error, may_run=False)
                 term.on_fenced(self, error.epoch)
+            elif attempts_left > 1 and term.authority.may_act():
+                self._attempt_start(run, command, attempts_left - 1)
             else:
                 term.on_start_failed(run, error, may_run=True)
 
@@ -385,18 +391,27 @@
 
     :param max_task_s: Maximum of a step's typical task duration. A single task may take up to 1.4
         times as long as is typical for its step.
+    :param start_attempts: How often a start is sent while no answer comes.
     """
 
     def __init__(
-        self, seed: int, nodes: int = 3, targets: int = 6, max_task_s: float = 1.5
+        self,
+        seed: int,
+        nodes: int = 3,
+        targets: int = 6,
+        max_task_s: float = 1.5,
+        start_attempts: int = 1,
     ) -> None:
         self.max_task_s = max_task_s
+        self.start_attempts = start_attempts
         self.rng = random.Random(seed)
         self.clock = ManualClock()
         self.log = KeyedMemoryLog()
         self.checker = ExecutionChecker()
         self.checker.limits["team"] = TEAM_LIMIT
         self.loss_rate = 0.0
+        self.answer_loss_rate = 0.0
+        """Fraction of the commands that are executed at once and whose answer is lost."""
         self.completed_tasks: set = set()
         self._scheduled: list = []
         self._sequence = itertools.count()
@@ -441,14 +456,17 @@
         """Delivers a command to a target and its answer back to the session, with network faults.
 
         A lost command fails at the sender after 0.3 s, but still reaches the target after 0.5 to
-        4 s.
+        4 s. A command whose answer is lost fails at the sender in the same way.
         """
         node, target = session._node, session._target
         if target.id in node.unreachable_targets:
             self.schedule(0.3, lambda: fail(OutcomeUnknownError("cut", step="sim")), node)
             return
-        is_lost = self.rng.random() < self.loss_rate
-        delay_s = self.rng.uniform(0.5, 4.0) if is_lost else self.rng.uniform(0.0, 0.02)
+        is_late = self.rng.random() < self.loss_rate
+        delay_s = self.rng.uniform(0.5, 4.0) if is_late else self.rng.uniform(0.0, 0.02)
+        is_lost = is_late or (
+            self.answer_loss_rate > 0.0 and self.rng.random() < self.answer_loss_rate
+        )
 
         def arrive() -> None:
             try:
@@ -504,7 +522,7 @@
 
     def heal(self) -> None:
         """Ends all faults."""
-        self.loss_rate = 0.0
+        self.loss_rate = self.answer_loss_rate = 0.0
         self.log.down = False
         for node in self.nodes:
             node.paused_until = 0.0
--- a/tests/unit/cluster/test_faults.py
+++ b/tests/unit/cluster/test_faults.py
@@ -9,6 +9,7 @@
 import unittest.mock
 
 from azurecleat_cluster._internal.owner.authority import Authority, Takeover
+from azurecleat_cluster._internal.owner.target_session import START_ATTEMPTS
 from azurecleat_cluster._internal.owner.term import OwnerTerm
 from azurecleat_cluster.values import JobState, TaskId
 
@@ -122,6 +123,30 @@
                 self.assertEqual(simulation.checker.violations, [])
 
 
+class LostStartAnswersTest(unittest.TestCase):
+    """Short runs begin and end while the answers to their starts are lost."""
+
+    def test_refused_repeat_of_a_start_leads_to_no_second_run(self) -> None:
+        # A target refuses a start that is sent again after the run has ended. The owner must not
+        # conclude from that refusal that the run never began.
+        for seed in range(12):
+            simulation = Simulation(
+                seed, nodes=1, targets=3, max_task_s=0.4, start_attempts=START_ATTEMPTS
+            )
+            simulation.nodes[0].take_over()
+            simulation.run(0.3)
+            names = [f"{number:016x}" for number in range(12)]
+            simulation.answer_loss_rate = 0.3
+            for name in names:
+                simulation.submit(name)
+                simulation.run(0.3)
+            simulation.heal()
+            simulation.run(10.0)
+            with self.subTest(seed=seed):
+                self.assertEqual(simulation.checker.violations, [])
+                self.assertTrue(all(simulation.is_settled(name) for name in names))
+
+
 class UnreachedTargetsTest(unittest.TestCase):
     """A new owner does not reach targets on which a team's tasks may be running."""
 
--- a/tests/unit/cluster/test_target_session.py
+++ b/tests/unit/cluster/test_target_session.py
@@ -220,6 +220,27 @@
         self.session.submit_start(self.make_run(), "", "")
         self.assertEqual(self.observer.wait_for("failed"), [("failed", True)])
 
+    def test_refused_repeat_of_an_unanswered_start_may_have_run(self) -> None:
+        # The attempt without an answer may have started the run, and the run may have ended.
+        self.begin()
+        for count, reason in enumerate(("old", "room", "late", "ticket", "unhealthy"), start=1):
+            answers = iter(
+                [OutcomeUnknownError("lost", step="run.start"), StartResult(False, reason, 1.0)]
+            )
+
+            def answer(answers=answers) -> StartResult:  # noqa: ANN001
+                match next(answers):
+                    case OutcomeUnknownError() as error:
+                        raise error
+                    case result:
+                        return result
+
+            self.client.on_start = answer
+            self.session.submit_start(self.make_run(), "", "")
+            with self.subTest(reason=reason):
+                failed = self.observer.wait_for("failed", count, timeout_s=1.0)
+                self.assertEqual(failed[count - 1 :], [("failed", True)])
+
     def test_start_that_was_never_sent_has_not_run(self) -> None:
         self.begin()
 
