A refused repeat of a start no longer frees the task

What callers saw: a task ran twice. A start without an answer was sent again after 0.3 s; a run that had begun and ended by then was refused as old; the owner took that for "never ran", started the task elsewhere, and later acknowledged the first run's end.

Cause: a refusal tells the outcome of its own attempt, and was taken as the outcome of all. Any reason of refusal is open to this, as the earlier attempt may also be executed late, after newer calls.

Change: StartAttempts keeps the answers to one start. A refusal after an attempt without an answer leaves the outcome unknown; the run is then stopped, and its task stays taken until an answered stop and a later report, or its end. The simulated session uses the same class.

A mutation that trusts the refusal breaks TWICE again.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
@@ -18,6 +18,7 @@
 from azurecleat_cluster._internal.exceptions import ConnectionChangedError, TargetReplacedError
 from azurecleat_cluster._internal.owner.authority import Authority
 from azurecleat_cluster._internal.owner.model import UNKNOWN_THROTTLE_PERCENT, Run, TargetInfo
+from azurecleat_cluster._internal.owner.start_attempts import StartAttempts
 from azurecleat_cluster._internal.ports import StartCommand, StartResult, TargetClient
 from azurecleat_cluster._internal.values import TargetReport
 
@@ -348,21 +349,24 @@
         :raises NotRunError: The run was not started.
         :raises OutcomeUnknownError: The run may have been started.
         """
-        unknown: OutcomeUnknownError | None = None
-        for attempt in range(1, START_ATTEMPTS + 1):
+        attempts = StartAttempts()
+        for number in range(1, START_ATTEMPTS + 1):
             if not self._authority.may_act():
                 break
             try:
-                return self._client.start(command, COMMAND_TIMEOUT_S)
+                result = self._client.start(command, COMMAND_TIMEOUT_S)
             except OutcomeUnknownError as error:
-                unknown = error
+                attempts.note_unanswered(error)
                 self._losses.note()
-                self._observer.on_start_unanswered(run, attempt, error)
-            except NotRunError as error:
-                if unknown is None:
+                self._observer.on_start_unanswered(run, number, error)
+            except NotRunError:
+                if attempts.unanswered is None:
                     raise
-                unknown = OutcomeUnknownError(str(error), step=error.step, peer=error.peer)
-        raise unknown or NotRunError("the owner may not act", step="run.start", peer=self.target.id)
+            else:
+                return attempts.outcome_of(result)
+        raise attempts.unanswered or NotRunError(
+            "the owner may not act", step="run.start", peer=self.target.id
+        )
 
     def _stop_run(self, run: Run) -> None:
         """Sends a stop until it is answered.
--- a/tests/lib/cluster_simulation.py
+++ b/tests/lib/cluster_simulation.py
@@ -26,6 +26,7 @@
 from azurecleat_cluster._internal.owner.authority import Authority
 from azurecleat_cluster._internal.owner.dispatch import Dispatcher
 from azurecleat_cluster._internal.owner.model import Run, TargetInfo
+from azurecleat_cluster._internal.owner.start_attempts import StartAttempts
 from azurecleat_cluster._internal.owner.target_session import TargetClock
 from azurecleat_cluster._internal.owner.term import OwnerTerm
 from azurecleat_cluster._internal.replica import records
@@ -241,22 +242,29 @@
             return
         run.valid_until = term.authority.lease_end(now)
         command = StartCommand(run.task, run.number, "", until_ms, term.authority.epoch)
-        self._attempt_start(run, command, simulation.start_attempts)
+        self._attempt_start(run, command, StartAttempts(), simulation.start_attempts)
 
-    def _attempt_start(self, run: Run, command: StartCommand, attempts_left: int) -> None:
+    def _attempt_start(
+        self, run: Run, command: StartCommand, attempts: StartAttempts, attempts_left: int
+    ) -> None:
         simulation, term = self._node.simulation, self._term
 
         def fail(error) -> None:  # noqa: ANN001
             if isinstance(error, FencedError):
                 term.on_start_failed(run, error, may_run=False)
                 term.on_fenced(self, error.epoch)
-            elif attempts_left > 1 and term.authority.may_act():
-                self._attempt_start(run, command, attempts_left - 1)
+                return
+            attempts.note_unanswered(error)
+            if attempts_left > 1 and term.authority.may_act():
+                self._attempt_start(run, command, attempts, attempts_left - 1)
             else:
                 term.on_start_failed(run, error, may_run=True)
 
         def reply(result: StartResult) -> None:
-            term.on_start(run, result)
+            try:
+                term.on_start(run, attempts.outcome_of(result))
+            except OutcomeUnknownError as error:
+                term.on_start_failed(run, error, may_run=True)
 
         simulation.call(self, lambda at: self._target.start(command, at), reply, fail)
 
--- a/tests/unit/cluster/test_faults.py
+++ b/tests/unit/cluster/test_faults.py
@@ -9,6 +9,7 @@
 import unittest.mock
 
 from azurecleat_cluster._internal.owner.authority import Authority, Takeover
+from azurecleat_cluster._internal.owner.start_attempts import StartAttempts
 from azurecleat_cluster._internal.owner.target_session import START_ATTEMPTS
 from azurecleat_cluster._internal.owner.term import OwnerTerm
 from azurecleat_cluster.values import JobState, TaskId
@@ -123,25 +124,32 @@
                 self.assertEqual(simulation.checker.violations, [])
 
 
+def run_lost_start_answers(seed: int) -> tuple[Simulation, list[str]]:
+    """Simulates short runs that begin and end while the answers to their starts are lost.
+
+    :returns: The simulation, and the names of its jobs.
+    """
+    simulation = Simulation(seed, nodes=1, targets=3, max_task_s=0.4, start_attempts=START_ATTEMPTS)
+    simulation.nodes[0].take_over()
+    simulation.run(0.3)
+    names = [f"{number:016x}" for number in range(12)]
+    simulation.answer_loss_rate = 0.3
+    for name in names:
+        simulation.submit(name)
+        simulation.run(0.3)
+    simulation.heal()
+    simulation.run(10.0)
+    return simulation, names
+
+
 class LostStartAnswersTest(unittest.TestCase):
-    """Short runs begin and end while the answers to their starts are lost."""
+    """Answers to starts are lost, and the starts are sent again."""
 
     def test_refused_repeat_of_a_start_leads_to_no_second_run(self) -> None:
         # A target refuses a start that is sent again after the run has ended. The owner must not
         # conclude from that refusal that the run never began.
         for seed in range(12):
-            simulation = Simulation(
-                seed, nodes=1, targets=3, max_task_s=0.4, start_attempts=START_ATTEMPTS
-            )
-            simulation.nodes[0].take_over()
-            simulation.run(0.3)
-            names = [f"{number:016x}" for number in range(12)]
-            simulation.answer_loss_rate = 0.3
-            for name in names:
-                simulation.submit(name)
-                simulation.run(0.3)
-            simulation.heal()
-            simulation.run(10.0)
+            simulation, names = run_lost_start_answers(seed)
             with self.subTest(seed=seed):
                 self.assertEqual(simulation.checker.violations, [])
                 self.assertTrue(all(simulation.is_settled(name) for name in names))
@@ -245,6 +253,11 @@
         self.patch(OwnerTerm, "on_start_failed", not_run)
         self.assert_breaks("TWICE")
 
+    def test_refusal_of_a_repeated_start_taken_as_the_outcome_of_all_attempts(self) -> None:
+        self.patch(StartAttempts, "outcome_of", lambda self, result: result)
+        simulation, _ = run_lost_start_answers(0)
+        self.assertTrue(any("TWICE" in line for line in simulation.checker.violations))
+
     def test_resources_freed_when_the_stop_is_sent(self) -> None:
         original = OwnerTerm.stop_run
 
