A queued start is not sent once its run is released or being stopped

What callers could see: a task that runs twice at the same time, or a task of a cancelled job that begins. A target has a few command threads; while stops to it go unanswered, a start waits behind them. By the time it could be sent, the lease of the target may have been taken as over and the task started elsewhere; the start was sent all the same, with a fresh lease.

The session now asks the term, under its lock and after renewing the lease, whether the start is still wanted.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -138,6 +138,11 @@
                 run.step.avoided.setdefault(run.task.index, set()).add(session.target.id)
                 self.stop_run(run, "it slows serving tasks down")
 
+    def may_start(self, run: Run) -> bool:
+        """Whether the start of a run is still wanted; it may have waited behind other commands."""
+        with self.lock:
+            return run.key in run.target.runs and run.state is RunState.STARTING
+
     def on_start_unanswered(self, run: Run, attempt: int, error: TargetError) -> None:
         """Records that an attempt to start a run got no answer; it may still be executed."""
         self._metrics.retries.labels("start").inc()
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
@@ -71,6 +71,8 @@
 
     def on_fenced(self, session: TargetSession, epoch: int) -> None: ...
 
+    def may_start(self, run: Run) -> bool: ...
+
     def on_start_unanswered(self, run: Run, attempt: int, error: TargetError) -> None: ...
 
     def on_start(self, run: Run, result: StartResult) -> None: ...
@@ -317,6 +319,9 @@
             self._observer.on_start_failed(run, error, may_run=False)
             return
         run.valid_until = self._authority.lease_end(now)
+        # Checked after the renewal: the run can't be released any more as one of an ended lease.
+        if not self._observer.may_start(run):
+            return
         command = StartCommand(
             run.task,
             run.number,
--- a/tests/lib/cluster_simulation.py
+++ b/tests/lib/cluster_simulation.py
@@ -241,6 +241,8 @@
             term.on_start_failed(run, NotRunError("no right to act", step="sim"), may_run=False)
             return
         run.valid_until = term.authority.lease_end(now)
+        if not term.may_start(run):
+            return
         command = StartCommand(run.task, run.number, "", until_ms, term.authority.epoch)
         self._attempt_start(run, command, StartAttempts(), simulation.start_attempts)
 
--- a/tests/unit/cluster/test_faults.py
+++ b/tests/unit/cluster/test_faults.py
@@ -155,6 +155,24 @@
                 self.assertTrue(all(simulation.is_settled(name) for name in names))
 
 
+class QueuedStartTest(unittest.TestCase):
+    """A start waits behind other commands to its target."""
+
+    def test_run_that_is_being_stopped_is_not_started_any_more(self) -> None:
+        # A cancelled job's queued start must not reach the target after the stop was sent.
+        simulation = Simulation(1, nodes=1, targets=1)
+        simulation.nodes[0].take_over()
+        simulation.run(0.5)
+        simulation.submit("0" * 16)
+        simulation.run(0.02)
+        term = simulation.nodes[0].term
+        runs = list(term.sessions["t0-0"].target.runs.values())
+        self.assertTrue(runs)
+        self.assertTrue(all(term.may_start(run) for run in runs))
+        term._cancel(term.jobs["0" * 16])
+        self.assertFalse(any(term.may_start(run) for run in runs))
+
+
 class UnreachedTargetsTest(unittest.TestCase):
     """A new owner does not reach targets on which a team's tasks may be running."""
 
--- a/tests/unit/cluster/test_target_session.py
+++ b/tests/unit/cluster/test_target_session.py
@@ -12,6 +12,7 @@
 from azurecleat_cluster._internal.owner.authority import Authority
 from azurecleat_cluster._internal.owner.model import Run
 from azurecleat_cluster._internal.owner.target_session import (
+    COMMAND_THREADS,
     START_ATTEMPTS,
     LossTracker,
     TargetClock,
@@ -107,6 +108,9 @@
     def on_fenced(self, session, epoch) -> None:  # noqa: ANN001
         self.note("fenced", epoch)
 
+    def may_start(self, run) -> bool:  # noqa: ANN001
+        return run.key in run.target.runs
+
     def on_start_unanswered(self, run, attempt, error) -> None:  # noqa: ANN001
         self.note("unanswered", attempt)
 
@@ -134,8 +138,8 @@
         )
         self.addCleanup(self.session.stop)
 
-    def make_run(self) -> Run:
-        run = Run(make_step("job", 1).task(0), make_step("job", 1), 1, self.target)
+    def make_run(self, number: int = 1) -> Run:
+        run = Run(make_step("job", 1).task(0), make_step("job", 1), number, self.target)
         self.target.add(run)
         return run
 
@@ -265,6 +269,34 @@
         self.observer.wait_for("stopped")
         self.assertEqual(len(self.client.stops), 3)
 
+    def test_start_queued_behind_unanswered_stops_is_not_sent_once_its_run_is_released(
+        self,
+    ) -> None:
+        # Its task may have started elsewhere by the time the target answers again.
+        self.begin()
+        is_back = threading.Event()
+
+        def answer_once_back() -> None:
+            if not is_back.is_set():
+                raise OutcomeUnknownError("lost", step="run.stop")
+
+        self.client.on_stop = answer_once_back
+        for number in range(COMMAND_THREADS):
+            self.session.submit_stop(self.make_run(number + 1))
+        with self.observer.changed:
+            while len(self.client.stops) < COMMAND_THREADS:
+                self.observer.changed.wait(0.01)
+        queued = self.make_run(COMMAND_THREADS + 1)
+        self.session.submit_start(queued, "", "")
+        self.target.remove(queued)
+        is_back.set()
+        self.observer.wait_for("stopped", COMMAND_THREADS)
+        self.session.submit_stop(self.make_run(COMMAND_THREADS + 2))
+        self.observer.wait_for("stopped", COMMAND_THREADS + 1)
+        self.session.stop()
+        self.session.join()
+        self.assertEqual(self.client.starts, [])
+
     def test_unresponsive_target_is_reported_and_its_lease_not_renewed(self) -> None:
         self.begin()
 
