A fenced start ends the term and frees no task

A start that a target refuses for a newer owner's epoch freed its task before the term knew that it was over: a dispatch round in between could start the task on a target that the newer owner had not reached. After an attempt without an answer the fence was not reported at all, but by the next call.

The session now reports the fence at once and leaves the run allocated; the simulated session does the same. The test failed before (no fence reported).

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
@@ -334,7 +334,7 @@
         try:
             result = self._send_start(run, command)
         except FencedError as error:
-            self._observer.on_start_failed(run, error, may_run=False)
+            # The run stays allocated: its task must not become free while this term may still act.
             self._observer.on_fenced(self, error.epoch)
         except TargetReplacedError as error:
             self._observer.on_start_failed(run, error, may_run=False)
@@ -351,6 +351,7 @@
     def _send_start(self, run: Run, command: StartCommand) -> StartResult:
         """Sends a start, and sends it again while no answer comes.
 
+        :raises FencedError: The target is controlled by a newer owner.
         :raises NotRunError: The run was not started.
         :raises OutcomeUnknownError: The run may have been started.
         """
@@ -364,6 +365,8 @@
                 attempts.note_unanswered(error)
                 self._losses.note()
                 self._observer.on_start_unanswered(run, number, error)
+            except FencedError:
+                raise
             except NotRunError:
                 if attempts.unanswered is None:
                     raise
--- a/tests/lib/cluster_simulation.py
+++ b/tests/lib/cluster_simulation.py
@@ -253,7 +253,6 @@
 
         def fail(error) -> None:  # noqa: ANN001
             if isinstance(error, FencedError):
-                term.on_start_failed(run, error, may_run=False)
                 term.on_fenced(self, error.epoch)
                 return
             attempts.note_unanswered(error)
--- a/tests/unit/cluster/test_target_session.py
+++ b/tests/unit/cluster/test_target_session.py
@@ -245,6 +245,22 @@
                 failed = self.observer.wait_for("failed", count, timeout_s=1.0)
                 self.assertEqual(failed[count - 1 :], [("failed", True)])
 
+    def test_fenced_start_frees_no_task(self) -> None:
+        # An earlier attempt may have run under this epoch; while the term may still act, a free
+        # task could be started on a target that the newer owner has not reached.
+        self.begin()
+        answers = iter([OutcomeUnknownError("lost"), FencedError("newer", epoch=9)])
+
+        def answer() -> StartResult:
+            raise next(answers)
+
+        self.client.on_start = answer
+        self.session.submit_start(self.make_run(), "", "")
+        self.assertEqual(self.observer.wait_for("fenced"), [("fenced", 9)])
+        self.session.stop()
+        self.session.join()
+        self.assertEqual(self.observer.named("failed"), [])
+
     def test_start_that_was_never_sent_has_not_run(self) -> None:
         self.begin()
 
