A refused repeat of a start still counts against its target

With a refusal after an attempt without an answer was handled as no answer at all: the ticket was kept, and a target without room or in bad health was chosen again at once (found by the review). The session now hands over the refusal together with whether the run may exist, so that the task stays taken and the refusal has its usual effects. The session's test of repeated starts now expects the refusal with may_run, as strict as the failure with may_run before, and a new one the plain refusal without it.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -12,9 +12,9 @@
     StepInfo,
     TargetInfo,
 )
+from azurecleat_cluster._internal.owner.start_attempts import StartOutcome
 from azurecleat_cluster._internal.owner.state import TermState
 from azurecleat_cluster._internal.owner.throttling import throttle_target
-from azurecleat_cluster._internal.ports import StartResult
 from azurecleat_cluster._internal.values import (
     EndKind,
     JobState,
@@ -155,7 +155,9 @@
             error=error,
         )
 
-    def on_start(self, run: Run, result: StartResult) -> None:
+    def on_start(self, run: Run, outcome: StartOutcome) -> None:
+        """Handles an answered start."""
+        result = outcome.result
         now = self._clock.monotonic()
         job = run.step.job
         self._metrics.command_s.observe(now - run.commanded_at)
@@ -164,7 +166,7 @@
                 return
             if not result.started:
                 self._metrics.starts.labels(result.reason or "refused").inc()
-                self._on_refused(run, result.reason)
+                self._on_refused(run, result.reason, outcome.may_run)
                 return
             self._metrics.starts.labels("started").inc()
             run.confirmed_at = now
@@ -185,8 +187,11 @@
                 waited_s=round(run.commanded_at - job.seen_at, 3),
             )
 
-    def _on_refused(self, run: Run, reason: str) -> None:
-        """Handles a refused start: nothing runs on the target under this run number."""
+    def _on_refused(self, run: Run, reason: str, may_run: bool) -> None:
+        """Handles a refused start.
+
+        :param may_run: Whether an earlier attempt may have started the run, or may still do so.
+        """
         self._events.write(
             eventlog.RUN_REFUSED,
             task=run.task,
@@ -195,7 +200,10 @@
             reason=reason,
         )
         step, now = run.step, self._clock.monotonic()
-        self._release(run)
+        if may_run:
+            self._stop_uncertain(run)
+        else:
+            self._release(run)
         match reason:
             case "ticket":
                 step.advice.invalidate_ticket(run.target.id)
@@ -226,16 +234,22 @@
                 error=error,
             )
             if may_run:
-                if run.state is RunState.STARTING:
-                    # The target may have started the run, or start it later. A stop that is
-                    # answered rules out both.
-                    self.stop_run(run, "start was not answered")
+                self._stop_uncertain(run)
             else:
                 self._release(run)
                 run.step.avoided.setdefault(run.task.index, set()).add(run.target.id)
             self._stop_gang(run, "another task of the gang was not started")
         self.wake()
 
+    def _stop_uncertain(self, run: Run) -> None:
+        """Stops a run that the target may have started, or may start later.
+
+        An answered stop rules out a later start, and the report after it shows what became of the
+        run. Until then its task is not started again.
+        """
+        if run.state is RunState.STARTING:
+            self.stop_run(run, "start was not answered")
+
     def on_stop(self, run: Run) -> None:
         """Handles an answered stop; the next report shows whether the run ended."""
         with self.lock:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
@@ -18,8 +18,8 @@
 from azurecleat_cluster._internal.exceptions import ConnectionChangedError, TargetReplacedError
 from azurecleat_cluster._internal.owner.authority import Authority
 from azurecleat_cluster._internal.owner.model import UNKNOWN_THROTTLE_PERCENT, Run, TargetInfo
-from azurecleat_cluster._internal.owner.start_attempts import StartAttempts
-from azurecleat_cluster._internal.ports import StartCommand, StartResult, TargetClient
+from azurecleat_cluster._internal.owner.start_attempts import StartAttempts, StartOutcome
+from azurecleat_cluster._internal.ports import StartCommand, TargetClient
 from azurecleat_cluster._internal.values import TargetReport
 
 POLL_WAIT_S = 0.5
@@ -75,7 +75,7 @@
 
     def on_start_unanswered(self, run: Run, attempt: int, error: TargetError) -> None: ...
 
-    def on_start(self, run: Run, result: StartResult) -> None: ...
+    def on_start(self, run: Run, outcome: StartOutcome) -> None: ...
 
     def on_start_failed(self, run: Run, error: TargetError, may_run: bool) -> None: ...
 
@@ -332,7 +332,7 @@
             ticket,
         )
         try:
-            result = self._send_start(run, command)
+            outcome = self._send_start(run, command)
         except FencedError as error:
             # The run stays allocated: its task must not become free while this term may still act.
             self._observer.on_fenced(self, error.epoch)
@@ -344,11 +344,11 @@
         except TargetError as error:
             self._observer.on_start_failed(run, error, may_run=False)
         else:
-            if result.clock_ms:
-                self._target_clock.note(result.clock_ms, self._clock.monotonic())
-            self._observer.on_start(run, result)
+            if outcome.result.clock_ms:
+                self._target_clock.note(outcome.result.clock_ms, self._clock.monotonic())
+            self._observer.on_start(run, outcome)
 
-    def _send_start(self, run: Run, command: StartCommand) -> StartResult:
+    def _send_start(self, run: Run, command: StartCommand) -> StartOutcome:
         """Sends a start, and sends it again while no answer comes.
 
         :raises FencedError: The target is controlled by a newer owner.
--- a/tests/lib/cluster_simulation.py
+++ b/tests/lib/cluster_simulation.py
@@ -262,10 +262,7 @@
                 term.on_start_failed(run, error, may_run=True)
 
         def reply(result: StartResult) -> None:
-            try:
-                term.on_start(run, attempts.outcome_of(result))
-            except OutcomeUnknownError as error:
-                term.on_start_failed(run, error, may_run=True)
+            term.on_start(run, attempts.outcome_of(result))
 
         simulation.call(self, lambda at: self._target.start(command, at), reply, fail)
 
--- a/tests/unit/cluster/test_faults.py
+++ b/tests/unit/cluster/test_faults.py
@@ -9,9 +9,11 @@
 import unittest.mock
 
 from azurecleat_cluster._internal.owner.authority import Authority, Takeover
-from azurecleat_cluster._internal.owner.start_attempts import StartAttempts
+from azurecleat_cluster._internal.owner.model import RunState
+from azurecleat_cluster._internal.owner.start_attempts import StartAttempts, StartOutcome
 from azurecleat_cluster._internal.owner.target_session import START_ATTEMPTS
 from azurecleat_cluster._internal.owner.term import OwnerTerm
+from azurecleat_cluster.ports import StartResult
 from azurecleat_cluster.values import JobState, TaskId
 
 from tests.lib.cluster_simulation import Simulation
@@ -154,6 +156,25 @@
                 self.assertEqual(simulation.checker.violations, [])
                 self.assertTrue(all(simulation.is_settled(name) for name in names))
 
+    def test_refusal_of_a_repeated_start_still_counts_against_its_target(self) -> None:
+        # Otherwise the next start goes to the same full or unhealthy target.
+        for reason in ("room", "unhealthy"):
+            simulation = Simulation(1, nodes=1, targets=1, max_task_s=20.0)
+            simulation.nodes[0].take_over()
+            simulation.run(0.5)
+            simulation.submit("0" * 16)
+            simulation.run(0.02)
+            term = simulation.nodes[0].term
+            target = term.sessions["t0-0"].target
+            run = next(iter(target.runs.values()))
+            term.on_start(run, StartOutcome(StartResult(False, reason, 0.0), may_run=True))
+            with self.subTest(reason=reason):
+                self.assertIs(run.state, RunState.STOPPING)
+                self.assertIn(run.key, target.runs)
+                is_avoided = target.id in run.step.avoided.get(run.task.index, ())
+                is_suspect = target.suspect_until > simulation.clock.monotonic()
+                self.assertTrue(is_avoided or is_suspect)
+
 
 class QueuedStartTest(unittest.TestCase):
     """A start waits behind other commands to its target."""
@@ -272,7 +293,9 @@
         self.assert_breaks("TWICE")
 
     def test_refusal_of_a_repeated_start_taken_as_the_outcome_of_all_attempts(self) -> None:
-        self.patch(StartAttempts, "outcome_of", lambda self, result: result)
+        self.patch(
+            StartAttempts, "outcome_of", lambda self, result: StartOutcome(result, result.started)
+        )
         simulation, _ = run_lost_start_answers(0)
         self.assertTrue(any("TWICE" in line for line in simulation.checker.violations))
 
--- a/tests/unit/cluster/test_target_session.py
+++ b/tests/unit/cluster/test_target_session.py
@@ -114,8 +114,11 @@
     def on_start_unanswered(self, run, attempt, error) -> None:  # noqa: ANN001
         self.note("unanswered", attempt)
 
-    def on_start(self, run, result) -> None:  # noqa: ANN001
-        self.note("started", result.started)
+    def on_start(self, run, outcome) -> None:  # noqa: ANN001
+        if outcome.result.started:
+            self.note("started", True)
+        else:
+            self.note("refused", outcome.result.reason, outcome.may_run)
 
     def on_start_failed(self, run, error, may_run) -> None:  # noqa: ANN001
         self.note("failed", may_run)
@@ -227,7 +230,8 @@
     def test_refused_repeat_of_an_unanswered_start_may_have_run(self) -> None:
         # The attempt without an answer may have started the run, and the run may have ended.
         self.begin()
-        for count, reason in enumerate(("old", "room", "late", "ticket", "unhealthy"), start=1):
+        reasons = ("old", "room", "late", "ticket", "unhealthy")
+        for count, reason in enumerate(reasons, start=1):
             answers = iter(
                 [OutcomeUnknownError("lost", step="run.start"), StartResult(False, reason, 1.0)]
             )
@@ -242,8 +246,14 @@
             self.client.on_start = answer
             self.session.submit_start(self.make_run(), "", "")
             with self.subTest(reason=reason):
-                failed = self.observer.wait_for("failed", count, timeout_s=1.0)
-                self.assertEqual(failed[count - 1 :], [("failed", True)])
+                refused = self.observer.wait_for("refused", count)
+                self.assertEqual(refused[count - 1 :], [("refused", reason, True)])
+
+    def test_refused_start_without_an_earlier_attempt_has_not_run(self) -> None:
+        self.begin()
+        self.client.on_start = lambda: StartResult(False, "old", 1.0)
+        self.session.submit_start(self.make_run(), "", "")
+        self.assertEqual(self.observer.wait_for("refused"), [("refused", "old", False)])
 
     def test_fenced_start_frees_no_task(self) -> None:
         # An earlier attempt may have run under this epoch; while the term may still act, a free
