Delete a job's progress only after its submission

What callers would see: an ended job that ran again, hours later and after a change of owner, and a job shown as queued after it had been shown as completed. Cause: the owner queued the deletion of a job's progress and then deleted its submission with one append to another stream, which was not repeated when it failed. What stayed was a submission without progress, which is a new job to the next owner, and to the same owner once its follower reloads the stream. Fix: the owner deletes the submission first, and repeats that. The job stays in the term until the deletion has been read back from the log; only then is its progress deleted. An owner that ends in between leaves progress without a submission, which starts nothing and which the next owner deletes. A failed append is repeated after 10 s, as occurrences wait for it, and deletes 500 jobs at most.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -54,6 +54,8 @@
             self.takeover = Takeover(set(targets), self.authority, now, previous_owner_gone)
             for job in self._replica.job_ids():
                 self._add_job(job, before_claim=bool(targets))
+            for name in self._replica.deleted_jobs_with_progress():
+                self._writer.put(r.JOB + name, lambda: None)
 
     def stop(self) -> None:
         """Stops sending commands and renewing leases."""
@@ -78,7 +80,10 @@
         match kind + "/":
             case r.SUBMISSION:
                 with self.lock:
-                    self._add_job(name, before_claim=False)
+                    if self._replica.knows(name):
+                        self._add_job(name, before_claim=False)
+                    else:
+                        self._drop_deleted_job(name)
             case r.CANCELLATION:
                 with self.lock:
                     if name in self.jobs:
@@ -475,21 +480,28 @@
 
     # -- clean-up -----------------------------------------------------------------------------
 
-    def drop_old_jobs(self, retention_s: float) -> list[str]:
-        """Drops jobs that ended more than ``retention_s`` ago and returns their ids."""
+    def old_jobs(self, retention_s: float) -> list[str]:
+        """Returns the ids of the jobs that ended more than ``retention_s`` seconds ago.
+
+        Such a job stays known, with its progress, until the deletion of its submission has been
+        read from the log: a submission without progress is a new job.
+        """
         now = self._clock.monotonic()
         with self.lock:
-            old = [
+            return [
                 job.id
                 for job in self.jobs.values()
                 if job.finished_at is not None
                 and now - job.finished_at > retention_s
                 and not any(step.active for step in job.steps.values())
             ]
-            for name in old:
-                del self.jobs[name]
-                self._writer.put(r.JOB + name, lambda: None)
-        return old
+
+    def _drop_deleted_job(self, name: str) -> None:
+        """Drops an ended job, and deletes its progress, after its submission was deleted."""
+        job = self.jobs.get(name)
+        if job is not None and job.finished_at is not None:
+            del self.jobs[name]
+            self._writer.put(r.JOB + name, lambda: None)
 
 
 def _is_same_incarnation(known: TargetEntry, reported: TargetEntry) -> bool:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term_runner.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term_runner.py
@@ -46,7 +46,13 @@
 RELEASE_PAUSE_S = 0.2
 
 CLEAN_UP_TIMEOUT_S = 2.5
-"""Timeout of the append that deletes old jobs from the log; a failed append is not retried."""
+"""Timeout of the append that deletes old jobs from the log."""
+
+CLEAN_UP_RETRY_S = 10.0
+"""Pause after such an append failed: while it waits for an answer, no occurrence is opened."""
+
+MAX_CLEAN_UP_JOBS = 500
+"""Most jobs that one append deletes: the log limits the size of a call."""
 
 SHORT_WORKERS_SHARE = 0.25
 """Share of the other instances that send only short advice requests: after a change of owner all
@@ -129,6 +135,10 @@
         self._end_requested = threading.Event()
         self._ended = threading.Event()
         self._is_serving = False
+        self._deleted_jobs: set[str] = set()
+        """Jobs of the term whose deletion is in the log and has not been read from it yet."""
+        self._clean_up_at = float("-inf")
+        """Time before which no old jobs are deleted."""
         settings = dependencies.settings
         authority = Authority(epoch, settings.lease_s, dependencies.clock, settings.max_lease_s)
         self._writer = ProgressWriter(
@@ -336,7 +346,7 @@
             self._term.add_previous_target(entry)
 
     def _run_maintenance(self) -> None:
-        """Opens due occurrences, drops old jobs and updates the advice workers."""
+        """Opens due occurrences, deletes old jobs and updates the advice workers."""
         dependencies, term = self._dependencies, self._term
         with term.lock:
             for job in term.jobs.values():
@@ -345,14 +355,30 @@
             sum(len(session.target.runs) for session in term.sessions.values())
         )
         self._update_advice_workers()
-        dropped = term.drop_old_jobs(dependencies.settings.retention_s)
-        if dropped:
-            kinds = (r.SUBMISSION, r.CANCELLATION)
-            keys = [(kind + job, None) for job in dropped for kind in kinds]
-            try:
-                dependencies.ports.log.append(JOBS, keys, CLEAN_UP_TIMEOUT_S)
-            except LogError as error:
-                self._on_log_error(JOBS, error)
+        self._delete_old_jobs()
+
+    def _delete_old_jobs(self) -> None:
+        """Deletes the submissions of old jobs from the log.
+
+        The term deletes a job's progress once it reads that deletion. The progress must not go
+        first: another owner would take the job for a new one.
+        """
+        dependencies = self._dependencies
+        old = self._term.old_jobs(dependencies.settings.retention_s)
+        self._deleted_jobs.intersection_update(old)
+        names = [name for name in old if name not in self._deleted_jobs][:MAX_CLEAN_UP_JOBS]
+        now = dependencies.clock.monotonic()
+        if not names or now < self._clean_up_at:
+            return
+        kinds = (r.SUBMISSION, r.CANCELLATION)
+        keys = [(kind + name, None) for name in names for kind in kinds]
+        try:
+            dependencies.ports.log.append(JOBS, keys, CLEAN_UP_TIMEOUT_S)
+        except LogError as error:
+            self._clean_up_at = now + CLEAN_UP_RETRY_S
+            self._on_log_error(JOBS, error)
+        else:
+            self._deleted_jobs.update(names)
 
     def _update_advice_workers(self) -> None:
         """Starts an advice worker for each instance; some take only short requests."""
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/jobs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/jobs.py
@@ -67,6 +67,11 @@
         with self._lock:
             return list(self._submissions)
 
+    def deleted_jobs_with_progress(self) -> list[str]:
+        """Returns the jobs whose submission is deleted and whose progress is not."""
+        with self._lock:
+            return [job for job in self._progress if job not in self._submissions]
+
     def submission(self, job: str) -> records.Submission:
         """Returns a job's submission.
 
--- /dev/null
+++ b/tests/unit/cluster/test_no_second_start.py
@@ -0,0 +1,137 @@
+"""Ways in which a task could start again after one of its runs had ended as done."""
+
+from __future__ import annotations
+
+import io
+import threading
+import unittest
+from collections.abc import Callable, Sequence
+
+from azurecleat_base import ManualClock, Resources
+from azurecleat_base.exceptions import LogUnavailableError
+from azurecleat_cluster import EventLog, Preferences
+from azurecleat_cluster._internal.configuration import ConfigurationView
+from azurecleat_cluster._internal.metrics import Metrics
+from azurecleat_cluster._internal.owner.term_runner import (
+    OwnerDependencies,
+    OwnerPorts,
+    OwnerSettings,
+    TermRunner,
+)
+from azurecleat_cluster._internal.replica import records
+from azurecleat_cluster._internal.replica.follower import Follower
+from azurecleat_cluster._internal.replica.jobs import JobReplica
+from azurecleat_cluster.ports import JOBS, PROGRESS, LogRecord, Writer
+from azurecleat_cluster.values import Configuration, JobSpec, Pool, Queue, Step, Team
+from azurecleat_fakes import KeyedMemoryLog
+
+JOB = "0" * 16
+QUEUE = Queue("q", "host", "/q/", "pool", attempts=3)
+STEP = Step(count=2, need=Resources(1000, 1000, 0))
+WAIT_S = 10.0
+"""Longest wait for a thread, in real seconds."""
+
+
+class OneConfiguration:
+    """Decoder of the only configuration."""
+
+    def configuration(self, record: LogRecord) -> Configuration:
+        return Configuration(
+            1, (QUEUE,), {"pool": Pool("pool")}, {"team": Team("team", frozenset())}
+        )
+
+
+class UndeletableJobsLog(KeyedMemoryLog):
+    """Log that refuses to delete jobs until ``accepts_deletions`` is set."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.accepts_deletions = False
+        self.refused = threading.Event()
+
+    def append(
+        self,
+        stream: str,
+        records: Sequence[tuple[str, bytes | None]],
+        timeout_s: float,
+        writer: Writer | None = None,
+    ) -> int:
+        is_deletion = stream == JOBS and any(value is None for _, value in records)
+        if is_deletion and not self.accepts_deletions:
+            self.refused.set()
+            raise LogUnavailableError("refused", step="log.append")
+        return super().append(stream, records, timeout_s, writer)
+
+    def keys(self, stream: str) -> set[str]:
+        return {record.key for record in self.newest(stream).records}
+
+
+def make_dependencies(log: KeyedMemoryLog, clock: ManualClock) -> OwnerDependencies:
+    """Returns an instance's part in ownership; it has no targets and keeps no ended job."""
+    events, replica = EventLog("test", io.StringIO()), JobReplica()
+    configuration = ConfigurationView(OneConfiguration(), events)
+    configuration.apply(LogRecord("config", b"x", 0))
+    return OwnerDependencies(
+        "n0#1",
+        "address",
+        OwnerSettings(3.0, 3.0, 1.0, Preferences()),
+        OwnerPorts(log, OneConfiguration(), lambda entry: None, None, lambda address: None, None),
+        replica,
+        Follower(log, JOBS, replica.apply_job, clock, events),
+        Follower(log, PROGRESS, replica.apply_progress, clock, events),
+        configuration,
+        clock,
+        events,
+        Metrics(),
+    )
+
+
+def submit(log: KeyedMemoryLog, spec: JobSpec) -> None:
+    value = records.encode_submission(records.Submission(JOB, "team", QUEUE, spec))
+    log.append(JOBS, [(records.SUBMISSION + JOB, value)], 1.0)
+
+
+class DeletedJobsTest(unittest.TestCase):
+    """The log refuses for a while to delete an old job's submission."""
+
+    def setUp(self) -> None:
+        self.log, self.clock = UndeletableJobsLog(), ManualClock()
+        submit(self.log, JobSpec("payload", (STEP,)))
+        done = records.TaskProgress((0, 1), {}, {}, 1)
+        progress = records.Progress(True, "completed", {(0, 0): done})
+        self.log.append(PROGRESS, [(records.JOB + JOB, records.encode_progress(progress))], 1.0)
+        self.runner = TermRunner(
+            1, True, make_dependencies(self.log, self.clock), lambda epoch: None
+        )
+        self.thread = threading.Thread(target=self.runner.serve, daemon=True)
+
+    def serve(self, until: Callable[[], bool]) -> None:
+        """Serves the term until a condition holds, while the clock runs fast."""
+        self.thread.start()
+        for _ in range(int(WAIT_S / 0.05)):
+            if until():
+                break
+            self.clock.advance(0.25)
+            threading.Event().wait(0.05)
+        self.runner.give_up()
+        self.thread.join(WAIT_S)
+        self.assertTrue(until())
+
+    # An owner deleted a job's progress before its submission: the next owner ran the job again.
+    def test_submission_that_stays_keeps_its_progress(self) -> None:
+        self.serve(self.log.refused.is_set)
+        self.assertIn(records.SUBMISSION + JOB, self.log.keys(JOBS))
+        self.assertIn(records.JOB + JOB, self.log.keys(PROGRESS))
+
+    # A refused deletion was not repeated, so that the submission stayed for good.
+    def test_refused_deletion_is_repeated_and_then_the_progress_goes(self) -> None:
+        def accept_after_a_refusal() -> bool:
+            self.log.accepts_deletions = self.log.refused.is_set()
+            return records.JOB + JOB not in self.log.keys(PROGRESS)
+
+        self.serve(accept_after_a_refusal)
+        self.assertNotIn(records.SUBMISSION + JOB, self.log.keys(JOBS))
+
+
+if __name__ == "__main__":
+    unittest.main()
