Count a target as reached only after a complete report

What callers would see: after a change of owner, tasks that had ended as done ran again. Cause: a report holds 500 ends at most. A new owner counted a target as reached after its first report even if ends were missing from it. With the last target reached it started pending tasks, and the ends behind the first 500 arrived afterwards. Fix: only a report with fewer ends is complete and marks the target as reached. Until then the takeover waits for the next report, or for the end of the target's lease. The test failed before: "[TaskId(job='', occurrence=0, step=0, index=500)] != []".

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
@@ -138,7 +138,7 @@
         return self._leases_end_at
 
     def mark_reached(self, target: str, now: float) -> None:
-        """Notes that a target accepted the new epoch, or that its old incarnation has ended."""
+        """Notes that all runs of a target are known, or that its old incarnation has ended."""
         if target not in self._unreached:
             return
         self._unreached.discard(target)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -313,8 +313,9 @@
                 new_entry = target.entry._replace(started_at_ms=report.started_at_ms)
                 self._add_target(new_entry)
                 return
+            is_complete = len(report.ended) < MAX_REPORTED_ENDS
             self.authority.add_target_proof(target.id, sent_at)
-            if self.takeover is not None:
+            if self.takeover is not None and is_complete:
                 self.takeover.mark_reached(target.id, now)
             if not target.reached:
                 session.inherit_lease(now)
@@ -328,7 +329,7 @@
                     session.processed = end.number
             for status in report.running:
                 self._process_status(target, status, now)
-            if len(report.ended) < MAX_REPORTED_ENDS:
+            if is_complete:
                 running = {(status.task, status.run) for status in report.running}
                 self._drop_missing(target, running | ended, sent_at)
             target.reached = target.responsive = True
--- a/tests/unit/cluster/test_no_second_start.py
+++ b/tests/unit/cluster/test_no_second_start.py
@@ -12,6 +12,7 @@
 from azurecleat_cluster import EventLog, Preferences
 from azurecleat_cluster._internal.configuration import ConfigurationView
 from azurecleat_cluster._internal.metrics import Metrics
+from azurecleat_cluster._internal.owner.term import MAX_REPORTED_ENDS
 from azurecleat_cluster._internal.owner.term_runner import (
     OwnerDependencies,
     OwnerPorts,
@@ -22,25 +23,25 @@
 from azurecleat_cluster._internal.replica.follower import Follower
 from azurecleat_cluster._internal.replica.jobs import JobReplica
 from azurecleat_cluster.ports import JOBS, PROGRESS, LogRecord, Writer
-from azurecleat_cluster.values import Configuration, JobSpec, Pool, Queue, Step, Team
+from azurecleat_cluster.values import JobSpec, Step
 from azurecleat_fakes import KeyedMemoryLog
 
-JOB = "0" * 16
-QUEUE = Queue("q", "host", "/q/", "pool", attempts=3)
+from tests.lib.term_harness import (
+    JOB,
+    QUEUE,
+    OneConfiguration,
+    TermHarness,
+    done,
+    make_entry,
+    submit,
+    task,
+)
+
 STEP = Step(count=2, need=Resources(1000, 1000, 0))
 WAIT_S = 10.0
 """Longest wait for a thread, in real seconds."""
 
 
-class OneConfiguration:
-    """Decoder of the only configuration."""
-
-    def configuration(self, record: LogRecord) -> Configuration:
-        return Configuration(
-            1, (QUEUE,), {"pool": Pool("pool")}, {"team": Team("team", frozenset())}
-        )
-
-
 class UndeletableJobsLog(KeyedMemoryLog):
     """Log that refuses to delete jobs until ``accepts_deletions`` is set."""
 
@@ -86,9 +87,31 @@
     )
 
 
-def submit(log: KeyedMemoryLog, spec: JobSpec) -> None:
-    value = records.encode_submission(records.Submission(JOB, "team", QUEUE, spec))
-    log.append(JOBS, [(records.SUBMISSION + JOB, value)], 1.0)
+class TermTestCase(unittest.TestCase):
+    """Tests of a term of which a replica outlives the owner."""
+
+    def setUp(self) -> None:
+        self.clock, self.replica = ManualClock(), JobReplica()
+
+    def submit(self, step: Step, *times: int) -> None:
+        submit(self.replica, JobSpec("payload", (step,), *times))
+
+
+class TakeoverTest(TermTestCase):
+    """A new owner and the ends that the previous owner's targets still hold."""
+
+    # A target counted as reached after the first part of its ends: the tasks behind them started.
+    def test_no_task_starts_before_all_ends_of_a_target_are_known(self) -> None:
+        self.submit(STEP._replace(count=MAX_REPORTED_ENDS + 1))
+        harness = TermHarness(self.clock, self.replica, 2, [make_entry("t0")])
+        harness.term.on_target_entry(make_entry("t0"))
+        ends = [done(n + 1, task(n)) for n in range(MAX_REPORTED_ENDS + 1)]
+        harness.report("t0", ended=ends[:MAX_REPORTED_ENDS])
+        self.assertEqual(harness.dispatch(), [])
+        harness.writer.commit()
+        harness.report("t0", ended=ends[MAX_REPORTED_ENDS:])
+        self.assertTrue(harness.term.takeover.is_complete())
+        self.assertEqual(harness.dispatch(), [])
 
 
 class DeletedJobsTest(unittest.TestCase):
@@ -96,7 +119,9 @@
 
     def setUp(self) -> None:
         self.log, self.clock = UndeletableJobsLog(), ManualClock()
-        submit(self.log, JobSpec("payload", (STEP,)))
+        submission = records.Submission(JOB, "team", QUEUE, JobSpec("payload", (STEP,)))
+        value = records.encode_submission(submission)
+        self.log.append(JOBS, [(records.SUBMISSION + JOB, value)], 1.0)
         done = records.TaskProgress((0, 1), {}, {}, 1)
         progress = records.Progress(True, "completed", {(0, 0): done})
         self.log.append(PROGRESS, [(records.JOB + JOB, records.encode_progress(progress))], 1.0)
