Let no lease that this owner renews complete a takeover

What callers would see: after a change of owner, tasks that had ended as done ran again. Cause: a takeover counts the previous owner's leases on unreached targets as over after a time. That does not hold for a target that has answered with a part of its ends: the new owner renews its lease, so ends that are not known yet may still be acknowledged. The test failed before: "[TaskId(job='', occurrence=0, step=0, index=500)] != []". A second test guards against a takeover that would wait for a silent target for good.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
@@ -118,6 +118,8 @@
         self, targets: set[str], authority: Authority, began_at: float, previous_owner_gone: bool
     ) -> None:
         self._unreached = set(targets)
+        self._partly_known: set[str] = set()
+        """Unreached targets that have answered, and whose leases this owner renews."""
         self._authority = authority
         self._majority = len(targets) // 2 + 1
         self._reached_count = 0
@@ -142,14 +144,22 @@
         if target not in self._unreached:
             return
         self._unreached.discard(target)
+        self._partly_known.discard(target)
         self._reached_count += 1
         if self._reached_count >= self._majority and self._leases_end_at is None:
             self._leases_end_at = self._authority.lease_end(now + PROOF_VALIDITY_S)
 
+    def mark_partly_known(self, target: str) -> None:
+        """Notes that a target has answered, but with a part of its run ends only."""
+        if target in self._unreached:
+            self._partly_known.add(target)
+
     def is_complete(self) -> bool:
         """Whether every run of the previous owner is either known or certainly over."""
         if not self._unreached:
             return True
+        if self._partly_known:
+            return False
         return self._leases_end_at is not None and self._authority.is_lease_over(
             self._leases_end_at
         )
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -317,6 +317,8 @@
             self.authority.add_target_proof(target.id, sent_at)
             if self.takeover is not None and is_complete:
                 self.takeover.mark_reached(target.id, now)
+            elif self.takeover is not None:
+                self.takeover.mark_partly_known(target.id)
             if not target.reached:
                 session.inherit_lease(now)
             if not target.responsive and target.reached:
@@ -443,6 +445,8 @@
                     self._drop_target(session, "no entry, and its lease is over")
                 else:
                     self._release_lost_runs(target, "its lease is over")
+                    if self.takeover is not None and target.reached:
+                        self.takeover.mark_reached(target.id, self._clock.monotonic())
         self.wake()
 
     def known_incarnations(self) -> frozenset[str]:
@@ -467,7 +471,7 @@
     def _may_drop(self, target: TargetInfo) -> bool:
         """Whether no lease given by a previous owner can still be valid on a target."""
         takeover = self.takeover
-        if takeover is None or target.id not in takeover.unreached:
+        if takeover is None or target.reached or target.id not in takeover.unreached:
             return True
         return takeover.is_complete()
 
--- a/tests/unit/cluster/test_no_second_start.py
+++ b/tests/unit/cluster/test_no_second_start.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Sequence
 
 from azurecleat_base import ManualClock, Resources
-from azurecleat_base.exceptions import LogUnavailableError
+from azurecleat_base.exceptions import LogUnavailableError, TargetError
 from azurecleat_cluster import EventLog, Preferences
 from azurecleat_cluster._internal.configuration import ConfigurationView
 from azurecleat_cluster._internal.metrics import Metrics
@@ -114,6 +114,37 @@
         self.assertEqual(harness.dispatch(), [])
 
 
+    def take_over_partly(self) -> TermHarness:
+        """Takes over three targets, of which the last has reported only a part of its ends."""
+        self.submit(STEP._replace(count=MAX_REPORTED_ENDS + 1))
+        entries = [make_entry(f"t{number}") for number in range(3)]
+        harness = TermHarness(self.clock, self.replica, 2, entries)
+        for entry in entries:
+            harness.term.on_target_entry(entry)
+        harness.report("t0")
+        harness.report("t1")
+        harness.report("t2", ended=[done(n + 1, task(n)) for n in range(MAX_REPORTED_ENDS)])
+        return harness
+
+    def let_leases_end(self, harness: TermHarness) -> None:
+        self.clock.advance(20.0)
+        harness.authority.add_log_proof(self.clock.monotonic())
+
+    # The end of the previous owner's leases stood for ends that a target was still reporting.
+    def test_lease_that_is_renewed_does_not_stand_for_unknown_ends(self) -> None:
+        harness = self.take_over_partly()
+        self.let_leases_end(harness)
+        self.assertEqual(harness.dispatch(), [])
+
+    # A target that fell silent before its report was complete must not hold up a takeover.
+    def test_silent_target_counts_as_reached_once_its_own_lease_is_over(self) -> None:
+        harness = self.take_over_partly()
+        self.let_leases_end(harness)
+        error = TargetError("silent", step="hold", peer="t2")
+        harness.term.on_unresponsive(harness.session("t2"), error)
+        self.assertEqual(harness.dispatch(), [task(MAX_REPORTED_ENDS)])
+
+
 class DeletedJobsTest(unittest.TestCase):
     """The log refuses for a while to delete an old job's submission."""
 
