Open the occurrences before a recorded one

What callers would see: after a change of owner, nothing starts or changes any more, for all jobs. Cause: progress has no entry for an occurrence of which nothing has started, while a later one may have begun: with little capacity, occurrence 10 goes before 9. The new owner opened only the recorded occurrences, and counted them to find the next one to open. Fix: restoring an occurrence opens all occurrences before it, and none is opened twice.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -274,10 +274,11 @@
         """Whether tasks of the job may still be started."""
         return not self.cancelled and not self.outcome
 
-    def open_occurrence(self, occurrence: int) -> None:
-        """Creates the steps of an occurrence that is due."""
-        for index in range(len(self.submission.spec.steps)):
-            self.steps[occurrence, index] = StepInfo(self, occurrence, index)
+    def open_occurrences(self, count: int) -> None:
+        """Creates the steps of the first ``count`` occurrences, except those that are open."""
+        for occurrence in range(self.occurrences_open, count):
+            for index in range(len(self.submission.spec.steps)):
+                self.steps[occurrence, index] = StepInfo(self, occurrence, index)
 
     @property
     def occurrences_open(self) -> int:
@@ -295,8 +296,8 @@
         self.begun = progress.begun
         self.outcome = progress.outcome
         for (occurrence, index), task in progress.steps.items():
-            if (occurrence, index) not in self.steps:
-                self.open_occurrence(occurrence)
+            # Occurrences need not begin in order: those before a recorded one may have no record.
+            self.open_occurrences(occurrence + 1)
             self.steps[occurrence, index].restore(task)
 
     def progress(self) -> Progress:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -109,7 +109,7 @@
         now = self._clock.monotonic()
         job = JobInfo(submission, now, before_claim)
         if not submission.spec.repeats:
-            job.open_occurrence(0)
+            job.open_occurrences(1)
         if progress is not None:
             job.restore(progress)
         elif not before_claim:
@@ -139,7 +139,7 @@
             left_s = due_ms / 1000.0 - time.time()
             if left_s > 0:
                 return left_s
-            job.open_occurrence(job.occurrences_open)
+            job.open_occurrences(job.occurrences_open + 1)
         return None
 
     # -- targets ------------------------------------------------------------------------------
--- a/tests/unit/cluster/test_no_second_start.py
+++ b/tests/unit/cluster/test_no_second_start.py
@@ -12,6 +12,7 @@
 from azurecleat_cluster import EventLog, Preferences
 from azurecleat_cluster._internal.configuration import ConfigurationView
 from azurecleat_cluster._internal.metrics import Metrics
+from azurecleat_cluster._internal.owner.model import JobInfo
 from azurecleat_cluster._internal.owner.term import MAX_REPORTED_ENDS
 from azurecleat_cluster._internal.owner.term_runner import (
     OwnerDependencies,
@@ -145,6 +146,27 @@
         self.assertEqual(harness.dispatch(), [task(MAX_REPORTED_ENDS)])
 
 
+class OccurrencesTest(TermTestCase):
+    """A new owner of a job with occurrences."""
+
+    # The occurrence before one that had begun was not opened: the new owner opened the later one
+    # again and again, without its ends.
+    def test_occurrence_that_overtook_another_one_is_not_opened_twice(self) -> None:
+        self.submit(STEP, 3, 1, 1)
+        ended = records.TaskProgress((0, 1), {}, {}, 1)
+        progress = records.Progress(True, "", {(0, 0): ended, (2, 0): ended})
+        job = JobInfo(self.replica.submission(JOB), 0.0, True)
+        job.restore(progress)
+        self.assertEqual(sorted(job.steps), [(0, 0), (1, 0), (2, 0)])
+        value = records.encode_progress(progress)
+        self.replica.apply_progress(LogRecord(records.JOB + JOB, value, 0))
+        harness = TermHarness(self.clock, self.replica, 2)
+        harness.term.on_target_entry(make_entry("t0"))
+        harness.writer.commit()
+        harness.report("t0")
+        self.assertCountEqual(harness.dispatch(), [task(0, 1), task(1, 1)])
+
+
 class DeletedJobsTest(unittest.TestCase):
     """The log refuses for a while to delete an old job's submission."""
 
--- a/tests/unit/cluster/test_target_health.py
+++ b/tests/unit/cluster/test_target_health.py
@@ -37,7 +37,7 @@
 def make_step(name: str, count: int, cpu: int = 5_000, **fields: object) -> StepInfo:
     step = Step(count=count, need=Resources(cpu, 1_000, 0), estimate_ms=640, **fields)
     job = JobInfo(Submission(name, "team", QUEUE, JobSpec("", (step,))), 0.0, False)
-    job.open_occurrence(0)
+    job.open_occurrences(1)
     return job.steps[0, 0]
 
 
