Open an occurrence once a target reports a run of it

What callers would see: a task of a job with occurrences that had ended as done, or was running, was started a second time after a change of owner. Cause: an occurrence is opened when it is due by the owner's clock. With the previous owner's clock ahead, the new owner got runs and ends of an occurrence that it had not opened. It ignored the runs, and acknowledged the ends although nothing was recorded; once the occurrence was due it started all its tasks. Fix: a reported run or end opens the occurrence of its task, and those before it, so that the run is adopted and the end recorded. The other tasks still wait until the occurrence is due here. The tests failed before: "unexpectedly None" (the job's progress) and "(TaskId(...), 1) not found in {}" (the target's runs).

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -25,6 +25,7 @@
 from azurecleat_cluster._internal.ports import TargetClient
 from azurecleat_cluster._internal.replica import records as r
 from azurecleat_cluster._internal.values import (
+    JobSpec,
     RunStatus,
     TargetEntry,
     TargetReport,
@@ -135,13 +136,29 @@
         """
         spec = job.submission.spec
         while spec.repeats and job.occurrences_open < spec.occurrences and job.is_open:
-            due_ms = spec.first_ms + job.occurrences_open * spec.interval_ms
-            left_s = due_ms / 1000.0 - time.time()
+            left_s = _due_in_s(spec, job.occurrences_open)
             if left_s > 0:
                 return left_s
             job.open_occurrences(job.occurrences_open + 1)
         return None
 
+    def _open_reported_occurrence(self, task: TaskId, now: float) -> None:
+        """Opens the occurrence of a task that a target reports, if it is not due here yet.
+
+        The previous owner's clock may have been ahead. The occurrence's other tasks wait until it
+        is due by the clock of this instance.
+        """
+        job = self.jobs.get(task.job)
+        if job is None:
+            return
+        spec, first = job.submission.spec, job.occurrences_open
+        if not first <= task.occurrence < spec.occurrences:
+            return
+        job.open_occurrences(task.occurrence + 1)
+        for (occurrence, _), step in job.steps.items():
+            if occurrence >= first:
+                step.not_before = now + _due_in_s(spec, occurrence)
+
     # -- targets ------------------------------------------------------------------------------
 
     def on_target_entry(self, entry: TargetEntry) -> None:
@@ -323,6 +340,8 @@
                 session.inherit_lease(now)
             if not target.responsive and target.reached:
                 self._events.write(eventlog.TARGET_BACK, target=target.id, runs=len(target.runs))
+            for reported in (*report.ended, *report.running):
+                self._open_reported_occurrence(reported.task, now)
             runs_before, was_known = len(target.runs), target.reached and target.responsive
             ended = {(end.task, end.run) for end in report.ended}
             for end in report.ended:
@@ -509,6 +528,11 @@
             self._writer.put(r.JOB + name, lambda: None)
 
 
+def _due_in_s(spec: JobSpec, occurrence: int) -> float:
+    """Returns the seconds until an occurrence is due, by the clock of this instance."""
+    return (spec.first_ms + occurrence * spec.interval_ms) / 1000.0 - time.time()
+
+
 def _is_same_incarnation(known: TargetEntry, reported: TargetEntry) -> bool:
     same_address = known.address == reported.address
     same_start = known.started_at_ms == reported.started_at_ms or not (
--- a/tests/unit/cluster/test_no_second_start.py
+++ b/tests/unit/cluster/test_no_second_start.py
@@ -4,6 +4,7 @@
 
 import io
 import threading
+import time
 import unittest
 from collections.abc import Callable, Sequence
 
@@ -34,11 +35,13 @@
     TermHarness,
     done,
     make_entry,
+    running,
     submit,
     task,
 )
 
 STEP = Step(count=2, need=Resources(1000, 1000, 0))
+NOT_DUE_S = 60.0
 WAIT_S = 10.0
 """Longest wait for a thread, in real seconds."""
 
@@ -114,7 +117,6 @@
         self.assertTrue(harness.term.takeover.is_complete())
         self.assertEqual(harness.dispatch(), [])
 
-
     def take_over_partly(self) -> TermHarness:
         """Takes over three targets, of which the last has reported only a part of its ends."""
         self.submit(STEP._replace(count=MAX_REPORTED_ENDS + 1))
@@ -166,6 +168,33 @@
         harness.report("t0")
         self.assertCountEqual(harness.dispatch(), [task(0, 1), task(1, 1)])
 
+    def take_over_early(self) -> TermHarness:
+        """Takes over while the only occurrence is not due for a minute by this owner's clock."""
+        first_ms = int((time.time() + NOT_DUE_S) * 1000)
+        self.submit(STEP, 1, first_ms, 1000)
+        harness = TermHarness(self.clock, self.replica, 2, [make_entry("t0")])
+        harness.term.on_target_entry(make_entry("t0"))
+        return harness
+
+    # The previous owner's clock was ahead: the end of a task was acknowledged, but not recorded.
+    def test_end_in_an_occurrence_that_is_not_due_is_recorded(self) -> None:
+        harness = self.take_over_early()
+        harness.report("t0", ended=[done(1, task(0))])
+        harness.writer.commit()
+        self.assertEqual(harness.session("t0").acknowledged, 1)
+        progress = self.replica.progress(JOB)
+        self.assertIsNotNone(progress)
+        self.assertEqual(progress.steps[0, 0].done, (0,))
+
+    # The previous owner's clock was ahead: its run was not adopted, and started again when due.
+    def test_run_in_an_occurrence_that_is_not_due_is_adopted(self) -> None:
+        harness = self.take_over_early()
+        harness.report("t0", running=[running(task(0))])
+        self.assertIn((task(0), 1), harness.session("t0").target.runs)
+        self.assertEqual(harness.dispatch(), [])
+        self.clock.advance(NOT_DUE_S + 1.0)
+        self.assertEqual(harness.dispatch(), [task(1)])
+
 
 class DeletedJobsTest(unittest.TestCase):
     """The log refuses for a while to delete an old job's submission."""
