Wait for a restarted target's own report in a takeover

What callers would see: tasks that ran, or had ended as done, were started again after a change of owner, if a target had restarted under its id shortly before. Cause: when a new owner knew a target by an outdated entry, and another incarnation answered under the id, it dropped the old incarnation and counted the id as reached. The previous owner may have used the new incarnation already. If it was the last one to be reached, pending tasks started before its first report was processed. Fix: dropping an incarnation counts as reaching it only if its id has ended with it. A restarted target counts once its new incarnation has reported. The test failed before: "[TaskId(job='', occurrence[79 chars]x=1)] != []".

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
@@ -154,6 +154,10 @@
         if target in self._unreached:
             self._partly_known.add(target)
 
+    def mark_restarted(self, target: str) -> None:
+        """Notes that a target has a new incarnation, which has not answered yet."""
+        self._partly_known.discard(target)
+
     def is_complete(self) -> bool:
         """Whether every run of the previous owner is either known or certainly over."""
         if not self._unreached:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -171,7 +171,9 @@
                 self._update_entry(session.target, entry)
             else:
                 if session is not None:
-                    self._drop_target(session, "another incarnation registered under its id")
+                    self._drop_target(
+                        session, "another incarnation registered under its id", is_restarted=True
+                    )
                 if not self._is_replaced(entry):
                     self._add_target(entry)
         self.wake()
@@ -279,8 +281,12 @@
             self.authority.add_target(session.target.id)
         session.start()
 
-    def _drop_target(self, session: Session, reason: str) -> None:
-        """Drops a target incarnation that has certainly ended, and all its runs."""
+    def _drop_target(self, session: Session, reason: str, is_restarted: bool = False) -> None:
+        """Drops a target incarnation that has certainly ended, and all its runs.
+
+        :param is_restarted: Another incarnation has the same id. The previous owner may have used
+            it already, so a takeover still has to reach it.
+        """
         target = session.target
         if self.sessions.get(target.id) is not session:
             return
@@ -293,7 +299,9 @@
         )
         self._release_lost_runs(target, reason)
         self.authority.remove_target(target.id)
-        if self.takeover is not None:
+        if self.takeover is not None and is_restarted:
+            self.takeover.mark_restarted(target.id)
+        elif self.takeover is not None:
             self.takeover.mark_reached(target.id, self._clock.monotonic())
         self._writer.put(r.TARGET + target.id, lambda: None)
         session.stop()
@@ -326,7 +334,9 @@
                 and target.entry.started_at_ms
                 and report.started_at_ms != target.entry.started_at_ms
             ):
-                self._drop_target(session, "another incarnation answers under its id")
+                self._drop_target(
+                    session, "another incarnation answers under its id", is_restarted=True
+                )
                 new_entry = target.entry._replace(started_at_ms=report.started_at_ms)
                 self._add_target(new_entry)
                 return
--- a/tests/unit/cluster/test_no_second_start.py
+++ b/tests/unit/cluster/test_no_second_start.py
@@ -148,6 +148,24 @@
         self.assertEqual(harness.dispatch(), [task(MAX_REPORTED_ENDS)])
 
 
+class RestartedTargetTest(TermTestCase):
+    """Incarnations of a target that share one id."""
+
+    # A target whose registry entry was outdated counted as reached before it had been asked.
+    def test_restarted_target_is_reached_only_by_its_own_report(self) -> None:
+        self.submit(STEP)
+        harness = TermHarness(self.clock, self.replica, 2, [make_entry("t0", 2)])
+        harness.term.on_target_entry(make_entry("t0", 1))
+        harness.term.on_target_entry(make_entry("t1", 1))
+        harness.writer.commit()
+        harness.report("t1")
+        harness.report("t0", started_at_ms=2)
+        self.assertEqual(harness.dispatch(), [])
+        harness.writer.commit()
+        harness.report("t0", running=[running(task(0))], started_at_ms=2)
+        self.assertEqual(harness.dispatch(), [task(1)])
+
+
 class OccurrencesTest(TermTestCase):
     """A new owner of a job with occurrences."""
 
