Learn a target's start time from its reports

What callers would see: a task that had ended as done was started again after its target had restarted under its id, where the target's entry did not name its start time. Cause: the start time of a report was compared with that of the entry only if both had one, and a newer entry without it replaced the known one. A restart was then not noticed: the ends of the new incarnation, whose numbers start again at 1, were taken for ends that had been processed, and were acknowledged. Fix: the first report that names a start time fixes which incarnation the session is with, in the log too, and no later entry takes that away. The test failed before: "unexpectedly identical: <...StandInSession object ...>".

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -249,7 +249,7 @@
         )
         # The log must name the target before its first command: a later owner has to reach every
         # target in use, or wait for its lease to end.
-        encoded = r.dump([entry.address, entry.pool, entry.started_at_ms])
+        encoded = _encode_target(entry)
         if self._replica.targets_in_use.get(entry.id) == encoded.decode():
             self._start_session(session)
         else:
@@ -340,6 +340,8 @@
                 new_entry = target.entry._replace(started_at_ms=report.started_at_ms)
                 self._add_target(new_entry)
                 return
+            if report.started_at_ms and not target.entry.started_at_ms:
+                self._note_start_time(target, report.started_at_ms)
             is_complete = len(report.ended) < MAX_REPORTED_ENDS
             self.authority.add_target_proof(target.id, sent_at)
             if self.takeover is not None and is_complete:
@@ -371,6 +373,12 @@
         if is_changed:
             self.wake()
 
+    def _note_start_time(self, target: TargetInfo, started_at_ms: int) -> None:
+        """Notes which incarnation answers, where the target's entry does not say it."""
+        target.entry = target.entry._replace(started_at_ms=started_at_ms)
+        encoded = _encode_target(target.entry)
+        self._writer.put(r.TARGET + target.id, lambda: encoded)
+
     def _process_status(self, target: TargetInfo, status: RunStatus, now: float) -> None:
         run = target.runs.get((status.task, status.run))
         if run is None:
@@ -538,6 +546,10 @@
             self._writer.put(r.JOB + name, lambda: None)
 
 
+def _encode_target(entry: TargetEntry) -> bytes:
+    return r.dump([entry.address, entry.pool, entry.started_at_ms])
+
+
 def _due_in_s(spec: JobSpec, occurrence: int) -> float:
     """Returns the seconds until an occurrence is due, by the clock of this instance."""
     return (spec.first_ms + occurrence * spec.interval_ms) / 1000.0 - time.time()
--- a/tests/unit/cluster/test_no_second_start.py
+++ b/tests/unit/cluster/test_no_second_start.py
@@ -165,6 +165,18 @@
         harness.report("t0", running=[running(task(0))], started_at_ms=2)
         self.assertEqual(harness.dispatch(), [task(1)])
 
+    # An entry without a start time hid a restart: the new incarnation's ends were not processed.
+    def test_restart_is_noticed_without_a_start_time_in_the_entry(self) -> None:
+        self.submit(STEP)
+        harness = TermHarness(self.clock, self.replica)
+        harness.term.on_target_entry(make_entry("t0", 0))
+        harness.writer.commit()
+        harness.report("t0", ended=[done(1, task(0))])
+        session = harness.session("t0")
+        harness.term.on_target_entry(make_entry("t0", 0))
+        harness.report("t0", ended=[done(1, task(1))], started_at_ms=2)
+        self.assertIsNot(harness.session("t0"), session)
+
 
 class OccurrencesTest(TermTestCase):
     """A new owner of a job with occurrences."""
