Record a target again that was dropped and has come back

What callers would see: after a change of owner, tasks started a second time while their runs on one target went on. Cause: a target's record in the log is not written again if it is there already. If a target was dropped and its entry came back while the deletion of its record was still queued, or its append was still repeated, the old record seemed to be there: the session started, and then the deletion was appended. The next owner did not know that the target was in use and did not wait for it. Fix: the term remembers which records it has deleted and writes those again. The test failed before: "'t0' not found in {}".

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
@@ -109,6 +109,8 @@
 
         Another incarnation with the same id may have received their commands.
         """
+        self._deleted_targets: set[str] = set()
+        """Targets whose record in the log this term has deleted, or is about to delete."""
         self._replica = replica
         self._writer = writer
         self._make_session = make_session
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -250,7 +250,8 @@
         # The log must name the target before its first command: a later owner has to reach every
         # target in use, or wait for its lease to end.
         encoded = _encode_target(entry)
-        if self._replica.targets_in_use.get(entry.id) == encoded.decode():
+        is_recorded = self._replica.targets_in_use.get(entry.id) == encoded.decode()
+        if is_recorded and entry.id not in self._deleted_targets:
             self._start_session(session)
         else:
             self._writer.put(
@@ -303,6 +304,7 @@
             self.takeover.mark_restarted(target.id)
         elif self.takeover is not None:
             self.takeover.mark_reached(target.id, self._clock.monotonic())
+        self._deleted_targets.add(target.id)
         self._writer.put(r.TARGET + target.id, lambda: None)
         session.stop()
 
--- a/tests/unit/cluster/test_no_second_start.py
+++ b/tests/unit/cluster/test_no_second_start.py
@@ -177,6 +177,18 @@
         harness.report("t0", ended=[done(1, task(1))], started_at_ms=2)
         self.assertIsNot(harness.session("t0"), session)
 
+    # A target that was dropped and added again was deleted from the log: no new owner asked it.
+    def test_target_that_is_added_again_stays_in_the_log(self) -> None:
+        harness = TermHarness(self.clock, self.replica)
+        harness.term.on_target_entry(make_entry("t0"))
+        harness.writer.commit()
+        harness.report("t0")
+        harness.term.on_replaced(harness.session("t0"), "another id has answered")
+        harness.term.on_target_entry(make_entry("t0"))
+        harness.writer.commit()
+        self.assertTrue(harness.session("t0").is_started)
+        self.assertIn("t0", self.replica.targets_in_use)
+
 
 class OccurrencesTest(TermTestCase):
     """A new owner of a job with occurrences."""
