Leave ended targets out of the majority of a takeover

What callers would see: with the previous owner cut off from the log and in touch with most of the targets left, tasks ran twice at the same time after a change of owner. Cause: a new owner takes leases on unreached targets as over some time after a majority of the targets has accepted its epoch. It counted targets that had ended towards that majority. The previous owner drops those too, and its own majority is one of the targets that are left: of ten targets with four ended, the new owner could go on with two and the previous owner with four. Fix: targets that have ended, reached before or not, count neither way, so that the majorities of both owners share a target that obeys only one of them.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
@@ -118,11 +118,11 @@
         self, targets: set[str], authority: Authority, began_at: float, previous_owner_gone: bool
     ) -> None:
         self._unreached = set(targets)
+        self._reached: set[str] = set()
+        """Targets that accepted the new epoch and, as far as known, have not ended since."""
         self._partly_known: set[str] = set()
         """Unreached targets that have answered, and whose leases this owner renews."""
         self._authority = authority
-        self._majority = len(targets) // 2 + 1
-        self._reached_count = 0
         self._leases_end_at: float | None = None
         if previous_owner_gone:
             self._leases_end_at = authority.lease_end(began_at)
@@ -140,14 +140,18 @@
         return self._leases_end_at
 
     def mark_reached(self, target: str, now: float) -> None:
-        """Notes that all runs of a target are known, or that its old incarnation has ended."""
-        if target not in self._unreached:
-            return
-        self._unreached.discard(target)
-        self._partly_known.discard(target)
-        self._reached_count += 1
-        if self._reached_count >= self._majority and self._leases_end_at is None:
-            self._leases_end_at = self._authority.lease_end(now + PROOF_VALIDITY_S)
+        """Notes that a target accepted the new epoch and that all its runs are known."""
+        if target in self._unreached:
+            self._unreached.discard(target)
+            self._partly_known.discard(target)
+            self._reached.add(target)
+            self._check_majority(now)
+
+    def mark_ended(self, target: str, now: float) -> None:
+        """Notes that a target incarnation has ended, and that no other one has its id."""
+        for targets in (self._unreached, self._partly_known, self._reached):
+            targets.discard(target)
+        self._check_majority(now)
 
     def mark_partly_known(self, target: str) -> None:
         """Notes that a target has answered, but with a part of its run ends only."""
@@ -157,6 +161,16 @@
     def mark_restarted(self, target: str) -> None:
         """Notes that a target has a new incarnation, which has not answered yet."""
         self._partly_known.discard(target)
+        self._reached.discard(target)
+
+    def _check_majority(self, now: float) -> None:
+        """Notes when the leases end, once a majority of the targets has accepted the epoch.
+
+        Targets that have ended count neither way: the previous owner no longer needs them for a
+        majority either.
+        """
+        if len(self._reached) > len(self._unreached) and self._leases_end_at is None:
+            self._leases_end_at = self._authority.lease_end(now + PROOF_VALIDITY_S)
 
     def is_complete(self) -> bool:
         """Whether every run of the previous owner is either known or certainly over."""
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -226,7 +226,7 @@
                 continue
             if known.started_at_ms > entry.started_at_ms:
                 if self.takeover is not None:
-                    self.takeover.mark_reached(entry.id, self._clock.monotonic())
+                    self.takeover.mark_ended(entry.id, self._clock.monotonic())
                 return True
             self._drop_target(session, f"{entry.id} now uses its address")
         return False
@@ -303,7 +303,7 @@
         if self.takeover is not None and is_restarted:
             self.takeover.mark_restarted(target.id)
         elif self.takeover is not None:
-            self.takeover.mark_reached(target.id, self._clock.monotonic())
+            self.takeover.mark_ended(target.id, self._clock.monotonic())
         self._deleted_targets.add(target.id)
         self._writer.put(r.TARGET + target.id, lambda: None)
         session.stop()
@@ -504,7 +504,7 @@
                 if name in self.sessions:
                     self._drop_target(self.sessions[name], "no longer in the directory")
                 elif self.takeover is not None:
-                    self.takeover.mark_reached(name, self._clock.monotonic())
+                    self.takeover.mark_ended(name, self._clock.monotonic())
         self.wake()
 
     def _may_drop(self, target: TargetInfo) -> bool:
--- a/tests/unit/cluster/test_no_second_start.py
+++ b/tests/unit/cluster/test_no_second_start.py
@@ -147,6 +147,25 @@
         harness.term.on_unresponsive(harness.session("t2"), error)
         self.assertEqual(harness.dispatch(), [task(MAX_REPORTED_ENDS)])
 
+    # Ended targets counted towards the majority that stops a previous owner. It still acted through
+    # most of the others, and renewed leases that were taken as over.
+    def test_majority_is_of_the_targets_that_have_not_ended(self) -> None:
+        names = [f"t{number}" for number in range(10)]
+        entries = [make_entry(name) for name in names]
+        harness = TermHarness(self.clock, self.replica, 2, entries)
+        for entry in entries[:4]:
+            harness.term.on_target_entry(entry)
+        harness.report("t0")
+        harness.term.on_replaced(harness.session("t0"), "another id has answered")
+        harness.term.on_incarnations_ended(frozenset(names[7:]))
+        for name in names[1:4]:
+            self.assertIsNone(harness.term.takeover.leases_end_at)
+            harness.report(name)
+        self.assertIsNone(harness.term.takeover.leases_end_at)
+        harness.term.on_target_entry(entries[4])
+        harness.report("t4")
+        self.assertIsNotNone(harness.term.takeover.leases_end_at)
+
 
 class RestartedTargetTest(TermTestCase):
     """Incarnations of a target that share one id."""
