End a term whose successor has claimed before it began

What callers would see: jobs handed in during two quick changes of owner ran twice. Cause: an owner ends its term when it reads a later claim, and its successor therefore starts jobs that come after its own claim at once. A claim that an owner read while it caught up with the log, before its term listened to new records, was not noticed. The owner went on with new jobs until an append was fenced, or for 3 s if its appends failed. Fix: a term checks the claim in force when it takes over, after it has begun to listen. The test failed before: "True is not false" (may_act).

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -57,6 +57,13 @@
                 self._add_job(job, before_claim=bool(targets))
             for name in self._replica.deleted_jobs_with_progress():
                 self._writer.put(r.JOB + name, lambda: None)
+        # A later claim may have been read before this term was told of new records.
+        self._check_claim()
+
+    def _check_claim(self) -> None:
+        claim = self._replica.claim
+        if claim.epoch > self.authority.epoch:
+            self.lose_ownership(f"epoch {claim.epoch} was claimed by {claim.instance}")
 
     def stop(self) -> None:
         """Stops sending commands and renewing leases."""
@@ -90,9 +97,7 @@
                     if name in self.jobs:
                         self._cancel(self.jobs[name])
             case r.CLAIM | r.RELEASE:
-                claim = self._replica.claim
-                if claim.epoch > self.authority.epoch:
-                    self.lose_ownership(f"epoch {claim.epoch} was claimed by {claim.instance}")
+                self._check_claim()
                 return
             case _:
                 return
--- a/tests/unit/cluster/test_no_second_start.py
+++ b/tests/unit/cluster/test_no_second_start.py
@@ -166,6 +166,14 @@
         harness.report("t4")
         self.assertIsNotNone(harness.term.takeover.leases_end_at)
 
+    # A claim read while a term began was not noticed: two owners started the jobs that came later.
+    def test_later_claim_that_is_read_before_the_takeover_ends_the_term(self) -> None:
+        claim = records.Claim(3, "n1#1", "")
+        record = LogRecord(records.claim_key(claim), records.encode_claim(claim), 0)
+        self.replica.apply_job(record)
+        harness = TermHarness(self.clock, self.replica, 2)
+        self.assertFalse(harness.authority.may_act())
+
 
 class RestartedTargetTest(TermTestCase):
     """Incarnations of a target that share one id."""
