--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -274,10 +274,11 @@
         """Whether tasks of the job may still be started."""
         return not self.cancelled and not self.outcome
 
-    def open_occurrence(self, occurrence: int) -> None:
-        """Creates the steps of an occurrence that is due."""
-        for index in range(len(self.submission.spec.steps)):
-            self.steps[occurrence, index] = StepInfo(self, occurrence, index)
+    def open_occurrences(self, count: int) -> None:
+        """Creates the steps of the first ``count`` occurrences, except those that are open."""
+        for occurrence in range(self.occurrences_open, count):
+            for index in range(len(self.submission.spec.steps)):
+                self.steps[occurrence, index] = StepInfo(self, occurrence, index)
 
     @property
     def occurrences_open(self) -> int:
@@ -295,8 +296,8 @@
         self.begun = progress.begun
         self.outcome = progress.outcome
         for (occurrence, index), task in progress.steps.items():
-            if (occurrence, index) not in self.steps:
-                self.open_occurrence(occurrence)
+            # Occurrences need not begin in order: those before a recorded one may have no record.
+            self.open_occurrences(occurrence + 1)
             self.steps[occurrence, index].restore(task)
 
     def progress(self) -> Progress:
@@ -335,8 +336,11 @@
         return self.entry.id
 
     def update_entry(self, entry: TargetEntry) -> None:
-        """Replaces the registry entry by a newer one of the same incarnation."""
-        self.entry = entry
+        """Replaces the registry entry by a newer one of the same incarnation.
+
+        The start time stays known if the newer entry lacks it.
+        """
+        self.entry = entry._replace(started_at_ms=entry.started_at_ms or self.entry.started_at_ms)
         self.free = entry.capacity.plus(self.used, -1)
 
     def add(self, run: Run) -> None:
