A target's start time stays known when an entry lacks it

A registry entry may come from another writer and lack the field "born". Such an entry of a known target replaced the start time by "unknown", and the owner compares start times only if it knows both. A restart under the same id, seen first by a poll, was then taken for the same incarnation: the next poll acknowledged ends up to the number of the old incarnation, the new one discarded ends that nobody had seen, and their tasks were started again.

An entry without a start time now leaves the known one, and the owner takes over the start time that a report states if the entries gave none.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -335,8 +335,11 @@
         return self.entry.id
 
     def update_entry(self, entry: TargetEntry) -> None:
-        """Replaces the registry entry by a newer one of the same incarnation."""
-        self.entry = entry
+        """Replaces the registry entry by a newer one of the same incarnation.
+
+        The start time stays known if the newer entry, which may come from another writer, has none.
+        """
+        self.entry = entry._replace(started_at_ms=entry.started_at_ms or self.entry.started_at_ms)
         self.free = entry.capacity.plus(self.used, -1)
 
     def add(self, run: Run) -> None:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -308,6 +308,8 @@
                 new_entry = target.entry._replace(started_at_ms=report.started_at_ms)
                 self._add_target(new_entry)
                 return
+            if report.started_at_ms:
+                target.entry = target.entry._replace(started_at_ms=report.started_at_ms)
             self.authority.add_target_proof(target.id, sent_at)
             if self.takeover is not None:
                 self.takeover.mark_reached(target.id, now)
--- a/tests/unit/cluster/test_faults.py
+++ b/tests/unit/cluster/test_faults.py
@@ -121,6 +121,36 @@
             with self.subTest(seed=seed):
                 self.assertEqual(simulation.checker.violations, [])
 
+    def test_entry_without_a_start_time_does_not_hide_the_restart(self) -> None:
+        # The entry comes from another writer. The owner learns of the restart only from the
+        # report of the new incarnation.
+        for seed in range(12):
+            simulation = Simulation(seed, nodes=1, targets=3)
+            simulation.nodes[0].take_over()
+            simulation.run(0.3)
+            for number in range(12):
+                simulation.submit(f"{number:016x}")
+                simulation.run(simulation.rng.choice((0.02, 0.04, 0.06, 0.3)))
+                target = simulation.rng.randrange(3)
+                entry = simulation.targets[target].entry._replace(started_at_ms=0)
+                simulation.nodes[0].term.on_target_entry(entry)
+                simulation.restart_with_same_id(target, simulation.rng.uniform(1.0, 1.4))
+            simulation.run(6.0)
+            with self.subTest(seed=seed):
+                self.assertEqual(simulation.checker.violations, [])
+
+    def test_restart_is_noticed_if_the_first_entry_had_no_start_time(self) -> None:
+        simulation = Simulation(1, nodes=1, targets=1)
+        (target,) = simulation.targets
+        simulation.targets[0].entry = target.entry._replace(started_at_ms=0)
+        simulation.nodes[0].take_over()
+        simulation.targets[0].entry = target.entry._replace(started_at_ms=1000)
+        simulation.run(0.5)
+        before = simulation.nodes[0].term.sessions[target.id]
+        simulation.restart_with_same_id(0, 10.0)
+        simulation.run(0.5)
+        self.assertIsNot(simulation.nodes[0].term.sessions[target.id], before)
+
 
 class UnreachedTargetsTest(unittest.TestCase):
     """A new owner does not reach targets on which a team's tasks may be running."""
