A start sent again may reach the next incarnation of a reported run

A start without an answer is sent again for about a second. If the target had executed it, a report had shown the run, and the target then restarted under its id before the start was sent again, the new incarnation executed it too. The owner took the reported run as ended with the old incarnation and started its task elsewhere at once: it ran twice.

A report now proves where a run is only if its poll was sent after the start was answered, that is, after the start was last sent. All other runs are stopped in the new incarnation before their tasks are started again, as runs were before that no report had shown.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -50,6 +50,7 @@
         "first_percent",
         "previous_rate",
         "current_rate",
+        "start_answered_at",
         "is_reported",
     )
 
@@ -74,8 +75,13 @@
         self.valid_until = 0.0
         """After this time the run can't begin, nor go on without a later lease renewal."""
         self.checkpoint = ""
+        self.start_answered_at: float | None = None
+        """When the start was answered; None while it may be sent again."""
         self.is_reported = False
-        """Whether a report of the target's current incarnation contained the run."""
+        """Whether the answer to a poll that was sent after the answered start contained the run.
+
+        The start had then reached the incarnation that answers the polls, and no later one.
+        """
         self.progressed_at = 0.0
         self.reported_at = 0.0
         """When ``percent`` was last updated: at most once per ``MIN_RATE_INTERVAL_S``."""
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -22,7 +22,7 @@
 )
 from azurecleat_cluster._internal.owner.runs import RunTransitions
 from azurecleat_cluster._internal.owner.state import Session
-from azurecleat_cluster._internal.ports import TargetClient
+from azurecleat_cluster._internal.ports import StartResult, TargetClient
 from azurecleat_cluster._internal.replica import records as r
 from azurecleat_cluster._internal.values import (
     RunStatus,
@@ -237,8 +237,9 @@
         """Stops, on a target's new incarnation, a run whose start was sent to the previous one.
 
         Commands name only the target's id, which both incarnations share, so the new one may have
-        received the start. Unless the task is running elsewhere, it is not started again until the
-        new incarnation has answered a stop and a poll.
+        received the start, even if the previous one executed it and the start was sent again.
+        Unless the task is running elsewhere, it is not started again until the new incarnation has
+        answered a stop and a poll.
         """
         step, index = run.step, run.task.index
         run.target, run.confirmed_at, run.valid_until = target, None, 0.0
@@ -287,7 +288,13 @@
             )
             self._release(run)
 
-    # -- reports of sessions ------------------------------------------------------------------
+    # -- answers and reports of sessions ------------------------------------------------------
+
+    def on_start(self, run: Run, result: StartResult) -> None:
+        """Handles an answered start, which is not sent again from now on."""
+        with self.lock:
+            run.start_answered_at = self._clock.monotonic()
+        super().on_start(run, result)
 
     def on_report(self, session: Session, report: TargetReport, sent_at: float) -> None:
         """Handles a target's report of its running and ended runs.
@@ -324,7 +331,7 @@
                     self._process_end(target, end, now)
                     session.processed = end.number
             for status in report.running:
-                self._process_status(target, status, now)
+                self._process_status(target, status, sent_at, now)
             if len(report.ended) < MAX_REPORTED_ENDS:
                 running = {(status.task, status.run) for status in report.running}
                 self._drop_missing(target, running | ended, sent_at)
@@ -336,13 +343,16 @@
         if is_changed:
             self.wake()
 
-    def _process_status(self, target: TargetInfo, status: RunStatus, now: float) -> None:
+    def _process_status(
+        self, target: TargetInfo, status: RunStatus, sent_at: float, now: float
+    ) -> None:
         run = target.runs.get((status.task, status.run))
         if run is None:
             run = self._adopt(target, status)
             if run is None:
                 return
-        run.is_reported = True
+        if run.start_answered_at is not None and run.start_answered_at < sent_at:
+            run.is_reported = True
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
             run.confirmed_at = run.confirmed_at or now
@@ -364,6 +374,7 @@
         run.state = RunState.RUNNING
         run.confirmed_at = self._clock.monotonic()
         run.commanded_at = run.confirmed_at
+        run.start_answered_at = float("-inf")
         run.throttle_percent = UNKNOWN_THROTTLE_PERCENT
         index = status.task.index
         step.last_run = max(step.last_run, status.run)
--- a/tests/unit/cluster/test_faults.py
+++ b/tests/unit/cluster/test_faults.py
@@ -9,10 +9,12 @@
 import unittest.mock
 
 from azurecleat_cluster._internal.owner.authority import Authority, Takeover
+from azurecleat_cluster._internal.owner.model import Run, RunState
 from azurecleat_cluster._internal.owner.term import OwnerTerm
+from azurecleat_cluster.ports import StartCommand
 from azurecleat_cluster.values import JobState, TaskId
 
-from tests.lib.cluster_simulation import Simulation
+from tests.lib.cluster_simulation import LEASE_S, Simulation
 
 SEEDS = range(24)
 ROUNDS = 40
@@ -151,6 +153,37 @@
         simulation.run(0.5)
         self.assertIsNot(simulation.nodes[0].term.sessions[target.id], before)
 
+    def test_start_sent_again_reaches_the_new_incarnation_of_a_reported_run(self) -> None:
+        # The answer to the start is lost, a report shows the run, and the target restarts before
+        # the start is sent again.
+        simulation = Simulation(1, nodes=1, targets=2, max_task_s=60.0)
+        node, (first, second) = simulation.nodes[0], simulation.targets
+        node.unreachable_targets = {second.id}
+        node.take_over()
+        simulation.run(0.3)
+        runs: list[Run] = []
+        session = node.term.sessions[first.id]
+        session.submit_start = lambda run, payload, ticket: runs.append(run)
+        simulation.submit(f"{1:016x}")
+        simulation.run(0.1)
+
+        def execute_starts() -> None:
+            target, now = simulation.targets[0], simulation.clock.monotonic()
+            until_ms = int(target.clock_ms(now) + LEASE_S * 1000.0)
+            for run in runs:
+                command = StartCommand(run.task, run.number, "", until_ms, fencing_token=1)
+                self.assertTrue(target.start(command, now).started)
+
+        execute_starts()
+        simulation.run(0.3)
+        self.assertEqual({run.state for run in runs}, {RunState.RUNNING})
+        node.unreachable_targets = set()
+        simulation.run(0.3)
+        simulation.restart_with_same_id(0, 0.1)
+        execute_starts()
+        simulation.run(4.0)
+        self.assertEqual(simulation.checker.violations, [])
+
 
 class UnreachedTargetsTest(unittest.TestCase):
     """A new owner does not reach targets on which a team's tasks may be running."""
