The fake's targets close their connections when they restart

The kernel closes the connections of a real process that ends, and the owner relies on that: it acknowledges ends only over the connection of the last answered poll.

The next report contains neither the run nor its end, so the owner logs run.lost and starts the task again.

A connection now belongs to one incarnation, and a restart closes it, also while a request on it is being served. The new test in tests.functional.test_soak failed before.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import http.client
+import json
 import tempfile
 import time
 import unittest
@@ -47,6 +49,36 @@
                 self.assertTrue(cause)
 
 
+class FakeTargetTest(unittest.TestCase):
+    """Restarts a target of the fake platform, and polls it over its connections."""
+
+    def setUp(self) -> None:
+        self.platform = FakePlatform(targets=1)
+        self.addCleanup(self.platform.close)
+        self.connection = self.connect()
+
+    def connect(self) -> http.client.HTTPConnection:
+        connection = http.client.HTTPConnection(self.platform.target_addresses[0], timeout=5.0)
+        self.addCleanup(connection.close)
+        connection.connect()
+        connection.auto_open = 0
+        return connection
+
+    def poll(self, connection: http.client.HTTPConnection) -> int:
+        """Polls the target and returns when its incarnation started."""
+        headers = {"X-Expect-Instance": "i-0"}
+        connection.request("POST", "/hold", json.dumps({"fence": 1, "last_seen": 0}), headers)
+        return json.loads(connection.getresponse().read())["born"]
+
+    def test_connections_of_an_incarnation_end_with_it(self) -> None:
+        first = self.poll(self.connection)
+        self.assertEqual(self.poll(self.connection), first)
+        self.platform.replace_target(0, keeps_id=True)
+        with self.assertRaises((OSError, http.client.HTTPException)):
+            self.poll(self.connection)
+        self.assertEqual(self.poll(self.connect()), first + 1)
+
+
 class GuaranteeCheckerTest(unittest.TestCase):
     """Violates each guarantee on purpose; the checker must report it."""
 
--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import random
+import socket
 import struct
 import sys
 import threading
@@ -35,6 +36,9 @@
 Answer = tuple[int, bytes]
 """Status and body. A status of 0 closes the connection without an answer."""
 
+Handle = Callable[[str, str, dict, bytes, Any], Answer]
+"""Answers a request, given as method, path, query, body and headers."""
+
 LOST_RESPONSE_S = 3.0
 """How long a request whose answer is lost stays open; longer than any caller waits."""
 
@@ -43,6 +47,11 @@
     return status, json.dumps(value).encode()
 
 
+def close_connection(*request: Any) -> Answer:
+    """Answers a request by closing its connection."""
+    return 0, b""
+
+
 class _QuietServer(ThreadingHTTPServer):
     """Server that prints no error when a caller closes or resets its connection."""
 
@@ -54,12 +63,28 @@
 
 
 class Server:
-    """An HTTP server on a free port of the loopback interface."""
+    """An HTTP server on a free port of the loopback interface.
+
+    :param handle: Answers requests.
+    """
+
+    def __init__(self, handle: Handle) -> None:
+        self._handle = handle
+        self._connections: set[socket.socket] = set()
+        self._lock = threading.Lock()
+        add_connection, remove_connection = self._add_connection, self._remove_connection
 
-    def __init__(self, handle: Callable[[str, str, dict, bytes, Any], Answer]) -> None:
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
+            def setup(self) -> None:
+                super().setup()
+                self._handle = add_connection(self.connection)
+
+            def finish(self) -> None:
+                remove_connection(self.connection)
+                super().finish()
+
             def _serve(self) -> None:
                 length = int(self.headers.get("Content-Length") or 0)
                 body = self.rfile.read(length)
@@ -68,7 +93,7 @@
                     return
                 parts = urlsplit(self.path)
                 query = {name: values[0] for name, values in parse_qs(parts.query).items()}
-                status, answer = handle(self.command, parts.path, query, body, self.headers)
+                status, answer = self._handle(self.command, parts.path, query, body, self.headers)
                 if not status:
                     self.close_connection = True
                     return
@@ -89,10 +114,33 @@
         self.address = f"127.0.0.1:{self._server.server_port}"
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
+    def restart(self, handle: Handle) -> None:
+        """Closes all connections, as the kernel does when the process of a server ends.
+
+        :param handle: Answers the requests on later connections.
+        """
+        with self._lock:
+            self._handle = handle
+            for connection in self._connections:
+                try:
+                    connection.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass  # The caller has closed the connection.
+
     def close(self) -> None:
         self._server.shutdown()
         self._server.server_close()
 
+    def _add_connection(self, connection: socket.socket) -> Handle:
+        """Adds a connection and returns what answers all requests on it."""
+        with self._lock:
+            self._connections.add(connection)
+            return self._handle
+
+    def _remove_connection(self, connection: socket.socket) -> None:
+        with self._lock:
+            self._connections.discard(connection)
+
 
 class AddressRewriter:
     """Replaces addresses in the records that one instance exchanges with the store.
@@ -130,6 +178,7 @@
         self.completed_tasks: set[TaskId] = set()
         self._duration = task_s if callable(task_s) else lambda task: task_s
         self._slots: list[SimTarget] = []
+        self._target_servers: list[Server] = []
         self._incarnations = 0
         self._unannounced: list[tuple[str, bytes | None]] = []
         self.lose_answers = 0
@@ -139,9 +188,10 @@
             server.address for server in self._servers
         )
         for number in range(targets):
-            server = Server(partial(self._serve_target, number))
+            server = Server(close_connection)
             self._servers.append(server)
-            self._slots.append(self._make_target(f"i-{number}", server.address))
+            self._target_servers.append(server)
+            self._slots.append(self._make_target(f"i-{number}", server))
 
     def close(self) -> None:
         for server in self._servers:
@@ -230,7 +280,7 @@
             if not keeps_id:
                 del self.targets[old.id]
                 self._announce(old.id, None)
-            self._slots[number] = self._make_target(name, old.entry.address)
+            self._slots[number] = self._make_target(name, self._target_servers[number])
 
     def advance(self) -> None:
         """Ends runs that are over, and announces targets once the store is back."""
@@ -253,8 +303,9 @@
     def target_addresses(self) -> list[str]:
         return [target.entry.address for target in self._slots]
 
-    def _make_target(self, name: str, address: str) -> SimTarget:
+    def _make_target(self, name: str, server: Server) -> SimTarget:
         self._incarnations += 1
+        address = server.address
         born = 1000 + self._incarnations
         entry = TargetEntry(
             name, "pool", address, "z", TargetState.READY, born, Resources(16000, 64000, 0)
@@ -262,6 +313,7 @@
         rng = random.Random(self._incarnations)
         target = SimTarget(entry, self.checker, rng, 1.0, self.completed_tasks, self._duration)
         self.targets[name] = target
+        server.restart(partial(self._serve_target, target))
         value = {"service": "pool", "address": address, "zone": "z", "version": "v1"}
         value |= {"slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": born}
         value |= {"capacity": {"cpu": 16000, "mem_mb": 64000, "gpu": 0}, "labels": ["a", "r1"]}
@@ -345,9 +397,9 @@
         return to_answer(200, {"allowed": [[name, f"t-{name}"] for name in names]})
 
     def _serve_target(
-        self, number: int, method: str, path: str, query: dict, body: bytes, headers: Any
+        self, target: SimTarget, method: str, path: str, query: dict, body: bytes, headers: Any
     ) -> Answer:
-        target, fields = self._slots[number], json.loads(body)
+        fields = json.loads(body)
         if headers["X-Expect-Instance"] != target.id:
             return to_answer(421, {})
         try:
