Two instances of a test never get the same port

free_ports releases the ports that it returns until a process uses them, so a later call could return one of them again. In one of 48 soak runs, n0 was to listen for readiness on the port on which n1 was to listen for other instances: n1 ended with "Address already in use", and the run with "not in time: n1 is ready". A process now gets each port only once.

New test in tests.functional.test_soak, red before.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -4,14 +4,17 @@
 
 import http.client
 import json
+import random
 import tempfile
 import time
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from azurecleat_cluster.values import TaskId
 
 from tests.lib.fake_platform import FakePlatform
+from tests.lib.instance_process import PORTS, free_ports
 from tests.soak.faults import FAULT_KINDS, generate_faults
 from tests.soak.guarantees import (
     CANCELLATION_BOUND_S,
@@ -43,6 +46,12 @@
         kinds = {fault.kind for seed in range(40) for fault in generate_faults(seed, 20.0, 0.5)}
         self.assertEqual(kinds, set(FAULT_KINDS))
 
+    def test_instances_that_have_not_started_get_different_ports(self) -> None:
+        ports = free_ports()
+        draws = [ports, *(random.sample(PORTS, 3) for _ in range(100))]
+        with mock.patch("random.sample", side_effect=draws):
+            self.assertTrue(set(ports).isdisjoint(free_ports()))
+
     def test_seeds_in_regressions_have_a_cause(self) -> None:
         for seed, cause in load_regressions():
             with self.subTest(seed=seed):
--- a/tests/lib/instance_process.py
+++ b/tests/lib/instance_process.py
@@ -20,19 +20,24 @@
 TIMEOUT_S = 20.0
 PORTS = range(15_000, 30_000, 2)
 
+_given_ports: set[int] = set()
+
 
 def free_ports() -> list[int]:
     """Returns two free ports and the first of two free consecutive ports.
 
     The ports are below the ephemeral range, so that the system assigns them to no other process
-    before they are used.
+    before they are used. This process gets each of them only once.
     """
     while True:
         ports = random.sample(PORTS, 3)
+        if not _given_ports.isdisjoint(ports):
+            continue
         sockets = []
         try:
             for port in (*ports, ports[2] + 1):
                 sockets.append(socket.create_server(("127.0.0.1", port)))
+            _given_ports.update(ports)
             return ports
         except OSError:
             continue
