Ports of the tests stay reserved, also between processes

With three soaks started at once, one of the first twelve runs still ended with "not in time: n3 is ready": a port of n3 was in use, and no other instance of that run had it. Test processes drew from the same ports, and a port that was returned was free until its instance listened.

free_ports now keeps its ports bound, without listening, until the process ends. A server that sets SO_REUSEADDR, as all servers here do, can still listen on them, also after a restart; another call, in any process, can't bind them.

--- a/tests/lib/instance_process.py
+++ b/tests/lib/instance_process.py
@@ -20,30 +20,42 @@
 TIMEOUT_S = 20.0
 PORTS = range(15_000, 30_000, 2)
 
-_given_ports: set[int] = set()
+_reservations: list[socket.socket] = []
 
 
 def free_ports() -> list[int]:
     """Returns two free ports and the first of two free consecutive ports.
 
-    The ports are below the ephemeral range, so that the system assigns them to no other process
-    before they are used. This process gets each of them only once.
+    The ports are below the ephemeral range, so that the system assigns them to no other process.
+    They stay reserved until this process ends: no other call returns them, in any process.
     """
     while True:
         ports = random.sample(PORTS, 3)
-        if not _given_ports.isdisjoint(ports):
-            continue
         sockets = []
         try:
             for port in (*ports, ports[2] + 1):
-                sockets.append(socket.create_server(("127.0.0.1", port)))
-            _given_ports.update(ports)
-            return ports
+                sockets.append(_reserve(port))
         except OSError:
-            continue
-        finally:
             for each in sockets:
                 each.close()
+            continue
+        _reservations.extend(sockets)
+        return ports
+
+
+def _reserve(port: int) -> socket.socket:
+    """Binds a port for which a process with ``SO_REUSEADDR`` can still listen.
+
+    :raises OSError: The port is in use or reserved.
+    """
+    reservation = socket.socket()
+    try:
+        reservation.bind(("127.0.0.1", port))
+    except OSError:
+        reservation.close()
+        raise
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    return reservation
 
 
 class InstanceProcess:
