The soak's checker copies what the targets change

One of 13 soak runs ended with "RuntimeError: Set changed size during iteration": the checker walked over the completed tasks while a target added one. It now works on copies. New test in tests.functional.test_soak, red before.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -101,6 +101,16 @@
     def violated_rules(self) -> list[str]:
         return [text.partition(" ")[0] for text in self.guarantee_checker.violations]
 
+    def test_task_that_ends_during_the_check(self) -> None:
+        class EndingTask:
+            def __str__(task) -> str:  # noqa: N805
+                self.platform.completed_tasks.add(object())
+                return "task"
+
+        self.platform.completed_tasks.add(EndingTask())
+        self.guarantee_checker.on_state_response(self.job, time.monotonic(), 200, "completed")
+        self.assertEqual(self.violated_rules(), ["MIXED"])
+
     def test_job_completed_before_its_tasks(self) -> None:
         self.guarantee_checker.on_state_response(self.job, time.monotonic(), 200, "completed")
         self.assertEqual(self.violated_rules(), ["MIXED"])
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -120,7 +120,7 @@
             return
         job.state = state
         if state == "completed":
-            completed = {str(task) for task in self._platform.completed_tasks}
+            completed = {str(task) for task in list(self._platform.completed_tasks)}
             missing = [task for task in job.tasks if task not in completed]
             if missing:
                 self._add_violation(
@@ -157,7 +157,7 @@
 
     def _has_exhausted_attempts(self, job: Job) -> bool:
         # The queue of the fake platform allows 3 attempts per task.
-        failures = self._platform.checker.failed_ends
+        failures = dict(self._platform.checker.failed_ends)
         return any(task.job == job.name and count >= 3 for task, count in failures.items())
 
     def _add_violation(self, text: str) -> None:
