--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from unittest import mock
 
+from azurecleat_cluster.ports import StartCommand
 from azurecleat_cluster.values import TaskId
 
 from tests.lib.fake_platform import FakePlatform
@@ -28,6 +29,7 @@
 
 SEED = 4711
 SHORT_SOAK = SoakSettings(seconds=8.0, instances=3, targets=3, callers=3)
+JOB = "0000000000000001"
 BODY = {"spec": "x", "steps": [{"count": 2, "cpu": 1000}]}
 
 
@@ -95,7 +97,7 @@
         self.platform = FakePlatform(targets=1)
         self.addCleanup(self.platform.close)
         self.guarantee_checker = GuaranteeChecker(self.platform)
-        self.job = Job("0000000000000001", BODY)
+        self.job = Job(JOB, BODY)
         self.guarantee_checker.add(self.job)
 
     def violated_rules(self) -> list[str]:
@@ -152,6 +154,18 @@
         self.guarantee_checker.check_end()
         self.assertEqual(self.violated_rules(), ["UNASKED"])
 
+    def test_task_started_again_before_its_end_is_acknowledged(self) -> None:
+        self.platform.expect_job(JOB, BODY)
+        target, now = self.platform.targets["i-0"], time.monotonic()
+        until_ms = int(target.clock_ms(now)) + 5000
+        for run, started_at in ((1, now), (2, now + 1.0)):
+            command = StartCommand(TaskId(JOB, 0, 0, 0), run, "x", until_ms, 1)
+            target.start(command, started_at)
+        self.assertEqual(self.platform.checker.violations, [])
+        target.poll(1, 1, None, now + 1.1)
+        (violation,) = self.platform.checker.violations
+        self.assertIn("TWICE after done", violation)
+
     def test_revoked_key_that_is_accepted(self) -> None:
         self.guarantee_checker.on_key_revoked("old")
         self.guarantee_checker.on_response("old", time.monotonic(), 200)
