An entry without a start time at another address ends no incarnation

A registry entry from another writer may lack the field "born". If it named another address for a known target, the owner took it for another incarnation: it dropped the target, which was still alive, and started its runs elsewhere at once, within their lease. Such an entry is now ignored if the start time of the target is known: only a start time shows that an incarnation has ended.

New test in RestartedTargetsTest, red before.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -145,6 +145,8 @@
             session = self.sessions.get(entry.id)
             if session is not None and _is_previous_incarnation(session.target.entry, entry):
                 return  # The entry is outdated: a newer incarnation of the target has answered.
+            if session is not None and _is_foreign(session.target.entry, entry):
+                return  # Only a start time could show that the known incarnation has ended.
             if session is not None and _is_same_incarnation(session.target.entry, entry):
                 self._update_entry(session.target, entry)
             else:
@@ -515,3 +517,9 @@
 
 def _is_previous_incarnation(known: TargetEntry, reported: TargetEntry) -> bool:
     return known.address == reported.address and 0 < reported.started_at_ms < known.started_at_ms
+
+
+def _is_foreign(known: TargetEntry, reported: TargetEntry) -> bool:
+    """Whether another writer than the target wrote an entry: it lacks the target's start time."""
+    is_start_missing = known.started_at_ms and not reported.started_at_ms
+    return bool(is_start_missing) and known.address != reported.address
--- a/tests/unit/cluster/test_faults.py
+++ b/tests/unit/cluster/test_faults.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import copy
 import unittest
 import unittest.mock
 
@@ -153,6 +154,21 @@
         simulation.run(0.5)
         self.assertIsNot(simulation.nodes[0].term.sessions[target.id], before)
 
+    def test_entry_without_a_start_time_at_another_address_replaces_no_target(self) -> None:
+        simulation = Simulation(1, nodes=1, targets=2, max_task_s=60.0)
+        simulation.nodes[0].take_over()
+        simulation.run(0.3)
+        simulation.submit(f"{1:016x}")
+        simulation.run(0.5)
+        term, runs = simulation.nodes[0].term, copy.deepcopy(simulation.checker.running)
+        for target in simulation.targets:
+            entry = target.entry._replace(address="10.1.0.9:80", started_at_ms=0)
+            term.on_target_entry(entry)
+            self.assertEqual(term.sessions[target.id].target.entry, target.entry)
+        simulation.run(1.0)
+        self.assertTrue(runs)
+        self.assertEqual(simulation.checker.running, runs)
+
     def test_start_sent_again_reaches_the_new_incarnation_of_a_reported_run(self) -> None:
         # The answer to the start is lost, a report shows the run, and the target restarts before
         # the start is sent again.
