Soak: targets that leave calls unanswered and execute them, also late

The faults of the soak could hardly lose the answer to a start and let the next attempt through: a cut holds back both, a delay applies to all attempts, and a cut in one direction has to end between two attempts, on the connection of the owner to that target, while a task of less than the pause between them runs.

With the new fault "target_loses", a target leaves half of its calls without an answer for a time, keeps their connections open, and executes them at once or up to 2 s late, as the platform's protocol allows.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -16,7 +16,7 @@
 
 from tests.lib.fake_platform import FakePlatform
 from tests.lib.instance_process import PORTS, free_ports
-from tests.soak.faults import FAULT_KINDS, generate_faults
+from tests.soak.faults import FAULT_KINDS, LOSS_KIND, generate_faults
 from tests.soak.guarantees import (
     CANCELLATION_BOUND_S,
     REVOCATION_BOUND_S,
@@ -46,7 +46,7 @@
     def test_faults_depend_only_on_the_seed_and_cover_all_kinds(self) -> None:
         self.assertEqual(generate_faults(7, 20.0, 0.5), generate_faults(7, 20.0, 0.5))
         kinds = {fault.kind for seed in range(40) for fault in generate_faults(seed, 20.0, 0.5)}
-        self.assertEqual(kinds, set(FAULT_KINDS))
+        self.assertEqual(kinds, {*FAULT_KINDS, LOSS_KIND})
 
     def test_instances_that_have_not_started_get_different_ports(self) -> None:
         ports = free_ports()
@@ -61,25 +61,39 @@
 
 
 class FakeTargetTest(unittest.TestCase):
-    """Restarts a target of the fake platform, and polls it over its connections."""
+    """Calls a target of the fake platform that restarts or leaves calls unanswered."""
 
     def setUp(self) -> None:
-        self.platform = FakePlatform(targets=1)
+        self.platform = FakePlatform(targets=1, task_s=1.0)
         self.addCleanup(self.platform.close)
         self.connection = self.connect()
 
-    def connect(self) -> http.client.HTTPConnection:
-        connection = http.client.HTTPConnection(self.platform.target_addresses[0], timeout=5.0)
+    def connect(self, timeout_s: float = 5.0) -> http.client.HTTPConnection:
+        address = self.platform.target_addresses[0]
+        connection = http.client.HTTPConnection(address, timeout=timeout_s)
         self.addCleanup(connection.close)
         connection.connect()
         connection.auto_open = 0
         return connection
 
+    def call(
+        self, connection: http.client.HTTPConnection, path: str, **fields: object
+    ) -> tuple[int, dict]:
+        body = json.dumps({"fence": 1, **fields})
+        connection.request("POST", path, body, {"X-Expect-Instance": "i-0"})
+        response = connection.getresponse()
+        return response.status, json.loads(response.read())
+
     def poll(self, connection: http.client.HTTPConnection) -> int:
         """Polls the target and returns when its incarnation started."""
-        headers = {"X-Expect-Instance": "i-0"}
-        connection.request("POST", "/hold", json.dumps({"fence": 1, "last_seen": 0}), headers)
-        return json.loads(connection.getresponse().read())["born"]
+        _, report = self.call(connection, "/hold", last_seen=0)
+        return report["born"]
+
+    def start(self, connection: http.client.HTTPConnection) -> int:
+        """Starts a task for a second and returns the status."""
+        task, until_ms = f"{JOB}.0.0.0", int(time.monotonic() * 1000) + 1000
+        run = {"task": task, "run": 1, "spec": "x", "until_ms": until_ms, "ticket": "t-i-0"}
+        return self.call(connection, "/run-start", **run)[0]
 
     def test_connections_of_an_incarnation_end_with_it(self) -> None:
         first = self.poll(self.connection)
@@ -89,6 +103,16 @@
             self.poll(self.connection)
         self.assertEqual(self.poll(self.connect()), first + 1)
 
+    def test_lost_call_is_executed_and_gets_no_answer(self) -> None:
+        self.platform.expect_job(JOB, BODY)
+        self.platform.lose_calls(0, mock.Mock(random=lambda: 0.0, choice=min, uniform=max))
+        with self.assertRaises(TimeoutError):
+            self.start(self.connect(timeout_s=0.3))
+        self.assertEqual(self.platform.checker.starts, 1)
+        self.platform.answer_calls(0)
+        self.assertEqual(self.start(self.connection), 200)
+        self.assertEqual(self.platform.checker.starts, 1)
+
 
 class GuaranteeCheckerTest(unittest.TestCase):
     """Violates each guarantee on purpose; the checker must report it."""
--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -42,6 +42,12 @@
 LOST_RESPONSE_S = 3.0
 """How long a request whose answer is lost stays open; longer than any caller waits."""
 
+CALL_LOSS_RATE = 0.5
+"""Share of the calls that a target leaves unanswered while it loses calls."""
+
+MAX_LATE_S = 2.0
+"""Longest time after which a target executes a call that it leaves unanswered."""
+
 
 def to_answer(status: int, value: Any) -> Answer:
     return status, json.dumps(value).encode()
@@ -183,6 +189,8 @@
         self._unannounced: list[tuple[str, bytes | None]] = []
         self.lose_answers = 0
         """Number of the next appends by instances that take effect but get no answer."""
+        self._losses: dict[str, random.Random] = {}
+        """Draws the lost calls, by the address of a target that leaves calls unanswered."""
         self._servers = [Server(self._serve_store), Server(self._machines), Server(self._advise)]
         self.store_address, self.cloud_address, self.advice_address = (
             server.address for server in self._servers
@@ -282,6 +290,14 @@
                 self._announce(old.id, None)
             self._slots[number] = self._make_target(name, self._target_servers[number])
 
+    def lose_calls(self, number: int, rng: random.Random) -> None:
+        """Lets a target leave some calls unanswered, and execute these at once or late."""
+        self._losses[self._slots[number].entry.address] = rng
+
+    def answer_calls(self, number: int) -> None:
+        """Lets a target answer all calls again."""
+        self._losses.pop(self._slots[number].entry.address, None)
+
     def advance(self) -> None:
         """Ends runs that are over, and announces targets once the store is back."""
         with self.lock:
@@ -399,6 +415,15 @@
     def _serve_target(
         self, target: SimTarget, method: str, path: str, query: dict, body: bytes, headers: Any
     ) -> Answer:
+        rng = self._losses.get(target.entry.address)
+        if rng is None or rng.random() >= CALL_LOSS_RATE:
+            return self._execute(target, path, body, headers)
+        time.sleep(rng.choice((0.0, rng.uniform(0.0, MAX_LATE_S))))
+        self._execute(target, path, body, headers)
+        time.sleep(LOST_RESPONSE_S)
+        return 0, b""
+
+    def _execute(self, target: SimTarget, path: str, body: bytes, headers: Any) -> Answer:
         fields = json.loads(body)
         if headers["X-Expect-Instance"] != target.id:
             return to_answer(421, {})
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,7 +5,7 @@
 import random
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from tests.soak.cluster import TEAM_KEYS, Cluster, Member
@@ -32,6 +32,12 @@
     "configure",  # Writes the configuration again under a new version.
     "revoke",  # Replaces the oldest API key by a new one.
 )
+LOSS_KIND = "target_loses"
+"""A target leaves some calls unanswered, and executes these at once or late."""
+
+LOSS_INTERVAL_FACTOR = 6.0
+"""Mean time between two losses, relative to the mean time between two faults of the other kinds."""
+
 MIN_DURATION_S, MAX_DURATION_S = 0.1, 4.0
 RESTART_DELAY_S = 0.3
 MAX_SERIES_LENGTH = 4
@@ -56,16 +62,28 @@
 
     :param seconds: Length of the soak test; repeats of a fault may lie beyond its end.
     """
-    rng = random.Random(f"{seed}/faults")
+    # Losses have their own generator, so that each seed keeps its faults of the other kinds.
+    return sorted(
+        _draw_faults(f"{seed}/faults", FAULT_KINDS, seconds, mean_interval_s)
+        + _draw_faults(
+            f"{seed}/losses", (LOSS_KIND,), seconds, mean_interval_s * LOSS_INTERVAL_FACTOR
+        )
+    )
+
+
+def _draw_faults(
+    seed: str, kinds: Sequence[str], seconds: float, mean_interval_s: float
+) -> list[Fault]:
+    rng = random.Random(seed)
     faults: list[Fault] = []
     at_s = 0.0
     while (at_s := at_s + rng.expovariate(1.0 / mean_interval_s)) < seconds:
-        kind = rng.choice(FAULT_KINDS)
+        kind = rng.choice(kinds)
         duration_s = min(MAX_DURATION_S, max(MIN_DURATION_S, rng.expovariate(1.0)))
         selector = rng.randrange(1 << 30)
         for number in range(rng.randint(1, MAX_SERIES_LENGTH) if rng.random() < 0.2 else 1):
             faults.append(Fault(at_s + number * duration_s, kind, duration_s, selector + number))
-    return sorted(faults)
+    return faults
 
 
 class FaultInjector:
@@ -119,6 +137,10 @@
                 self._schedule(ends_at, lambda: setattr(cluster.platform.log, "down", False))
             case "store_loses":
                 cluster.platform.lose_answers = 1 + fault.selector % 3
+            case "target_loses":
+                number = fault.selector % len(cluster.platform.target_addresses)
+                cluster.platform.lose_calls(number, random.Random(fault.selector))
+                self._schedule(ends_at, lambda: cluster.platform.answer_calls(number))
             case "target_replaced" | "target_restarted":
                 number = fault.selector % len(cluster.platform.target_addresses)
                 cluster.platform.replace_target(number, keeps_id=fault.kind == "target_restarted")
