--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -50,6 +50,7 @@
         "first_percent",
         "previous_rate",
         "current_rate",
+        "start_answered_at",
         "is_reported",
     )
 
@@ -74,8 +75,13 @@
         self.valid_until = 0.0
         """After this time the run can't begin, nor go on without a later lease renewal."""
         self.checkpoint = ""
+        self.start_answered_at: float | None = None
+        """When the start was answered; None while it may be sent again."""
         self.is_reported = False
-        """Whether a report of the target's current incarnation contained the run."""
+        """Whether the answer to a poll that was sent after the answered start contained the run.
+
+        The start had then reached the incarnation that answers the polls, and no later one.
+        """
         self.progressed_at = 0.0
         self.reported_at = 0.0
         """When ``percent`` was last updated: at most once per ``MIN_RATE_INTERVAL_S``."""
@@ -338,7 +344,7 @@
     def update_entry(self, entry: TargetEntry) -> None:
         """Replaces the registry entry by a newer one of the same incarnation.
 
-        The start time stays known if the newer entry lacks it.
+        The start time stays known if the newer entry, which may come from another writer, has none.
         """
         self.entry = entry._replace(started_at_ms=entry.started_at_ms or self.entry.started_at_ms)
         self.free = entry.capacity.plus(self.used, -1)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -21,6 +21,7 @@
     TargetInfo,
 )
 from azurecleat_cluster._internal.owner.runs import RunTransitions
+from azurecleat_cluster._internal.owner.start_attempts import StartOutcome
 from azurecleat_cluster._internal.owner.state import Session
 from azurecleat_cluster._internal.ports import TargetClient
 from azurecleat_cluster._internal.replica import records as r
@@ -172,6 +173,8 @@
             session = self.sessions.get(entry.id)
             if session is not None and _is_previous_incarnation(session.target.entry, entry):
                 return  # The entry is outdated: a newer incarnation of the target has answered.
+            if session is not None and _is_foreign(session.target.entry, entry):
+                return  # Only a start time could show that the known incarnation has ended.
             if session is not None and _is_same_incarnation(session.target.entry, entry):
                 self._update_entry(session.target, entry)
             else:
@@ -267,8 +270,9 @@
         """Stops, on a target's new incarnation, a run whose start was sent to the previous one.
 
         Commands name only the target's id, which both incarnations share, so the new one may have
-        received the start. Unless the task is running elsewhere, it is not started again until the
-        new incarnation has answered a stop and a poll.
+        received the start, even if the previous one executed it and the start was sent again.
+        Unless the task is running elsewhere, it is not started again until the new incarnation has
+        answered a stop and a poll.
         """
         step, index = run.step, run.task.index
         run.target, run.confirmed_at, run.valid_until = target, None, 0.0
@@ -324,7 +328,13 @@
             )
             self._release(run)
 
-    # -- reports of sessions ------------------------------------------------------------------
+    # -- answers and reports of sessions ------------------------------------------------------
+
+    def on_start(self, run: Run, outcome: StartOutcome) -> None:
+        """Handles an answered start, which is not sent again from now on."""
+        with self.lock:
+            run.start_answered_at = self._clock.monotonic()
+        super().on_start(run, outcome)
 
     def on_report(self, session: Session, report: TargetReport, sent_at: float) -> None:
         """Handles a target's report of its running and ended runs.
@@ -368,7 +378,7 @@
                     self._process_end(target, end, now)
                     session.processed = end.number
             for status in report.running:
-                self._process_status(target, status, now)
+                self._process_status(target, status, sent_at, now)
             if is_complete:
                 running = {(status.task, status.run) for status in report.running}
                 self._drop_missing(target, running | ended, sent_at)
@@ -386,13 +396,16 @@
         encoded = _encode_target(target.entry)
         self._writer.put(r.TARGET + target.id, lambda: encoded)
 
-    def _process_status(self, target: TargetInfo, status: RunStatus, now: float) -> None:
+    def _process_status(
+        self, target: TargetInfo, status: RunStatus, sent_at: float, now: float
+    ) -> None:
         run = target.runs.get((status.task, status.run))
         if run is None:
             run = self._adopt(target, status)
             if run is None:
                 return
-        run.is_reported = True
+        if run.start_answered_at is not None and run.start_answered_at < sent_at:
+            run.is_reported = True
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
             run.confirmed_at = run.confirmed_at or now
@@ -414,6 +427,7 @@
         run.state = RunState.RUNNING
         run.confirmed_at = self._clock.monotonic()
         run.commanded_at = run.confirmed_at
+        run.start_answered_at = float("-inf")
         run.throttle_percent = UNKNOWN_THROTTLE_PERCENT
         index = status.task.index
         step.last_run = max(step.last_run, status.run)
@@ -572,3 +586,9 @@
 
 def _is_previous_incarnation(known: TargetEntry, reported: TargetEntry) -> bool:
     return known.address == reported.address and 0 < reported.started_at_ms < known.started_at_ms
+
+
+def _is_foreign(known: TargetEntry, reported: TargetEntry) -> bool:
+    """Whether another writer than the target wrote an entry: it lacks the target's start time."""
+    is_start_missing = known.started_at_ms and not reported.started_at_ms
+    return bool(is_start_missing) and known.address != reported.address
--- a/tests/lib/simulated_targets.py
+++ b/tests/lib/simulated_targets.py
@@ -107,6 +107,12 @@
         if kind is EndKind.DONE:
             self._unacknowledged.setdefault(task, set()).add((target.id, run))
 
+    def on_crash(self, target: SimTarget) -> None:
+        """Forgets the unacknowledged ends of an incarnation: no later one lists them."""
+        for runs in self._unacknowledged.values():
+            runs.difference_update([each for each in runs if each[0] == target.id])
+        self._repeated = {each for each in self._repeated if each[1] != target.id}
+
     def on_acknowledged(self, target: SimTarget, end: RunEnd, now: float) -> None:
         """Records a run end that was acknowledged before the target's lease expired.
 
@@ -257,6 +263,7 @@
         self.is_up = False
         for task, run in self._runs:
             self._checker.on_end(self, task, run, EndKind.LAPSED)
+        self._checker.on_crash(self)
         self._runs.clear()
 
     def _check_fencing_token(self, fencing_token: int) -> None:
--- a/tests/unit/cluster/test_faults.py
+++ b/tests/unit/cluster/test_faults.py
@@ -5,18 +5,19 @@
 
 from __future__ import annotations
 
+import copy
 import unittest
 import unittest.mock
 
 from azurecleat_cluster._internal.owner.authority import Authority, Takeover
-from azurecleat_cluster._internal.owner.model import RunState
+from azurecleat_cluster._internal.owner.model import Run, RunState
 from azurecleat_cluster._internal.owner.start_attempts import StartAttempts, StartOutcome
 from azurecleat_cluster._internal.owner.target_session import START_ATTEMPTS
 from azurecleat_cluster._internal.owner.term import OwnerTerm
-from azurecleat_cluster.ports import StartResult
+from azurecleat_cluster.ports import StartCommand, StartResult
 from azurecleat_cluster.values import JobState, TaskId
 
-from tests.lib.cluster_simulation import Simulation
+from tests.lib.cluster_simulation import LEASE_S, Simulation
 
 SEEDS = range(24)
 ROUNDS = 40
@@ -125,6 +126,82 @@
             with self.subTest(seed=seed):
                 self.assertEqual(simulation.checker.violations, [])
 
+    def test_entry_without_a_start_time_does_not_hide_the_restart(self) -> None:
+        # The entry comes from another writer. The owner learns of the restart only from the
+        # report of the new incarnation.
+        for seed in range(12):
+            simulation = Simulation(seed, nodes=1, targets=3)
+            simulation.nodes[0].take_over()
+            simulation.run(0.3)
+            for number in range(12):
+                simulation.submit(f"{number:016x}")
+                simulation.run(simulation.rng.choice((0.02, 0.04, 0.06, 0.3)))
+                target = simulation.rng.randrange(3)
+                entry = simulation.targets[target].entry._replace(started_at_ms=0)
+                simulation.nodes[0].term.on_target_entry(entry)
+                simulation.restart_with_same_id(target, simulation.rng.uniform(1.0, 1.4))
+            simulation.run(6.0)
+            with self.subTest(seed=seed):
+                self.assertEqual(simulation.checker.violations, [])
+
+    def test_restart_is_noticed_if_the_first_entry_had_no_start_time(self) -> None:
+        simulation = Simulation(1, nodes=1, targets=1)
+        (target,) = simulation.targets
+        simulation.targets[0].entry = target.entry._replace(started_at_ms=0)
+        simulation.nodes[0].take_over()
+        simulation.targets[0].entry = target.entry._replace(started_at_ms=1000)
+        simulation.run(0.5)
+        before = simulation.nodes[0].term.sessions[target.id]
+        simulation.restart_with_same_id(0, 10.0)
+        simulation.run(0.5)
+        self.assertIsNot(simulation.nodes[0].term.sessions[target.id], before)
+
+    def test_entry_without_a_start_time_at_another_address_replaces_no_target(self) -> None:
+        simulation = Simulation(1, nodes=1, targets=2, max_task_s=60.0)
+        simulation.nodes[0].take_over()
+        simulation.run(0.3)
+        simulation.submit(f"{1:016x}")
+        simulation.run(0.5)
+        term, runs = simulation.nodes[0].term, copy.deepcopy(simulation.checker.running)
+        for target in simulation.targets:
+            entry = target.entry._replace(address="10.1.0.9:80", started_at_ms=0)
+            term.on_target_entry(entry)
+            self.assertEqual(term.sessions[target.id].target.entry, target.entry)
+        simulation.run(1.0)
+        self.assertTrue(runs)
+        self.assertEqual(simulation.checker.running, runs)
+
+    def test_start_sent_again_reaches_the_new_incarnation_of_a_reported_run(self) -> None:
+        # The answer to the start is lost, a report shows the run, and the target restarts before
+        # the start is sent again.
+        simulation = Simulation(1, nodes=1, targets=2, max_task_s=60.0)
+        node, (first, second) = simulation.nodes[0], simulation.targets
+        node.unreachable_targets = {second.id}
+        node.take_over()
+        simulation.run(0.3)
+        runs: list[Run] = []
+        session = node.term.sessions[first.id]
+        session.submit_start = lambda run, payload, ticket: runs.append(run)
+        simulation.submit(f"{1:016x}")
+        simulation.run(0.1)
+
+        def execute_starts() -> None:
+            target, now = simulation.targets[0], simulation.clock.monotonic()
+            until_ms = int(target.clock_ms(now) + LEASE_S * 1000.0)
+            for run in runs:
+                command = StartCommand(run.task, run.number, "", until_ms, fencing_token=1)
+                self.assertTrue(target.start(command, now).started)
+
+        execute_starts()
+        simulation.run(0.3)
+        self.assertEqual({run.state for run in runs}, {RunState.RUNNING})
+        node.unreachable_targets = set()
+        simulation.run(0.3)
+        simulation.restart_with_same_id(0, 0.1)
+        execute_starts()
+        simulation.run(4.0)
+        self.assertEqual(simulation.checker.violations, [])
+
 
 def run_lost_start_answers(seed: int) -> tuple[Simulation, list[str]]:
     """Simulates short runs that begin and end while the answers to their starts are lost.
