A late attempt to start a run can't begin it on a restarted target

What callers could see: a task that runs twice at the same time. An attempt without an answer may be executed seconds later. If the target restarts under its id meanwhile, the new incarnation executes it: it knows neither the run, nor the stop that the old one answered. The owner stopped such runs on the new incarnation only if no report had shown them, and forgot those it had released.

A run now remembers that an attempt had no answer; the target keeps such runs for 10 s after their release, and a new incarnation under the id is told to stop them before their tasks start again. Both tests failed before (TWICE running).

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -51,6 +51,7 @@
         "previous_rate",
         "current_rate",
         "start_answered_at",
+        "is_start_uncertain",
         "is_reported",
     )
 
@@ -77,6 +78,8 @@
         self.checkpoint = ""
         self.start_answered_at: float | None = None
         """When the start was answered; None while it may be sent again."""
+        self.is_start_uncertain = False
+        """Whether an attempt to start the run got no answer: it may be executed at any time."""
         self.is_reported = False
         """Whether the answer to a poll that was sent after the answered start contained the run.
 
@@ -315,6 +318,10 @@
         return Progress(self.begun, self.outcome, steps)
 
 
+LATE_COMMAND_S = 10.0
+"""How long after its release a run may still be started by a command that is late."""
+
+
 class TargetInfo:
     """One incarnation of a target, its runs and its state."""
 
@@ -334,6 +341,9 @@
         self.throttle_percent = UNTHROTTLED_PERCENT
         """Throttle percent of the target's filling tasks."""
         self.throttled_at = float("-inf")
+        self._uncertain_runs: list[tuple[float, Run]] = []
+        """Released runs that a late start may still begin on a later incarnation, and when they
+        were released."""
         self.outcomes: list[tuple[float, str, bool]] = []
         """Recent run ends: time, job, whether the run was done."""
 
@@ -349,6 +359,23 @@
         self.entry = entry._replace(started_at_ms=entry.started_at_ms or self.entry.started_at_ms)
         self.free = entry.capacity.plus(self.used, -1)
 
+    def note_released(self, run: Run, now: float) -> None:
+        """Remembers a released run of which a start may still be on its way."""
+        if run.is_start_uncertain:
+            self._uncertain_runs = [(now, run), *self._recently_released(now)]
+
+    def unconfirmed_runs(self, now: float) -> list[Run]:
+        """Returns the runs that a later incarnation under the same id may have been told to start.
+
+        These are runs that no report shows to have begun here, and runs of which an attempt to
+        start them had no answer.
+        """
+        runs = [run for run in self.runs.values() if not run.is_reported or run.is_start_uncertain]
+        return runs + [run for _, run in self._recently_released(now)]
+
+    def _recently_released(self, now: float) -> list[tuple[float, Run]]:
+        return [each for each in self._uncertain_runs if now - each[0] < LATE_COMMAND_S]
+
     def add(self, run: Run) -> None:
         self.runs[run.key] = run
         self._use(run.allocation, 1)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -146,6 +146,8 @@
     def on_start_unanswered(self, run: Run, attempt: int, error: TargetError) -> None:
         """Records that an attempt to start a run got no answer; it may still be executed."""
         self._metrics.retries.labels("start").inc()
+        with self.lock:
+            run.is_start_uncertain = True
         self._events.write(
             eventlog.RUN_UNANSWERED,
             task=run.task,
@@ -266,6 +268,7 @@
         if run.key not in run.target.runs:
             return
         run.target.remove(run)
+        run.target.note_released(run, self._clock.monotonic())
         self.usage.add(run, -1)
         step, index = run.step, run.task.index
         step.backup_runs.get(index, set()).discard(run)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -301,7 +301,7 @@
         if self.sessions.get(target.id) is not session:
             return
         del self.sessions[target.id]
-        unconfirmed = [run for run in target.runs.values() if not run.is_reported]
+        unconfirmed = target.unconfirmed_runs(self._clock.monotonic())
         if unconfirmed:
             self._unconfirmed_runs[target.id] = unconfirmed
         self._events.write(
--- a/tests/lib/cluster_simulation.py
+++ b/tests/lib/cluster_simulation.py
@@ -256,6 +256,8 @@
                 term.on_fenced(self, error.epoch)
                 return
             attempts.note_unanswered(error)
+            attempt = simulation.start_attempts - attempts_left + 1
+            term.on_start_unanswered(run, attempt, error)
             if attempts_left > 1 and term.authority.may_act():
                 self._attempt_start(run, command, attempts, attempts_left - 1)
             else:
@@ -430,8 +432,19 @@
         team = Team("team", frozenset(("key",)), 10.0, TEAM_LIMIT)
         return Configuration(1, (QUEUE,), {"pool": Pool("pool")}, {"team": team})
 
-    def submit(self, name: str) -> None:
-        """Submits a job of one to three steps."""
+    def set_durations(self, seconds: float) -> None:
+        """Makes all tasks of the present targets take equally long."""
+        for target in self.targets:
+            target.duration = lambda task: seconds
+
+    def submit(self, name: str, tasks: int = 0) -> None:
+        """Submits a job.
+
+        :param tasks: Number of tasks of its only step; 0 for one to three steps of random sizes.
+        """
+        if tasks:
+            self._submit_steps(name, [Step(count=tasks, need=Resources(1000, 1000, 0))])
+            return
         steps = []
         for number in range(self.rng.randint(1, 3)):
             steps.append(
@@ -441,6 +454,9 @@
                     depends_on=(number - 1,) if number else (),
                 )
             )
+        self._submit_steps(name, steps)
+
+    def _submit_steps(self, name: str, steps: list[Step]) -> None:
         spec = JobSpec("payload", tuple(steps))
         for number, step in enumerate(steps):
             self.checker.expected_steps[name, number] = ExpectedStep(step, "team", QUEUE.attempts)
--- a/tests/lib/simulated_targets.py
+++ b/tests/lib/simulated_targets.py
@@ -171,8 +171,8 @@
         self.is_up = True
         self._checker = checker
         self._rng = rng
-        self._rate = rate
-        self._duration = duration
+        self.rate = rate
+        self.duration = duration
         self._runs: dict[tuple[TaskId, int], _SimRun] = {}
         self._ended: list[tuple[RunEnd, bool]] = []
         """Unacknowledged run ends, and whether the lease has expired since."""
@@ -195,7 +195,7 @@
         return total
 
     def clock_ms(self, now: float) -> float:
-        return now * 1000.0 * self._rate
+        return now * 1000.0 * self.rate
 
     def advance(self, now: float) -> None:
         """Ends the runs that are over at a time, and all runs if the lease has expired."""
@@ -245,7 +245,7 @@
         self._until_ms = max(self._until_ms, command.until_ms)
         fails = self._rng.random() < FAILURE_RATE or always_fails(command.task)
         kind = EndKind.FAILED if fails else EndKind.DONE
-        self._runs[key] = _SimRun(command, now + self._duration(command.task), kind, now)
+        self._runs[key] = _SimRun(command, now + self.duration(command.task), kind, now)
         self._checker.on_start(self, command, now)
         return StartResult(True, "", clock_ms)
 
--- a/tests/unit/cluster/test_faults.py
+++ b/tests/unit/cluster/test_faults.py
@@ -9,6 +9,7 @@
 import unittest
 import unittest.mock
 
+from azurecleat_base.exceptions import OutcomeUnknownError
 from azurecleat_cluster._internal.owner.authority import Authority, Takeover
 from azurecleat_cluster._internal.owner.model import Run, RunState
 from azurecleat_cluster._internal.owner.start_attempts import StartAttempts, StartOutcome
@@ -18,6 +19,7 @@
 from azurecleat_cluster.values import JobState, TaskId
 
 from tests.lib.cluster_simulation import LEASE_S, Simulation
+from tests.lib.simulated_targets import SimTarget
 
 SEEDS = range(24)
 ROUNDS = 40
@@ -171,6 +173,17 @@
         self.assertTrue(runs)
         self.assertEqual(simulation.checker.running, runs)
 
+    def test_late_attempt_to_start_a_reported_run_reaches_the_new_incarnation(self) -> None:
+        # A later attempt had started the run on the old incarnation. Its task must not start
+        # elsewhere before the new incarnation has answered a stop.
+        simulation = restart_before_a_late_start(START_ATTEMPTS)
+        self.assertEqual(simulation.checker.violations, [])
+
+    def test_late_start_of_a_stopped_run_reaches_the_new_incarnation(self) -> None:
+        # The old incarnation had answered a stop of the run, which the new one doesn't know of.
+        simulation = restart_before_a_late_start(1)
+        self.assertEqual(simulation.checker.violations, [])
+
     def test_start_sent_again_reaches_the_new_incarnation_of_a_reported_run(self) -> None:
         # The answer to the start is lost, a report shows the run, and the target restarts before
         # the start is sent again.
@@ -203,6 +216,46 @@
         self.assertEqual(simulation.checker.violations, [])
 
 
+def restart_before_a_late_start(start_attempts: int) -> Simulation:
+    """Simulates a target that restarts under its id while a start to it is on its way.
+
+    The first attempt to start the only task gets no answer and is executed 1.5 s later, by the new
+    incarnation. New tasks go to the other target meanwhile.
+    """
+    simulation = Simulation(1, nodes=1, targets=2, start_attempts=start_attempts)
+    simulation.set_durations(20.0)
+    node = simulation.nodes[0]
+    node.take_over()
+    simulation.run(1.0)
+    late: list[SimTarget] = []
+    start = SimTarget.start
+
+    def delay_first_start(target, command, now):  # noqa: ANN001, ANN202
+        if late:
+            return start(target, command, now)
+        late.append(target)
+
+        def arrive() -> None:
+            start(simulation.targets_by_id[target.id], command, simulation.clock.monotonic())
+
+        simulation.schedule(1.5, arrive)
+        raise OutcomeUnknownError("lost", step="sim")
+
+    with unittest.mock.patch.object(SimTarget, "start", delay_first_start):
+        simulation.submit("0" * 16, tasks=1)
+        simulation.run(1.0)
+        (target,) = late
+        number = simulation.targets.index(target)
+        simulation.restart_with_same_id(number, 0.1)
+        simulation.targets[number].rate = target.rate
+        for _ in range(30):
+            session = node.term.sessions.get(target.id)
+            if session is not None:
+                session.target.suspect_until = float("inf")
+            simulation.run(0.1)
+    return simulation
+
+
 def run_lost_start_answers(seed: int) -> tuple[Simulation, list[str]]:
     """Simulates short runs that begin and end while the answers to their starts are lost.
 
