The drain of a test session no longer ends while a reservation is about to be used

Seen by: nobody but the test. Seed 313 ended with three tasks waiting. Cause: the drain ended all running tasks after each call and then stopped if the call had decided nothing, so it stopped after the first call that found the workers busy. In seed 313 the first call finds 14 tasks running, and no worker has 4200 milli-CPU and the memory free that each of the three waiting tasks needs. The call rightly starts none and reserves a worker; the drain stopped there. One call later, on idle workers, all three start. Ruled out: a fault of the scheduler in this seed; the indexed and the naive scheduler decide alike, and nothing that fits waits after any call. Change: the drain ends with the first call that decides nothing although no task was running. To be no weaker, it checks after each call that no waiting job fits on the workers that anyone may use; the test of the seeds checks both schedulers and their violations.

--- a/tests/lib/scheduler_sessions.py
+++ b/tests/lib/scheduler_sessions.py
@@ -20,6 +20,8 @@
 TEAMS = ("ada", "bor", "cyr", "dot")
 SIZES = ((500, 1000, 0), (1000, 2000, 0), (3000, 3000, 0), (2000, 9000, 0), (1000, 1000, 1))
 
+MAX_DRAIN_STEPS = 4000
+
 
 class Placement(NamedTuple):
     """The worker that runs a task, and the capacity assigned to the task."""
@@ -161,19 +163,37 @@
                 self._end((decision.job_id, decision.index), TaskResult.CHECKPOINTED)
 
     def drain(self) -> None:
-        """Adds large workers, raises all limits and runs all tasks to their end."""
+        """Adds large workers, raises all limits and runs all tasks to their end.
+
+        Ends with the first call that decides nothing although no task was running: what still
+        waits then does not wait for the end of another task.
+        """
         for _ in range(4):
             self._add_worker(big=True)
         for team in TEAMS:
             self._set_team(team, 1.0, Quota(tasks=1000))
-        for _ in range(4000):
+        for _ in range(MAX_DRAIN_STEPS):
             self.now += 1.0
+            was_idle = not self.checker.running
             decisions = self.scheduler.decide(self.now)
             self.checker.apply(decisions, self.now)
+            self._check_that_nothing_that_fits_waits()
+            if was_idle and not decisions:
+                break
             for key in list(self.checker.running):
                 self._end(key, TaskResult.DONE)
-            if not self.checker.running and not decisions:
-                break
+
+    def _check_that_nothing_that_fits_waits(self) -> None:
+        """Adds a violation for each waiting job that fits on workers anyone may use now."""
+        usable = [
+            self.checker.capacity[name].plus(self.checker.used(name), -1)
+            for name, worker in self.scheduler.workers.items()
+            if worker.is_open and not worker.probation.is_active and worker.reserved_for is None
+        ]
+        for job_id, job in self.scheduler.jobs.items():
+            places = sum(_places(job.shape.size, free) for free in usable)
+            if job.waiting and places >= job.gang_size:
+                self.checker.violations.append(f"{job_id} waits at {self.now} although it fits")
 
     def _submit(self) -> None:
         self.count += 1
@@ -261,3 +281,11 @@
     def _set_team(self, team: str, share: float, limit: Quota) -> None:
         self.checker.limit[team] = limit
         self.scheduler.set_team(TeamPolicy(team, share, limit, 10_000, limit))
+
+
+def _places(size: Resources, free: Resources) -> int:
+    """Returns how many tasks of a size fit into free capacity."""
+    count = 0
+    while size.plus(size, count).fits_in(free):
+        count += 1
+    return count
--- a/tests/unit/policy/test_differential.py
+++ b/tests/unit/policy/test_differential.py
@@ -43,11 +43,15 @@
         self.assertEqual(session.scheduler.waiting_tasks, 0, f"seed {seed}")
         self.assertEqual(session.checker.violations, [], f"seed {seed}")
 
+    # 159: an estimate above every worker; 313: a drain that ended while a reservation was kept.
     def test_nothing_that_fits_waits_in_seeds_that_failed(self) -> None:
         for seed in WAITING_SEEDS:
-            session = Session.run(Scheduler, seed, STEPS)
-            session.drain()
-            self.assertEqual(session.scheduler.waiting_tasks, 0, f"seed {seed}")
+            for make in (Scheduler, NaiveScheduler):
+                with self.subTest(seed=seed, scheduler=make.__name__):
+                    session = Session.run(make, seed, STEPS)
+                    session.drain()
+                    self.assertEqual(session.scheduler.waiting_tasks, 0)
+                    self.assertEqual(session.checker.violations, [])
 
 
 if __name__ == "__main__":
