The lane index learns of a lane that a job left empty

Callers would see: the scheduler's decide() fails with an AssertionError after drop_waiting() of a task of an all-at-once job that is alone in its lane, or of the last waiting task of a job that still runs another. The daemon drops tasks when a new owner gives up begun tasks that no worker runs; a failure there was not seen, it was found by reading and by the tests below. Cause: _update_shape() told the index of the lane that a job left only if another job headed it, and drop_waiting() told it nothing if no waiting task remained. The index kept a valid entry of an empty lane. Elsewhere a change of the team follows that updates all its lanes, or a change of the workers rebuilds the index. Ruled out: the naive scheduler, which reads the heads of the lanes anew. Change: the hook takes the lane instead of a job, and both places call it for the lane they change.

--- a/libs/policy/src/azurecleat_policy/_internal/decisions.py
+++ b/libs/policy/src/azurecleat_policy/_internal/decisions.py
@@ -149,7 +149,7 @@
             self._place(job, index, worker, now)
             started.append(Start(job.job.job_id, index, worker.policy.name, job.shape.size))
         self._end_job_reservations(job.job.job_id)
-        self._lane_changed(job)
+        self._lane_changed(job.lane)
         self._team_changed(team)
         return started
 
--- a/libs/policy/src/azurecleat_policy/_internal/scheduler.py
+++ b/libs/policy/src/azurecleat_policy/_internal/scheduler.py
@@ -145,9 +145,9 @@
         assert worker is not None
         return worker
 
-    def _lane_changed(self, job: PolicyJob) -> None:
-        if job.lane is not None:
-            self._index.update(job.lane)
+    def _lane_changed(self, lane: Lane | None) -> None:
+        if lane is not None:
+            self._index.update(lane)
 
     def _team_changed(self, team: TeamState) -> None:
         for lane in team.lanes.values():
@@ -174,8 +174,7 @@
 
     def _job_left_queue(self, job: PolicyJob) -> None:
         super()._job_left_queue(job)
-        if job.lane is not None:
-            self._index.update(job.lane)
+        self._lane_changed(job.lane)
 
 
 def _gain_if_urgent(shape: Shape) -> int:
--- a/libs/policy/src/azurecleat_policy/_internal/scheduling_state.py
+++ b/libs/policy/src/azurecleat_policy/_internal/scheduling_state.py
@@ -212,7 +212,9 @@
         self._teams[job.job.team].waiting -= 1
         if job.waiting:
             self._update_shape(job)
-        elif not job.running:
+            return
+        self._lane_changed(job.lane)
+        if not job.running:
             del self._jobs[job_id]
             self._job_left_queue(job)
 
@@ -304,8 +306,8 @@
 
     # Hooks with which subclasses keep their search structures up to date.
 
-    def _lane_changed(self, job: PolicyJob) -> None:
-        """Called when the head of a job's lane may have changed."""
+    def _lane_changed(self, lane: Lane | None) -> None:
+        """Called when the head of a lane may have changed, or the lane may have become empty."""
 
     def _team_changed(self, team: TeamState) -> None:
         """Called when a team's rank or headroom changed."""
@@ -358,7 +360,7 @@
                 continue
             indexes, job.waiting = job.waiting, []
             self._teams[job.job.team].waiting -= len(indexes)
-            self._lane_changed(job)
+            self._lane_changed(job.lane)
             self._job_left_queue(job)
             if not job.running:
                 self._jobs.pop(job.job.job_id, None)
@@ -403,7 +405,7 @@
         team = self._teams[job.job.team]
         job.virtual_time = self._virtual_time(job)
         team.lane_for(job.shape).push(job)
-        self._lane_changed(job)
+        self._lane_changed(job.lane)
 
     def _requeue(self, job: PolicyJob, index: int) -> None:
         self._teams[job.job.team].waiting += 1
@@ -423,14 +425,11 @@
         shape = self._shape_of(job.job, len(job.waiting))
         previous_lane = job.lane
         if previous_lane is not None and shape == job.shape:
-            self._lane_changed(job)
+            self._lane_changed(previous_lane)
             return
         job.lane = None
         job.shape = shape
-        if previous_lane is not None:
-            previous_head = previous_lane.head()
-            if previous_head is not None:
-                self._lane_changed(previous_head)
+        self._lane_changed(previous_lane)
         self._enqueue(job)
 
     def _shape_of(self, job: Job, tasks: int) -> Shape:
--- a/tests/unit/policy/test_rules.py
+++ b/tests/unit/policy/test_rules.py
@@ -212,6 +212,23 @@
         survivors = {job for job in self.scheduler.jobs if self.scheduler.jobs[job].waiting}
         self.assertEqual(len(survivors & set(jobs[100::2])), 0)
 
+    # decide() failed on a lane that its only job had left.
+    def test_all_at_once_job_starts_without_a_dropped_task(self) -> None:
+        self.scheduler.decide(0.5)
+        job = self.submit(tasks=3, kind=JobKind.ALL_AT_ONCE)
+        self.scheduler.drop_waiting(job, 2)
+        self.assertEqual([start.index for start in self.started(1.0)], [0, 1])
+
+    # decide() failed on a lane whose only job had no waiting task left.
+    def test_capacity_freed_after_the_last_waiting_task_was_dropped(self) -> None:
+        self.scheduler = self.make_scheduler(workers=2)
+        job = self.submit(cpu=4000, tasks=2)
+        other = self.submit(cpu=4000, team="bor")
+        self.assertEqual(len(self.started(1.0)), 2)
+        self.scheduler.drop_waiting(job, 1)
+        self.scheduler.finish(other, 0, TaskResult.DONE, 2.0)
+        self.assertEqual(self.scheduler.decide(2.0), [])
+
     def test_job_that_exceeds_the_queue_limit_is_refused(self) -> None:
         self.scheduler.set_team(TeamPolicy("ada", 1.0, Quota(), 5))
         self.submit(tasks=5, cpu=4000)
