An estimated size above the team's limit is reduced to it

Callers saw: a job that was accepted waits for ever for "team-limit" while its team runs nothing. Change: an estimate is reduced, not below the declared size, so that the tasks that have to start together stay within the team's whole limit. A limit lowered later reduces waiting jobs before the next decisions. The part of the limit allotted to a partition does not count: more may be allotted. The golden files do not change.

--- a/libs/policy/src/azurecleat_policy/_internal/scheduling_state.py
+++ b/libs/policy/src/azurecleat_policy/_internal/scheduling_state.py
@@ -28,7 +28,7 @@
     quantized_rank,
     virtual_time,
 )
-from azurecleat_policy._internal.sizing import FleetCapacity
+from azurecleat_policy._internal.sizing import FleetCapacity, reduce_to_limit
 from azurecleat_policy._internal.teams import TeamState
 from azurecleat_policy._internal.types import (
     AttemptEnd,
@@ -115,6 +115,7 @@
         share_changed = team.policy.share != policy.share
         if team.policy == policy:
             return
+        self._sizes_are_stale |= team.policy.fleet_limit != policy.fleet_limit
         team.policy = policy
         if not policy.limit.covers(team.used):
             self._over_limit[policy.name] = team
@@ -405,16 +406,20 @@
             self._all_ranks_changed()
 
     def _reduce_sizes(self) -> None:
-        """Reduces the sizes of waiting jobs that no longer fit into the usable workers."""
-        fleet = self._usable_fleet()
-        if fleet.is_empty:
-            return
+        """Reduces the sizes of waiting jobs that no longer fit into the workers or the limit."""
         for team in self._teams.values():
             for lane in list(team.lanes.values()):
-                if not fleet.fits(lane.shape.size, lane.shape.gang_size):
+                if not self._could_start(team, lane.shape):
                     for job in lane.jobs():
                         self._update_shape(job)
 
+    def _could_start(self, team: TeamState, shape: Shape) -> bool:
+        """Returns whether a shape could start if all workers were idle."""
+        fleet = self._usable_fleet()
+        if not team.policy.fleet_limit.covers(task_quota(shape.size, shape.gang_size)):
+            return False
+        return fleet.is_empty or fleet.fits(shape.size, shape.gang_size)
+
     def _usable_fleet(self) -> FleetCapacity:
         if self._fleet_capacity is None:
             self._fleet_capacity = FleetCapacity(self._workers.usable_capacities())
@@ -464,8 +469,10 @@
 
     def _shape_of(self, job: Job, tasks: int) -> Shape:
         gang_size = tasks if job.spec.kind is JobKind.ALL_AT_ONCE else 1
-        estimated = self._estimator.size(job)
-        size = self._usable_fleet().reduce(estimated, job.resources, gang_size)
+        declared = job.resources
+        limit = self._teams[job.team].policy.fleet_limit
+        size = reduce_to_limit(self._estimator.size(job), declared, gang_size, limit)
+        size = self._usable_fleet().reduce(size, declared, gang_size)
         return Shape(job.spec.urgent, job.spec.kind, size, gang_size, self._estimator.run_s(job))
 
     def _final_result(
--- a/libs/policy/src/azurecleat_policy/_internal/sizing.py
+++ b/libs/policy/src/azurecleat_policy/_internal/sizing.py
@@ -1,7 +1,8 @@
-"""Reduction of estimated sizes to what the workers can hold.
+"""Reduction of estimated sizes to what the workers can hold and the team's limit allows.
 
-Admission checks the declared size of a job. The estimated size may exceed every worker, or leave
-an all-at-once job without enough places. Without the reduction, such a job would never start.
+Admission checks the declared size of a job. The estimated size may exceed every worker or the
+limit, or leave an all-at-once job without enough places. Without the reduction, such a job would
+never start.
 """
 
 from __future__ import annotations
@@ -10,13 +11,27 @@
 from collections.abc import Iterable
 from functools import lru_cache
 
-from azurecleat_model import Resources
+from azurecleat_model import Quota, Resources
 
 from azurecleat_policy._internal.reservation import tasks_that_fit
 
 MAX_CACHED_SIZES = 10_000
 
 
+def reduce_to_limit(
+    estimated: Resources, declared: Resources, gang_size: int, limit: Quota
+) -> Resources:
+    """Returns the estimated size, reduced so that ``gang_size`` tasks stay within a limit.
+
+    :return: A size that is nowhere below the declared one.
+    """
+    if estimated == declared:
+        return estimated
+    limits = (limit.cpu_milli, limit.memory_mb, limit.accelerators)
+    allowed = [amount // gang_size for amount in limits]
+    return declared.at_least(Resources(*map(min, estimated, allowed)))
+
+
 class FleetCapacity:
     """Capacities of the workers that take tasks.
 
--- a/tests/unit/policy/test_rules.py
+++ b/tests/unit/policy/test_rules.py
@@ -291,6 +291,29 @@
         self.submit(now=2.0, cpu=2000, tasks=6, kind=JobKind.ALL_AT_ONCE)
         self.assertEqual(self.sizes(2.0), [2000] * 6)
 
+    # An estimate above the team's whole limit would keep an admitted job waiting for ever.
+    def test_task_with_an_estimate_above_the_limit_starts_within_the_limit(self) -> None:
+        self.make_estimate(4000, cpu=1000)
+        self.set_limit(3000)
+        self.submit(now=2.0)
+        self.assertEqual(self.sizes(2.0), [3000])
+
+    # The same, if the limit is lowered while the job waits.
+    def test_waiting_task_is_made_smaller_when_the_limit_is_lowered(self) -> None:
+        self.make_estimate(4000, cpu=1000)
+        self.set_draining(True)
+        self.submit(now=2.0)
+        self.set_limit(3000)
+        self.set_draining(False)
+        self.assertEqual(self.sizes(2.0), [3000])
+
+    # Tasks that start together share the limit.
+    def test_all_at_once_job_with_an_estimate_above_the_limit_starts(self) -> None:
+        self.make_estimate(2000, cpu=1000)
+        self.set_limit(4500)
+        self.submit(now=2.0, tasks=3, kind=JobKind.ALL_AT_ONCE)
+        self.assertEqual(self.sizes(2.0), [1500] * 3)
+
     # Jobs queued while no worker was usable would start with their declared sizes afterwards.
     def test_estimate_is_kept_while_all_workers_drain(self) -> None:
         self.make_estimate(2500, cpu=2000)
@@ -304,6 +327,10 @@
         for name in ("w0", "w1", "w2"):
             self.scheduler.set_draining(name, draining)
 
+    def set_limit(self, cpu_milli: int) -> None:
+        limit = Quota(cpu_milli=cpu_milli)
+        self.scheduler.set_team(TeamPolicy("ada", 1.0, limit, 100_000, limit))
+
     def drain_large(self, blockers: list[Start]) -> None:
         self.scheduler.set_draining("large", True)
 
