Daemon: a refused start is unknown if an earlier exchange had no answer

Seen by callers: a task that is not repeatable may run twice. Cause: the session keeps a start queued after an exchange without an answer and sends it again. A refusal of the repeat was reported as "none of them was run", and the task manager started the task again under a new name. The control request carries no sequence number, so the earlier exchange may still reach the worker after the refusal, and the worker then runs the first attempt as well. Evidence: tests.unit.daemon.test_task_manager.RefusedStartTest, before the change: "AssertionError: 2 not less than or equal to 1" for the number of starts of the task. The fake worker never refuses a start that it shows as running or ended, and the interface promises that "starting the same id again has no effect"; neither rules out a request that arrives late. Fix: the session remembers starts whose exchange had no answer and reports their refusal apart, as of unknown outcome. A start refused in its only exchange is sent again as before; a second test shows that.

--- a/libs/daemon/src/azurecleat_daemon/_internal/request_dispatcher.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/request_dispatcher.py
@@ -248,6 +248,9 @@
     def on_refused(self, session: TargetSession, tasks: tuple[str, ...]) -> None:
         """Does nothing: runners receive no starts through their session."""
 
+    def on_start_unknown(self, session: TargetSession, tasks: tuple[str, ...]) -> None:
+        """Does nothing: runners receive no starts through their session."""
+
     def on_lost(self, session: TargetSession) -> None:
         """Removes a runner whose lease lapsed."""
         with self._lock:
--- a/libs/daemon/src/azurecleat_daemon/_internal/target_session.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/target_session.py
@@ -53,6 +53,13 @@
     def on_refused(self, session: TargetSession, tasks: tuple[str, ...]) -> None:
         """Called with starts that the target refused; none of them was run."""
 
+    def on_start_unknown(self, session: TargetSession, tasks: tuple[str, ...]) -> None:
+        """Called with starts that the target refused after an exchange without an answer.
+
+        The refusal concerns only the repeated start. The target may have run the task after the
+        earlier exchange, or may still run it if that exchange arrives late.
+        """
+
     def on_lost(self, session: TargetSession) -> None:
         """Called when the target's lease has certainly lapsed, which ends all that it ran."""
 
@@ -94,6 +101,7 @@
         self._lock = threading.Lock()
         self._starts: dict[str, TaskStart] = {}
         self._sent_starts: set[str] = set()
+        self._unanswered_starts: set[str] = set()
         self._stops: dict[str, TaskStop] = {}
         self._acknowledge: dict[str, None] = {}
         self._last_version = -1
@@ -133,6 +141,7 @@
         """Drops a queued start; if it was already sent, the task must also be stopped."""
         with self._lock:
             self._starts.pop(task, None)
+            self._unanswered_starts.discard(task)
 
     def take_unsent_starts(self) -> list[str]:
         """Removes and returns the queued starts that were not sent yet."""
@@ -176,7 +185,11 @@
             reply = self._client.control(request)
         except FencedError as error:
             self._on_fenced(error)
-        except (NotRunError, OutcomeUnknownError) as error:
+        except NotRunError as error:
+            self._on_failure(error)
+        except OutcomeUnknownError as error:
+            with self._lock:
+                self._unanswered_starts.update(start.task for start in request.start)
             self._on_failure(error)
         else:
             self._on_reply(request, reply, sent_at)
@@ -213,9 +226,11 @@
         self._last_answer_at = self._clock.monotonic()
         self._last_version = reply.version
         with self._lock:
+            unknown = tuple(task for task in reply.refused if task in self._unanswered_starts)
             for start in request.start:
                 self._starts.pop(start.task, None)
                 self._sent_starts.discard(start.task)
+                self._unanswered_starts.discard(start.task)
             for stop in request.stop:
                 if self._stops.get(stop.task) == stop:
                     del self._stops[stop.task]
@@ -227,8 +242,11 @@
                 log_event(TARGET_BACK, target=self._target.name)
             self._lost = False
             self._listener.on_granted(self)
-        if reply.refused:
-            self._listener.on_refused(self, reply.refused)
+        refused = tuple(task for task in reply.refused if task not in unknown)
+        if refused:
+            self._listener.on_refused(self, refused)
+        if unknown:
+            self._listener.on_start_unknown(self, unknown)
         ended = tuple(end for end in reply.ended if end.task not in request.acknowledge)
         if ended:
             self._listener.on_ended(self, ended)
@@ -259,6 +277,7 @@
         with self._lock:
             self._starts.clear()
             self._sent_starts.clear()
+            self._unanswered_starts.clear()
             self._stops.clear()
             self._acknowledge.clear()
         self._lost = True
--- a/libs/daemon/src/azurecleat_daemon/_internal/task_manager.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/task_manager.py
@@ -258,6 +258,15 @@
             for task in tasks:
                 self._on_not_started(AttemptName.parse(task))
 
+    def on_start_unknown(self, session: TargetSession, tasks: tuple[str, ...]) -> None:
+        """Requeues tasks that may have been run; those not repeatable end as lost."""
+        self._metrics.retries.labels("worker.start", "unknown").inc(len(tasks))
+        with self._lock:
+            for task in tasks:
+                name = AttemptName.parse(task)
+                if self._current_attempts.get(name.key) == name:
+                    self._finish(*name.key, TaskResult.LOST)
+
     def on_lost(self, session: TargetSession) -> None:
         """Requeues the tasks of a worker whose lease lapsed; those not repeatable end as lost."""
         name = session.target.name
