Daemon: a result whose record was rejected is not acknowledged to its worker

Seen by callers: after a change of owner a task that was done is recorded as unknown, or runs again if it is repeatable. Cause: any answer to the append of a result counted as "recorded", also the rejection because a later owner has claimed the partition. The old owner still controls the workers at that moment, so its acknowledgement made the worker forget a result that stands nowhere in the log; even the release of the lease carries queued acknowledgements. Evidence: RecordedResultTest.test_result_rejected_after_a_later_claim_is_left_to_the_next_owner, before the change: "AssertionError: Lists differ: [] != ['done']" for the ends that the worker reports to the next owner. Fix: a rejected record is acknowledged only while this epoch is the latest one in the log, where a rejection means that the job has finished or was cancelled (second test). Otherwise the worker keeps the result, as after an append that failed, and reports it to the next owner.

--- a/libs/daemon/src/azurecleat_daemon/_internal/task_manager.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/task_manager.py
@@ -469,15 +469,23 @@
         self, future: Future[ApplyResult], job_id: str, results: dict[str, set[int]]
     ) -> None:
         try:
-            future.result()
+            applied = future.result()
         except LogError as error:
             self._metrics.retries.labels("task.record", type(error).__name__).inc()
             with self._lock:
                 for name, indexes in results.items():
                     self._results.setdefault(job_id, {}).setdefault(name, set()).update(indexes)
             return
+        if not applied.accepted and not self._is_owner():
+            # The worker keeps the unacknowledged results and reports them to the next owner.
+            return
         with self._lock:
             for index in sorted({index for indexes in results.values() for index in indexes}):
                 task, session = self._unacknowledged.pop((job_id, index), ("", None))
                 if session is not None:
                     session.acknowledge(task)
+
+    def _is_owner(self) -> bool:
+        """Returns whether this epoch is still the latest of the partition in the log."""
+        with self._replica.lock:
+            return self._replica.fleet.ownership.holds(self._partition, self._epoch)
--- a/tests/unit/daemon/test_task_manager.py
+++ b/tests/unit/daemon/test_task_manager.py
@@ -4,7 +4,10 @@
 
 import unittest
 
-from tests.lib.task_manager_fixture import JOB_ID, TaskManagerFixture
+from azurecleat_coordination.records import CancelJob, Claim, Entry, encode_entry
+from azurecleat_platform import ControlRequest
+
+from tests.lib.task_manager_fixture import JOB_ID, LEASE_S, PARTITION, TaskManagerFixture
 
 
 class RefusedStartTest(unittest.TestCase):
@@ -33,5 +36,34 @@
         self.assertEqual((fixture.summary["done"], fixture.summary["unknown"]), (1, 0))
 
 
+class RecordedResultTest(unittest.TestCase):
+    """Results whose record the log's order rejects."""
+
+    def setUp(self) -> None:
+        self.fixture = TaskManagerFixture(run_s=1.0)
+        self.fixture.run(rounds=2)
+        self.fixture.clock.advance(1.0)
+        self.fixture.session.exchange()
+
+    def append_by_other(self, event) -> None:
+        self.fixture.log.append(encode_entry(Entry("two", 1, (event,))))
+
+    # A rejected record counted as recorded: the result was acknowledged to the worker, which then
+    # forgot it, so that the next owner recorded the task as unknown although it was done.
+    def test_result_rejected_after_a_later_claim_is_left_to_the_next_owner(self) -> None:
+        self.append_by_other(Claim(PARTITION, 2, "two", "two", ("w1",)))
+        self.fixture.run(rounds=2)
+        self.fixture.session.release()
+        reply = self.fixture.worker.control(ControlRequest(PARTITION, 2, "two", LEASE_S))
+        self.assertEqual([end.result for end in reply.ended], ["done"])
+
+    def test_result_of_a_cancelled_job_is_acknowledged(self) -> None:
+        self.append_by_other(CancelJob(PARTITION, JOB_ID))
+        self.fixture.run(rounds=2)
+        self.assertTrue(self.fixture.summary["cancelled"])
+        reply = self.fixture.worker.control(ControlRequest(PARTITION, 1, "one", LEASE_S))
+        self.assertEqual(reply.ended, ())
+
+
 if __name__ == "__main__":
     unittest.main()
