Daemon: the rejection of a repeated begin does not end a task that was never sent

Seen by callers: after an append without an answer, a task that is not repeatable ends as unknown although it never ran. Cause: the begin of such a task is recorded before its start is sent. After an append of unknown outcome the task is queued again and its begin recorded again. If the first record had reached the log, the second one was rejected ("the task has begun"), which was taken to mean that it had run. Evidence: BegunTaskTest.test_task_begun_by_an_append_without_answer_is_run, before the change: "AssertionError: 0 != 1" for the number of starts. Fix: the task manager keeps the tasks whose begin has an unknown outcome and which were not sent. If the repeated record is rejected, this epoch still holds the partition and the log shows the task as begun and not ended, then the first record was this owner's own, and the start is sent. A second test shows that a task begun by a later owner is not sent. The begin is now submitted outside the manager's lock, because its callback takes the replica's lock, which comes first everywhere else.

--- a/libs/daemon/src/azurecleat_daemon/_internal/task_manager.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/task_manager.py
@@ -17,7 +17,7 @@
 from azurecleat_coordination.records import BeginTask, EndTasks
 from azurecleat_model import Clock, Environment, JobKind, Quota, Team
 from azurecleat_model.events import TARGET_SUSPECT, log_event
-from azurecleat_model.exceptions import LogError
+from azurecleat_model.exceptions import AppendUnknownError, LogError
 from azurecleat_platform import EndedTask, RunningTask, StopMode, TaskStart, TaskStop
 from azurecleat_policy import (
     AdoptedTask,
@@ -109,6 +109,7 @@
         self._current_attempts: dict[tuple[str, int], AttemptName] = {}
         self._attempt_count = 0
         self._begun_unsent: set[tuple[str, int]] = set()
+        self._begin_unknown: set[tuple[str, int]] = set()
         self._last_running: dict[str, set[str]] = {}
         self._jobs = replica.jobs(partition)
         self._changed_jobs: deque[str] = deque()
@@ -325,12 +326,14 @@
                 session.stop_task(TaskStop(str(name)))
 
     def _decide(self) -> None:
+        unbegun = []
         with self._lock, self._metrics.decision.labels("task").time():
             decisions = self._scheduler.decide(self._clock.monotonic(), MAX_STARTS_PER_STEP)
             for decision in decisions:
                 match decision:
                     case Start():
-                        self._start(decision)
+                        if not self._start_if_begun(decision):
+                            unbegun.append(decision)
                     case Reclaim():
                         self._reclaim(decision)
                     case Expire():
@@ -338,8 +341,12 @@
                             self._buffer_result(decision.job_id, index, "expired")
             for name in self._scheduler.take_suspects():
                 log_event(TARGET_SUSPECT, target=name)
+        # The callback takes the replica's lock, which must not be taken under the lock above.
+        for decision in unbegun:
+            self._begin(decision)
 
-    def _start(self, decision: Start) -> None:
+    def _start_if_begun(self, decision: Start) -> bool:
+        """Sends a start; returns False if the begin of the task has to be recorded before."""
         job = self._scheduler.jobs[decision.job_id].job
         waited = self._clock.monotonic() - job.submitted_at
         self._metrics.waiting.labels(job.spec.kind.value).observe(max(0.0, waited))
@@ -347,7 +354,10 @@
         if job.spec.repeatable or key in self._begun_unsent:
             self._begun_unsent.discard(key)
             self._send_start(decision)
-            return
+            return True
+        return False
+
+    def _begin(self, decision: Start) -> None:
         event = BeginTask(self._partition, self._epoch, decision.job_id, decision.index)
         self._appender.submit(event).add_done_callback(
             lambda future: self._on_begun(future, decision)
@@ -361,14 +371,29 @@
             self._metrics.retries.labels("task.begin", reason).inc()
             with self._lock:
                 # The record may still reach the log. The task was not sent, so it stays queued.
+                if isinstance(error, AppendUnknownError):
+                    self._begin_unknown.add((decision.job_id, decision.index))
                 self._finish(decision.job_id, decision.index, TaskResult.NOT_STARTED)
             return
-        with self._lock:
-            if applied.accepted:
+        with self._replica.lock, self._lock:
+            if applied.accepted or self._was_begun_by_earlier_record(decision):
+                self._begin_unknown.discard((decision.job_id, decision.index))
                 self._send_start(decision)
             else:
                 self._finish(decision.job_id, decision.index, TaskResult.LOST)
 
+    def _was_begun_by_earlier_record(self, decision: Start) -> bool:
+        """Tells whether this owner began an unsent task by a record of unknown outcome.
+
+        The record of the repeated begin is then rejected, although the task has not run.
+        """
+        if (decision.job_id, decision.index) not in self._begin_unknown or not self._is_owner():
+            return False
+        assert self._jobs is not None
+        state = self._jobs.live.get(decision.job_id)
+        is_begun = state is not None and decision.index in state.begun
+        return is_begun and not state.has_ended(decision.index)
+
     def _send_start(self, decision: Start) -> None:
         job = self._scheduler.jobs.get(decision.job_id)
         session = self._sessions.get(decision.worker)
--- a/tests/lib/task_manager_fixture.py
+++ b/tests/lib/task_manager_fixture.py
@@ -23,7 +23,7 @@
     Team,
     to_plain,
 )
-from azurecleat_model.exceptions import OutcomeUnknownError
+from azurecleat_model.exceptions import AppendUnknownError, OutcomeUnknownError
 from azurecleat_platform import ControlReply, ControlRequest, Target, TargetKind, TaskStart
 
 PARTITION = "hobart"
@@ -59,6 +59,18 @@
         """Does nothing."""
 
 
+class DroppingLog(MemoryLog):
+    """A log that never receives the appends sent while ``drops``, and does not answer them."""
+
+    drops = False
+
+    def append(self, data: bytes) -> int:
+        """Appends one entry, or drops it without an answer."""
+        if self.drops:
+            raise AppendUnknownError("no answer in time", step="log.append")
+        return super().append(data)
+
+
 class TaskManagerFixture:
     """The owner of a partition with one worker and one accepted job of one task.
 
@@ -67,7 +79,7 @@
 
     def __init__(self, *, repeatable: bool = False, run_s: float = 60.0) -> None:
         self.clock = ManualClock()
-        self.log = MemoryLog()
+        self.log = DroppingLog()
         self.replica = Replica(self.log, self.clock)
         backoff = Backoff(0.001, 0.001, random.Random(1))
         self.appender = Appender(self.log, self.replica, self.clock, "one", backoff)
--- a/tests/unit/daemon/test_task_manager.py
+++ b/tests/unit/daemon/test_task_manager.py
@@ -4,7 +4,8 @@
 
 import unittest
 
-from azurecleat_coordination.records import CancelJob, Claim, Entry, encode_entry
+from azurecleat_coordination.records import BeginTask, CancelJob, Claim, Entry, encode_entry
+from azurecleat_fakes import Faults
 from azurecleat_platform import ControlRequest
 
 from tests.lib.task_manager_fixture import JOB_ID, LEASE_S, PARTITION, TaskManagerFixture
@@ -36,6 +37,33 @@
         self.assertEqual((fixture.summary["done"], fixture.summary["unknown"]), (1, 0))
 
 
+class BegunTaskTest(unittest.TestCase):
+    """Tasks that are not repeatable, whose begin is recorded before they are sent."""
+
+    def setUp(self) -> None:
+        self.fixture = TaskManagerFixture(run_s=1.0)
+
+    # The rejection of a repeated begin was taken to show that the task had run, although it was
+    # this owner's own first record: a task that was never sent ended as unknown.
+    def test_task_begun_by_an_append_without_answer_is_run(self) -> None:
+        self.fixture.log.faults = Faults(lose_answers=1, read_lag=10)
+        self.fixture.run(rounds=10)
+        self.fixture.log.faults = Faults()
+        self.fixture.run(rounds=6)
+        self.assertEqual(self.fixture.starts[(JOB_ID, 0)], 1)
+        self.assertEqual((self.fixture.summary["done"], self.fixture.summary["unknown"]), (1, 0))
+
+    def test_task_begun_by_a_later_owner_is_not_run(self) -> None:
+        self.fixture.log.drops = True
+        self.fixture.run(rounds=10)
+        self.fixture.log.drops = False
+        claim = Claim(PARTITION, 2, "two", "two", ("w1",))
+        events = (claim, BeginTask(PARTITION, 2, JOB_ID, 0))
+        self.fixture.log.append(encode_entry(Entry("two", 1, events)))
+        self.fixture.run(rounds=6)
+        self.assertEqual(self.fixture.starts[(JOB_ID, 0)], 0)
+
+
 class RecordedResultTest(unittest.TestCase):
     """Results whose record the log's order rejects."""
 
