Daemon: the key of a request that was not run is given back before the answer

Seen by callers: a request that is not repeatable and was reported as not run is refused as `duplicate`, outcome unknown, when it is sent again at another instance at once. A router's next hop after `not-owner` has the same effect within one call. Cause: the reserved run was released by an append that nobody waited for. A retry that the log orders before the release is rejected because of a reservation that was never used. Evidence: IntentTest.test_key_is_given_back_before_the_request_is_reported_as_not_run, before the change: "RefusalError: a request with this idempotency key was submitted before". Fix: the refusal is raised once the release is in the log, so the log orders every retry after it. The wait is bounded to 0.3 s, within the grace for forwarded refusals; if the log does not answer, the caller gets the refusal then, and the release is still appended if possible.

--- a/libs/coordination/src/azurecleat_coordination/_internal/appender.py
+++ b/libs/coordination/src/azurecleat_coordination/_internal/appender.py
@@ -159,17 +159,20 @@
         """Submits an event and waits for its result; raises like the future of :meth:`submit`."""
         return self.wait(self.submit(event, deadline_s))
 
-    def wait(self, future: Future[ApplyResult]) -> ApplyResult:
+    def wait(self, future: Future[ApplyResult], timeout_s: float | None = None) -> ApplyResult:
         """Waits for a submitted event.
 
         Without a thread, appends in the calling thread and fails the event if one try does not
         resolve it.
+
+        :param timeout_s: Longest time to wait, in seconds; None waits until the event's deadline.
+        :raises TimeoutError: The event is not resolved yet; it is still appended if possible.
         """
         if self._thread is None:
             while not future.done():
                 if not self.step():
                     self._expire_batch()
-        return future.result()
+        return future.result(timeout_s)
 
     def step(self) -> bool:
         """Tries once to append the next batch; returns whether nothing is left to append.
--- a/libs/daemon/src/azurecleat_daemon/_internal/request_dispatcher.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/request_dispatcher.py
@@ -48,6 +48,12 @@
 SLOT_SIZE = TaskSize(1, 1, 0)
 NOMINAL_RUN_S = 1.0
 INTENT_DEADLINE_S = 2.0
+INTENT_RELEASE_WAIT_S = 0.3
+"""Longest time by which a refusal waits for the release of its key.
+
+It is shorter than the time after a deadline within which a forwarded refusal may still arrive.
+"""
+
 MAX_TRIES = 4
 SERVICE_TIME_SMOOTHING = 0.1
 """Weight of a new service time in the exponential moving average."""
@@ -274,10 +280,22 @@
             return self._try_once(spec, ends_at)
         except RefusalError as refusal:
             if refusal.ran is ExecutionStatus.NOT_RUN:
-                # Nothing was run under this key, so the caller may use it again.
-                self._appender.submit(ReleaseIntent(key), INTENT_DEADLINE_S * 2)
+                self._release_intent(key)
             raise
 
+    def _release_intent(self, key: str) -> None:
+        """Gives back the key of a request that was certainly not run.
+
+        The release should precede the refusal, because a retry that the log orders before the
+        release is refused as a duplicate.
+        """
+        future = self._appender.submit(ReleaseIntent(key), INTENT_DEADLINE_S * 2)
+        try:
+            self._appender.wait(future, INTENT_RELEASE_WAIT_S)
+        except (LogError, FutureTimeoutError) as error:
+            reason = type(error).__name__
+            self._metrics.retries.labels("request.release", reason).inc()
+
     def _reserve_intent(self, key: str) -> None:
         event = Intend(key, self._clock.wall())
         try:
--- /dev/null
+++ b/tests/unit/daemon/test_request_dispatcher.py
@@ -0,0 +1,97 @@
+"""Tests of the request dispatcher with one fake runner, without threads."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import unittest
+
+from azurecleat_coordination import Appender, Backoff, ControlLease, Replica
+from azurecleat_daemon._internal.metrics import Metrics
+from azurecleat_daemon._internal.refusal import RefusalError
+from azurecleat_daemon._internal.request_dispatcher import RequestDispatcher
+from azurecleat_daemon._internal.target_session import SessionSettings, TargetSession
+from azurecleat_fakes import FakeRunner, Faults, MemoryLog, Observation
+from azurecleat_model import Environment, ExecutionStatus, ManualClock, Quota, RequestSpec, Team
+from azurecleat_platform import Target, TargetKind
+
+LEASE_S = 3.0
+ENVIRONMENT = Environment("test", (Team("crew", 1.0, Quota(requests=10)),))
+PAYMENT = RequestSpec("crew", b"pay", 10.0, repeatable=False, idempotency_key="payment-1")
+LOOKUP = RequestSpec("crew", b"look", 10.0)
+
+
+class Owner:
+    """The owner of a partition with one runner.
+
+    :param log: Log that the owners share.
+    """
+
+    def __init__(self, log: MemoryLog, name: str) -> None:
+        self.clock = ManualClock()
+        self.replica = Replica(log, self.clock)
+        backoff = Backoff(0.001, 0.001, random.Random(1))
+        self.appender = Appender(log, self.replica, self.clock, name, backoff)
+        self.history: list[Observation] = []
+        target = Target(f"{name}-r1", TargetKind.RUNNER, name, "r1", slots=2)
+        self.runner = FakeRunner(
+            target, self.clock, self.history, lambda body: b"answer to " + body
+        )
+        self.lease = ControlLease(self.clock, (target.name,), LEASE_S)
+        ids = itertools.count(1)
+        self.requests = RequestDispatcher(
+            name,
+            1,
+            ENVIRONMENT,
+            self.appender,
+            self.lease,
+            self.clock,
+            Metrics(),
+            backoff,
+            lambda seconds: None,
+            False,
+            lambda: str(next(ids)),
+            lambda: None,
+        )
+        settings = SessionSettings(name, 1, name, LEASE_S)
+        self.session = TargetSession(
+            target, self.runner, settings, self.lease, self.clock, self.requests
+        )
+        self.requests.set_team(ENVIRONMENT.teams[0], Quota(requests=10))
+        self.session.exchange()
+        self.requests.open()
+
+    @property
+    def runs(self) -> int:
+        """Number of requests that the runner began."""
+        return sum(event.event == "run" for event in self.history)
+
+
+class IntentTest(unittest.TestCase):
+    """Requests that are not repeatable, whose single run is reserved in the log."""
+
+    def setUp(self) -> None:
+        self.log = MemoryLog()
+        self.hobart = Owner(self.log, "hobart")
+        self.burnie = Owner(self.log, "burnie")
+
+    def refusal(self, owner: Owner) -> RefusalError:
+        with self.assertRaises(RefusalError) as caught:
+            owner.requests.serve(PAYMENT)
+        return caught.exception
+
+    # The key was given back only after the answer "not run": the next hop or a retry at another
+    # instance was refused as a duplicate of a request that certainly never ran.
+    def test_key_is_given_back_before_the_request_is_reported_as_not_run(self) -> None:
+        self.hobart.runner.faults = Faults(busy=True)
+        self.assertIs(self.refusal(self.hobart).ran, ExecutionStatus.NOT_RUN)
+        self.assertEqual(self.burnie.requests.serve(PAYMENT), b"answer to pay")
+
+    def test_second_request_with_a_key_is_refused_as_a_duplicate(self) -> None:
+        self.hobart.requests.serve(PAYMENT)
+        refusal = self.refusal(self.burnie)
+        self.assertEqual((refusal.code, refusal.ran), ("duplicate", ExecutionStatus.UNKNOWN))
+
+
+if __name__ == "__main__":
+    unittest.main()
