Daemon: a run reserved by an append without an answer is given back

Seen by callers: a request that is not repeatable is refused with `intent-unavailable`, not run, come back in 5 s; when it comes back it is refused as `duplicate`, outcome unknown, for 24 hours. Cause: the append of the reservation had no answer in time but reached the log. Nobody gave the key back, and the rejection of the retry's reservation was taken for an earlier run under the key. Evidence: in IntentTest, before the change: test_key_reserved_by_an_append_without_answer_is_given_back "RefusalError: a request with this idempotency key was submitted before", test_retry_before_the_late_reservation_is_released_is_not_run "('duplicate', unknown) != ('intent-unavailable', not-run)". Fix: the appender reports the result of an event that is applied after its future has failed as unknown. If that result is an accepted reservation, it is this instance's own and unused, so its key is given back; one that was rejected belongs to somebody else and stays (third test). A retry that the log orders between the two is refused as not run. Exactly one of the future and the listener gets the result, also if the deadline passes in another thread at the same moment. A test of the appender adds that the refusal of a repeated append leaves the first one unknown; that was right before.

--- a/libs/coordination/src/azurecleat_coordination/_internal/appender.py
+++ b/libs/coordination/src/azurecleat_coordination/_internal/appender.py
@@ -22,10 +22,15 @@
 DEFAULT_DEADLINE_S = 5.0
 
 
+LateListener = Callable[[ApplyResult], None]
+"""Called with the result of an event that is applied after it was reported as unknown."""
+
+
 class _PendingEvent(NamedTuple):
     event: RecordEvent
     deadline: float
     future: Future[ApplyResult]
+    on_late: LateListener | None = None
 
 
 class AppendOutcome(str, Enum):
@@ -101,7 +106,7 @@
         self._wakeup = threading.Condition()
         self._stopping = False
         self._batch: _Batch | None = None
-        self._undecided: set[int] = set()
+        self._undecided: dict[int, _Batch] = {}
         self._applied_late: set[int] = set()
         self._last_append_at = clock.monotonic() - min_interval_s
         self._counts = AppendCounts()
@@ -136,15 +141,20 @@
             self._thread.join()
 
     def submit(
-        self, event: RecordEvent, deadline_s: float = DEFAULT_DEADLINE_S
+        self,
+        event: RecordEvent,
+        deadline_s: float = DEFAULT_DEADLINE_S,
+        on_late: LateListener | None = None,
     ) -> Future[ApplyResult]:
         """Queues an event.
 
         :param deadline_s: Seconds after which the event is no longer appended.
+        :param on_late: Called if the event is applied after its future has raised
+            :class:`AppendUnknownError`, by the thread that reads the log.
         :return: Future of the result. It raises :class:`LogUnavailableError` if the event is
             certainly not in the log, and :class:`AppendUnknownError` if it may be.
         """
-        pending = _PendingEvent(event, self._clock.monotonic() + deadline_s, Future())
+        pending = _PendingEvent(event, self._clock.monotonic() + deadline_s, Future(), on_late)
         with self._wakeup:
             if self._stopping:
                 pending.future.set_exception(
@@ -155,9 +165,14 @@
             self._wakeup.notify_all()
         return pending.future
 
-    def commit(self, event: RecordEvent, deadline_s: float = DEFAULT_DEADLINE_S) -> ApplyResult:
+    def commit(
+        self,
+        event: RecordEvent,
+        deadline_s: float = DEFAULT_DEADLINE_S,
+        on_late: LateListener | None = None,
+    ) -> ApplyResult:
         """Submits an event and waits for its result; raises like the future of :meth:`submit`."""
-        return self.wait(self.submit(event, deadline_s))
+        return self.wait(self.submit(event, deadline_s, on_late))
 
     def wait(self, future: Future[ApplyResult], timeout_s: float | None = None) -> ApplyResult:
         """Waits for a submitted event.
@@ -235,14 +250,16 @@
     def _on_applied(self, writer: str, sequence: int, results: list[ApplyResult]) -> None:
         if writer != self._writer:
             return
-        if sequence in self._undecided:
+        current = self._batch
+        batch = self._undecided.get(sequence)
+        if batch is not None:
             self._applied_late.add(sequence)
-        self._undecided = {other for other in self._undecided if other > sequence}
-        batch = self._batch
-        if batch is None or batch.sequence != sequence:
-            return
-        for pending, result in zip(batch.pending, results, strict=True):
-            _resolve(pending.future.set_result, result)
+        elif current is not None and current.sequence == sequence:
+            batch = current
+        self._undecided = {o: other for o, other in self._undecided.items() if o > sequence}
+        if batch is not None:
+            for pending, result in zip(batch.pending, results, strict=True):
+                _report(pending, result)
 
     def _fail_expired(self, batch: _Batch) -> None:
         now = self._clock.monotonic()
@@ -253,7 +270,7 @@
                 _resolve(pending.future.set_exception, error)
             batch.pending = [pending for pending in batch.pending if not pending.future.done()]
         elif len(expired) == len(batch.pending):
-            self._undecided.add(batch.sequence)
+            self._undecided[batch.sequence] = batch
             unknown = AppendUnknownError(
                 "no answer in time",
                 step="log.append",
@@ -279,8 +296,18 @@
         self._counts = AppendCounts(**{k: v + increments.get(k, 0) for k, v in values.items()})
 
 
-def _resolve(setter: Callable[[object], None], value: object) -> None:
+def _report(pending: _PendingEvent, result: ApplyResult) -> None:
+    # The deadline may pass at the same time in another thread. Only one of the two resolves the
+    # future, so that its caller and ``on_late`` never both get the result.
+    is_first = _resolve(pending.future.set_result, result)
+    if not is_first and pending.on_late is not None and pending.future.exception() is not None:
+        pending.on_late(result)
+
+
+def _resolve(setter: Callable[[object], None], value: object) -> bool:
+    """Resolves a future; returns False if it was resolved before."""
     try:
         setter(value)
     except InvalidStateError:
-        pass
+        return False
+    return True
--- a/libs/daemon/src/azurecleat_daemon/_internal/request_dispatcher.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/request_dispatcher.py
@@ -13,7 +13,14 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import NamedTuple
 
-from azurecleat_coordination import Appender, Backoff, CircuitBreaker, ControlLease, RetryBudget
+from azurecleat_coordination import (
+    Appender,
+    ApplyResult,
+    Backoff,
+    CircuitBreaker,
+    ControlLease,
+    RetryBudget,
+)
 from azurecleat_coordination.records import Intend, ReleaseIntent
 from azurecleat_model import (
     Clock,
@@ -48,6 +55,7 @@
 SLOT_SIZE = TaskSize(1, 1, 0)
 NOMINAL_RUN_S = 1.0
 INTENT_DEADLINE_S = 2.0
+LATE_RELEASE_DEADLINE_S = 30.0
 INTENT_RELEASE_WAIT_S = 0.3
 """Longest time by which a refusal waits for the release of its key.
 
@@ -120,6 +128,7 @@
         self._breakers: dict[str, CircuitBreaker] = {}
         self._grants: dict[str, Future[_Grant]] = {}
         self._unconfirmed: dict[str, _UnconfirmedRequest] = {}
+        self._unused_intents: set[str] = set()
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._mean_service_s = 0.0
         self._in_progress = 0
@@ -299,10 +308,15 @@
     def _reserve_intent(self, key: str) -> None:
         event = Intend(key, self._clock.wall())
         try:
-            applied = self._appender.commit(event, INTENT_DEADLINE_S)
+            applied = self._appender.commit(
+                event, INTENT_DEADLINE_S, lambda late: self._on_late_intent(key, late)
+            )
         except LogError as error:
             detail = f"the single run could not be reserved: {error}"
             raise self._refusal("intent-unavailable", detail, 5.0) from error
+        if not applied.accepted and key in self._unused_intents:
+            detail = "the key is being given back after an earlier request that was not run"
+            raise self._refusal("intent-unavailable", detail, 1.0)
         if not applied.accepted:
             raise RefusalError(
                 "duplicate",
@@ -312,6 +326,16 @@
                 step="request.reserve",
             )
 
+    def _on_late_intent(self, key: str, applied: ApplyResult) -> None:
+        """Gives back a key that was reserved after its request was refused as not run."""
+        if not applied.accepted:
+            return
+        self._unused_intents.add(key)
+        future = self._appender.submit(ReleaseIntent(key), LATE_RELEASE_DEADLINE_S)
+        # The release may have taken effect whatever the outcome of its append, and another request
+        # may hold the key then.
+        future.add_done_callback(lambda _: self._unused_intents.discard(key))
+
     def _serve_repeatable(self, spec: RequestSpec, ends_at: float) -> bytes:
         """Runs a repeatable request, with retries while budget and deadline allow."""
         budget = self._retry_budgets.setdefault(spec.team, RetryBudget())
--- a/tests/unit/coordination/test_replica.py
+++ b/tests/unit/coordination/test_replica.py
@@ -128,6 +128,27 @@
                 self.assertEqual(instance.appender.outcome(number), expected)
                 self.assertEqual("k1" in instance.replica.fleet.intents, arrives)
 
+    # Guards against taking the refusal of a repeated append as the outcome of the first one.
+    def test_append_without_answer_stays_unknown_if_its_repeat_is_refused(self) -> None:
+        self.log.faults = Faults(lose_answers=1, read_lag=10)
+        future = self.one.appender.submit(Intend("k1", 0.0), 5.0)
+        self.one.appender.step()
+        self.log.faults = Faults(down=True)
+        self.one.appender.step()
+        self.one.clock.advance(6.0)
+        self.one.appender.step()
+        self.assertIsInstance(future.exception(), AppendUnknownError)
+
+    def test_late_result_is_reported_to_the_listener_of_its_event_only(self) -> None:
+        late = []
+        self.log.faults = Faults(lose_answers=1, read_lag=10)
+        with self.assertRaises(AppendUnknownError):
+            self.one.appender.commit(Intend("k1", 0.0), on_late=late.append)
+        self.log.faults = Faults()
+        self.assertEqual(late, [])
+        self.assertTrue(self.one.appender.commit(Intend("k2", 0.0), on_late=late.append).accepted)
+        self.assertEqual([result.accepted for result in late], [True])
+
     def test_events_submitted_together_share_an_entry(self) -> None:
         futures = [self.one.appender.submit(Intend(f"k{i}", 0.0)) for i in range(50)]
         self.one.appender.step()
--- a/tests/unit/daemon/test_request_dispatcher.py
+++ b/tests/unit/daemon/test_request_dispatcher.py
@@ -18,6 +18,7 @@
 LEASE_S = 3.0
 ENVIRONMENT = Environment("test", (Team("crew", 1.0, Quota(requests=10)),))
 PAYMENT = RequestSpec("crew", b"pay", 10.0, repeatable=False, idempotency_key="payment-1")
+NOT_RUN = ExecutionStatus.NOT_RUN
 LOOKUP = RequestSpec("crew", b"look", 10.0)
 
 
@@ -84,9 +85,43 @@
     # instance was refused as a duplicate of a request that certainly never ran.
     def test_key_is_given_back_before_the_request_is_reported_as_not_run(self) -> None:
         self.hobart.runner.faults = Faults(busy=True)
-        self.assertIs(self.refusal(self.hobart).ran, ExecutionStatus.NOT_RUN)
+        self.assertIs(self.refusal(self.hobart).ran, NOT_RUN)
         self.assertEqual(self.burnie.requests.serve(PAYMENT), b"answer to pay")
 
+    def append_all(self, owner: Owner) -> None:
+        while not owner.appender.step():
+            pass
+
+    def reserve_without_answer(self) -> None:
+        """Appends a reservation at hobart whose outcome stays unknown."""
+        self.log.faults = Faults(lose_answers=1, read_lag=10)
+        refusal = self.refusal(self.hobart)
+        self.assertEqual((refusal.code, refusal.ran), ("intent-unavailable", NOT_RUN))
+        self.log.faults = Faults()
+
+    # A reservation whose append had no answer was never given back: each retry of a request that
+    # never ran was refused as a duplicate for a day.
+    def test_key_reserved_by_an_append_without_answer_is_given_back(self) -> None:
+        self.reserve_without_answer()
+        self.hobart.replica.catch_up()
+        self.append_all(self.hobart)
+        self.assertEqual(self.burnie.requests.serve(PAYMENT), b"answer to pay")
+
+    def test_retry_before_the_late_reservation_is_released_is_not_run(self) -> None:
+        self.reserve_without_answer()
+        refusal = self.refusal(self.hobart)
+        self.assertEqual((refusal.code, refusal.ran), ("intent-unavailable", NOT_RUN))
+        self.append_all(self.hobart)
+        self.assertEqual(self.hobart.requests.serve(PAYMENT), b"answer to pay")
+
+    def test_key_reserved_elsewhere_stays_reserved_after_an_append_without_answer(self) -> None:
+        self.burnie.requests.serve(PAYMENT)
+        self.reserve_without_answer()
+        self.hobart.replica.catch_up()
+        self.append_all(self.hobart)
+        self.assertEqual(self.refusal(self.hobart).code, "duplicate")
+        self.assertEqual((self.burnie.runs, self.hobart.runs), (1, 0))
+
     def test_second_request_with_a_key_is_refused_as_a_duplicate(self) -> None:
         self.hobart.requests.serve(PAYMENT)
         refusal = self.refusal(self.burnie)
