Daemon: a cancellation without an answer is unknown, and its repeat tells the job's state

Seen by callers: a cancellation that is in the log is answered with `log-unavailable`, not recorded; the repeat, sent as told, is answered with `"cancelled": false` although the job is cancelled. Cause: every error of the append was answered as "not recorded", also the one that means "may be in the log"; and the rejection of the repeated record (the job has finished) was taken as the outcome of cancelling, although the first record had ended the job. Evidence: JobAnswerTest.test_cancellation_without_answer_is_unknown_and_its_repeat_tells_the_state, before the change: "('log-unavailable', not-run) != ('outcome-unknown', unknown)"; with the first expectation set to the old answer in a trial: "AssertionError: False is not true" for the repeat. Fix: an append of unknown outcome is answered as `outcome-unknown`, as submissions do, and the answer to a cancellation is the job's state in the log after the record, whoever's record ended the job.

--- a/libs/daemon/src/azurecleat_daemon/_internal/router.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/router.py
@@ -279,6 +279,14 @@
         try:
             event = CancelJob(operation.partition, operation.subject)
             applied = self._appender.commit(event, ACCEPT_DEADLINE_S)
+        except AppendUnknownError as error:
+            raise RefusalError(
+                "outcome-unknown",
+                "the job may have been cancelled; cancel it again",
+                ran=ExecutionStatus.UNKNOWN,
+                status=status_for("outcome-unknown"),
+                step=error.step,
+            ) from error
         except LogError as error:
             raise RefusalError(
                 "log-unavailable",
@@ -286,7 +294,10 @@
                 retry_after_s=5.0,
                 step=error.step,
             ) from error
-        return {"job": operation.subject, "cancelled": applied.accepted}
+        # A repeated cancellation is rejected because the first one has ended the job.
+        found = self._find_job(operation)
+        is_cancelled = applied.accepted or (found is not None and found["cancelled"])
+        return {"job": operation.subject, "cancelled": is_cancelled}
 
     def _job_summary(self, operation: Operation) -> dict[str, Any]:
         found = self._find_job(operation)
