Daemon: a refused repeat of a job operation stays unknown while the first record may be applied

Seen by callers: a submission is answered as `outcome-unknown`, submit again with the same key; the repeat is answered as `log-unavailable` or `queue-full`, not run, and the job runs later all the same. The same for cancellations. Cause: the refusal of the repeat was reported as the outcome of the operation, although it says only that the repeat was not recorded; the record of the first try may still reach the log. Evidence: JobAnswerTest, before the change: ('log-unavailable', not-run) instead of ('outcome-unknown', unknown) for the repeats in test_refused_repeat_stays_unknown_while_the_first_record_may_be_applied and test_refused_repeat_of_a_cancellation_stays_unknown. Fix: the router keeps the sequence numbers of records of unknown outcome by operation and job, and answers a refused repeat as unknown until the appender knows the outcome of the first one. Both operations now record through the same method. What remains: another instance that becomes the owner in between does not know of such a record.

--- a/libs/daemon/src/azurecleat_daemon/_internal/router.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/router.py
@@ -4,10 +4,17 @@
 
 import hashlib
 import json
+import threading
 from collections.abc import Callable
 from typing import Any
 
-from azurecleat_coordination import Appender, Replica, rank_candidates
+from azurecleat_coordination import (
+    Appender,
+    AppendOutcome,
+    ApplyResult,
+    Replica,
+    rank_candidates,
+)
 from azurecleat_coordination.records import AcceptJob, CancelJob
 from azurecleat_model import Clock, ExecutionStatus, Job, JobSpec, RequestSpec, to_plain, validate
 from azurecleat_model.exceptions import (
@@ -73,6 +80,8 @@
         self._clock = clock
         self._metrics = metrics
         self._new_id = new_id
+        self._lock = threading.Lock()
+        self._unknown_appends: dict[tuple[str, str], int] = {}
 
     def run(self, spec: RequestSpec) -> bytes:
         """Runs a request in this zone, or in another one if no owner serves this zone.
@@ -251,6 +260,7 @@
             return known
         refused = local_owner.tasks.check(job)
         if refused is not None:
+            self._check_decided(operation)
             raise RefusalError(
                 refused.code,
                 refused.detail,
@@ -258,46 +268,51 @@
                 retry_after_s=refused.retry_after_s,
                 step="job.accept",
             )
-        try:
-            self._appender.commit(AcceptJob(operation.partition, job), ACCEPT_DEADLINE_S)
-        except AppendUnknownError as error:
-            raise RefusalError(
-                "outcome-unknown",
-                "the job may have been accepted; submit it again with the same idempotency key",
-                ran=ExecutionStatus.UNKNOWN,
-                status=status_for("outcome-unknown"),
-                step=error.step,
-            ) from error
-        except LogError as error:
-            raise RefusalError(
-                "log-unavailable", str(error), retry_after_s=5.0, step=error.step
-            ) from error
+        self._commit(operation, AcceptJob(operation.partition, job))
         return self._find_job(operation) or {"job": job.job_id}
 
     def _cancel_job(self, operation: Operation) -> dict[str, Any]:
         self._job_summary(operation)
+        applied = self._commit(operation, CancelJob(operation.partition, operation.subject))
+        # A repeated cancellation is rejected because the first one has ended the job.
+        found = self._find_job(operation)
+        is_cancelled = applied.accepted or (found is not None and found["cancelled"])
+        return {"job": operation.subject, "cancelled": is_cancelled}
+
+    def _commit(self, operation: Operation, event: AcceptJob | CancelJob) -> ApplyResult:
+        """Records an operation on a job.
+
+        :raises RefusalError: With code ``outcome-unknown`` if this record or an earlier one of the
+            same operation may be applied later, with ``log-unavailable`` if there is none.
+        """
         try:
-            event = CancelJob(operation.partition, operation.subject)
-            applied = self._appender.commit(event, ACCEPT_DEADLINE_S)
+            return self._appender.commit(event, ACCEPT_DEADLINE_S)
         except AppendUnknownError as error:
-            raise RefusalError(
-                "outcome-unknown",
-                "the job may have been cancelled; cancel it again",
-                ran=ExecutionStatus.UNKNOWN,
-                status=status_for("outcome-unknown"),
-                step=error.step,
-            ) from error
+            with self._lock:
+                self._unknown_appends[operation.name, operation.subject] = error.sequence
+            raise _unknown_operation(operation) from error
         except LogError as error:
+            self._check_decided(operation)
             raise RefusalError(
                 "log-unavailable",
-                f"the cancellation is not recorded: {error}",
+                f"the operation {operation.name!r} is not recorded: {error}",
                 retry_after_s=5.0,
                 step=error.step,
             ) from error
-        # A repeated cancellation is rejected because the first one has ended the job.
-        found = self._find_job(operation)
-        is_cancelled = applied.accepted or (found is not None and found["cancelled"])
-        return {"job": operation.subject, "cancelled": is_cancelled}
+
+    def _check_decided(self, operation: Operation) -> None:
+        """Raises ``outcome-unknown`` if an earlier record of an operation may still be applied.
+
+        A refusal of the repeated operation would say nothing about that record.
+        """
+        with self._lock:
+            self._unknown_appends = {
+                repeated: sequence
+                for repeated, sequence in self._unknown_appends.items()
+                if self._appender.outcome(sequence) is AppendOutcome.OPEN
+            }
+            if (operation.name, operation.subject) in self._unknown_appends:
+                raise _unknown_operation(operation)
 
     def _job_summary(self, operation: Operation) -> dict[str, Any]:
         found = self._find_job(operation)
@@ -381,6 +396,17 @@
         return partition
 
 
+def _unknown_operation(operation: Operation) -> RefusalError:
+    return RefusalError(
+        "outcome-unknown",
+        f"the operation {operation.name!r} may be recorded; repeat it, a submission with the same"
+        " idempotency key",
+        ran=ExecutionStatus.UNKNOWN,
+        status=status_for("outcome-unknown"),
+        step="log.append",
+    )
+
+
 def _no_owner(partition: str) -> RefusalError:
     return RefusalError(
         "no-owner",
