Daemon: slots of requests that never reached their runner are freed

Seen by callers: requests wait until their deadline although a runner is idle, until its lease lapses or another request runs there. Cause: a request without an answer keeps its slot until a report of the runner does not show it. A target reports only changes; a runner that the request never reached has none, and "unchanged" was not taken as a report. With one slot, or all slots lost in one cut, the unknown outcome was never resolved. Evidence: UnconfirmedRequestTest. test_slots_of_requests_that_never_arrived_are_freed_by_an_unchanged_report, before the change: "RefusalError: no slot was free before the deadline". Fix: the session passes on an unchanged answer, and the dispatcher compares it with the runner's last report, under the same rule as a new one: sent after the request became unconfirmed. A second test shows that a refusal of the last try does not hide an earlier try without an answer; that was right before.

--- a/libs/daemon/src/azurecleat_daemon/_internal/request_dispatcher.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/request_dispatcher.py
@@ -128,6 +128,7 @@
         self._breakers: dict[str, CircuitBreaker] = {}
         self._grants: dict[str, Future[_Grant]] = {}
         self._unconfirmed: dict[str, _UnconfirmedRequest] = {}
+        self._last_running: dict[str, set[str]] = {}
         self._unused_intents: set[str] = set()
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._mean_service_s = 0.0
@@ -242,20 +243,26 @@
         """Adopts requests of a previous owner, and frees slots whose request has ended."""
         names = {task.task for task in running}
         with self._lock:
+            self._last_running[session.target.name] = names
             for request_id in sorted(names):
                 self._adopt(request_id, session.target.name, sent_at)
-            for request_id, unconfirmed in list(self._unconfirmed.items()):
-                job = self._scheduler.jobs.get(request_id)
-                is_on_target = job is not None and any(
-                    self._scheduler.worker_name(task) == session.target.name
-                    for task in job.running.values()
-                )
-                if (
-                    is_on_target
-                    and request_id not in names
-                    and sent_at > unconfirmed.unconfirmed_at
-                ):
-                    self._end(request_id, TaskResult.LOST)
+            self._free_slots(session.target.name, sent_at)
+
+    def on_unchanged(self, session: TargetSession, sent_at: float) -> None:
+        """Frees slots whose request never reached the runner, which therefore shows no change."""
+        with self._lock:
+            self._free_slots(session.target.name, sent_at)
+
+    def _free_slots(self, runner: str, sent_at: float) -> None:
+        """Frees the slots of unconfirmed requests that a later report does not show."""
+        names = self._last_running.get(runner, set())
+        for request_id, unconfirmed in list(self._unconfirmed.items()):
+            job = self._scheduler.jobs.get(request_id)
+            is_on_runner = job is not None and any(
+                self._scheduler.worker_name(task) == runner for task in job.running.values()
+            )
+            if is_on_runner and request_id not in names and sent_at > unconfirmed.unconfirmed_at:
+                self._end(request_id, TaskResult.LOST)
 
     def on_ended(self, session: TargetSession, ended: tuple[EndedTask, ...]) -> None:
         """Does nothing: runners report no ended attempts."""
@@ -270,6 +277,7 @@
         """Removes a runner whose lease lapsed."""
         with self._lock:
             self._sessions.pop(session.target.name, None)
+            self._last_running.pop(session.target.name, None)
             self._scheduler.remove_worker(session.target.name, self._clock.monotonic())
             for request_id in list(self._unconfirmed):
                 if request_id not in self._scheduler.jobs:
--- a/libs/daemon/src/azurecleat_daemon/_internal/target_session.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/target_session.py
@@ -47,6 +47,12 @@
         :param sent_at: When the request that the target answered was sent.
         """
 
+    def on_unchanged(self, session: TargetSession, sent_at: float) -> None:
+        """Called when the target runs the same as it last reported.
+
+        :param sent_at: When the request that the target answered was sent.
+        """
+
     def on_ended(self, session: TargetSession, ended: tuple[EndedTask, ...]) -> None:
         """Called with attempts that ended and were not acknowledged yet."""
 
@@ -252,6 +258,8 @@
             self._listener.on_ended(self, ended)
         if reply.running is not None:
             self._listener.on_running(self, reply.running, sent_at)
+        else:
+            self._listener.on_unchanged(self, sent_at)
 
     def _on_fenced(self, error: FencedError) -> None:
         self._last_answer_at = self._clock.monotonic()
--- a/libs/daemon/src/azurecleat_daemon/_internal/task_manager.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/task_manager.py
@@ -245,6 +245,9 @@
             for task in running:
                 self._on_running_task(session, task)
 
+    def on_unchanged(self, session: TargetSession, sent_at: float) -> None:
+        """Does nothing: the last report was processed."""
+
     def on_ended(self, session: TargetSession, ended: tuple[EndedTask, ...]) -> None:
         """Processes attempts that ended."""
         with self._lock:
--- a/tests/unit/daemon/test_request_dispatcher.py
+++ b/tests/unit/daemon/test_request_dispatcher.py
@@ -13,7 +13,8 @@
 from azurecleat_daemon._internal.target_session import SessionSettings, TargetSession
 from azurecleat_fakes import FakeRunner, Faults, MemoryLog, Observation
 from azurecleat_model import Environment, ExecutionStatus, ManualClock, Quota, RequestSpec, Team
-from azurecleat_platform import Target, TargetKind
+from azurecleat_model.exceptions import OutcomeUnknownError
+from azurecleat_platform import ControlReply, ControlRequest, Target, TargetKind
 
 LEASE_S = 3.0
 ENVIRONMENT = Environment("test", (Team("crew", 1.0, Quota(requests=10)),))
@@ -22,6 +23,28 @@
 LOOKUP = RequestSpec("crew", b"look", 10.0)
 
 
+class LossyConnection:
+    """A connection to a runner that loses the first ``losses`` requests before they arrive."""
+
+    def __init__(self, runner: FakeRunner) -> None:
+        self._runner = runner
+        self.losses = 0
+
+    def control(self, request: ControlRequest) -> ControlReply:
+        """Sends one control request."""
+        return self._runner.control(request)
+
+    def run(self, request_id: str, epoch: int, body: bytes, timeout_s: float) -> bytes:
+        """Sends one request, or loses it."""
+        if self.losses > 0:
+            self.losses -= 1
+            raise OutcomeUnknownError("no answer in time", step="run", peer="r1")
+        return self._runner.run(request_id, epoch, body, timeout_s)
+
+    def close(self) -> None:
+        """Does nothing."""
+
+
 class Owner:
     """The owner of a partition with one runner.
 
@@ -38,6 +61,7 @@
         self.runner = FakeRunner(
             target, self.clock, self.history, lambda body: b"answer to " + body
         )
+        self.connection = LossyConnection(self.runner)
         self.lease = ControlLease(self.clock, (target.name,), LEASE_S)
         ids = itertools.count(1)
         self.requests = RequestDispatcher(
@@ -56,7 +80,7 @@
         )
         settings = SessionSettings(name, 1, name, LEASE_S)
         self.session = TargetSession(
-            target, self.runner, settings, self.lease, self.clock, self.requests
+            target, self.connection, settings, self.lease, self.clock, self.requests
         )
         self.requests.set_team(ENVIRONMENT.teams[0], Quota(requests=10))
         self.session.exchange()
@@ -128,5 +152,30 @@
         self.assertEqual((refusal.code, refusal.ran), ("duplicate", ExecutionStatus.UNKNOWN))
 
 
+class UnconfirmedRequestTest(unittest.TestCase):
+    """Requests without an answer, which keep their slot until the runner shows their end."""
+
+    def setUp(self) -> None:
+        self.owner = Owner(MemoryLog(), "hobart")
+
+    # A report without changes was not used, so requests that never reached the runner kept all its
+    # slots until some other request ran there.
+    def test_slots_of_requests_that_never_arrived_are_freed_by_an_unchanged_report(self) -> None:
+        self.owner.connection.losses = 2
+        with self.assertRaises(RefusalError):
+            self.owner.requests.serve(LOOKUP)
+        self.owner.clock.advance(1.0)
+        self.owner.session.exchange()
+        self.assertEqual(self.owner.requests.serve(LOOKUP), b"answer to look")
+
+    # Guards against reporting the refusal of the last try after a try without an answer.
+    def test_last_refusal_does_not_hide_an_earlier_try_without_answer(self) -> None:
+        self.owner.connection.losses = 1
+        self.owner.runner.faults = Faults(busy=True)
+        with self.assertRaises(RefusalError) as caught:
+            self.owner.requests.serve(LOOKUP)
+        self.assertIs(caught.exception.ran, ExecutionStatus.UNKNOWN)
+
+
 if __name__ == "__main__":
     unittest.main()
