Daemon: a proposed set of targets counts until its outcome is known

Seen by callers: after a log outage in which targets changed, a partition may not be served (`no-owner`) once the old targets have left; and two owners might be valid at once. Cause: proposals of lease targets were followed by name only, not to their outcomes. One without an answer was never made again, so the lease needed the old set for good; the commit of one proposal cleared all, also a later one that was still in flight and that a new owner may rely on. Evidence: LeaseQuorumTest, before the change: test_proposal_without_answer_is_made_again "False is not true" (lease valid with all new targets), and test_lease_needs_a_majority_of_each_proposal_that_may_take_effect "True is not false" (lease valid without a majority of a proposal in flight). Fix: each proposal is kept with its append until the append is applied or certainly never is; the lease needs a majority of the committed set and of each that is kept. A set is proposed again once its append has ended without taking effect; that later entry also decides the earlier one.

--- a/libs/daemon/src/azurecleat_daemon/_internal/partition_owner.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/partition_owner.py
@@ -140,7 +140,7 @@
         )
         shared = (partition, epoch, services.replica, services.appender, self._lease)
         self.limits = LimitManager(*shared, self.tasks, self.requests)
-        self._quorum = LeaseQuorum(*shared, targets)
+        self._quorum = LeaseQuorum(*shared)
         self._stepper = Periodic(f"engine-{partition}", STEP_S, self.step)
         self.limits.refresh()
         self.tasks.load()
--- a/libs/daemon/src/azurecleat_daemon/_internal/quorum.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/quorum.py
@@ -2,21 +2,24 @@
 
 from __future__ import annotations
 
-import threading
 from concurrent.futures import Future
+from typing import NamedTuple
 
-from azurecleat_coordination import Appender, ApplyResult, ControlLease, Replica
+from azurecleat_coordination import Appender, AppendOutcome, ApplyResult, ControlLease, Replica
 from azurecleat_coordination.records import SetTargets
-from azurecleat_model.exceptions import AppendUnknownError, LogError
+from azurecleat_model.exceptions import AppendUnknownError
+
+
+class _Proposal(NamedTuple):
+    targets: tuple[str, ...]
+    future: Future[ApplyResult]
 
 
 class LeaseQuorum:
     """Changes the quorum of a control lease through the log.
 
-    While it is not known whether the log holds a change, the lease needs a majority of the
-    committed set of targets and of each proposed set.
-
-    :param targets: The targets named in the accepted claim.
+    As long as a proposed set may still take effect, the lease needs a majority of that set and of
+    the committed one.
     """
 
     def __init__(
@@ -26,46 +29,43 @@
         replica: Replica,
         appender: Appender,
         lease: ControlLease,
-        targets: tuple[str, ...],
     ) -> None:
         self._partition = partition
         self._epoch = epoch
         self._replica = replica
         self._appender = appender
         self._lease = lease
-        self._lock = threading.Lock()
-        self._committed = targets
-        self._proposed: set[tuple[str, ...]] = set()
+        self._proposals: list[_Proposal] = []
 
     def update(self, granted: tuple[str, ...]) -> None:
         """Applies the set of targets in the log, and proposes the set that grants control now.
 
+        Not to be called by two threads at once.
+
         :param granted: Sorted names of the targets that grant control; if empty, no change is
             proposed.
         """
+        # The proposals come first: the owner read afterwards shows those that are dropped here.
+        self._proposals = [p for p in self._proposals if self._may_take_effect(p)]
         with self._replica.lock:
             owner = self._replica.fleet.ownership.owner(self._partition)
         if owner is None or owner.epoch != self._epoch:
             return
-        with self._lock:
-            if owner.targets != self._committed:
-                self._committed = owner.targets
-                self._proposed.clear()
-            proposed = granted or self._committed
-            is_new = proposed != self._committed and proposed not in self._proposed
-            if is_new:
-                self._proposed.add(proposed)
-            self._lease.set_targets(self._committed, *self._proposed)
+        proposed = granted or owner.targets
+        is_in_flight = any(p.targets == proposed and not p.future.done() for p in self._proposals)
+        is_new = proposed != owner.targets and not is_in_flight
+        needed = {p.targets for p in self._proposals} | ({proposed} if is_new else set())
+        self._lease.set_targets(owner.targets, *needed)
         if is_new:
             event = SetTargets(self._partition, self._epoch, proposed)
-            future = self._appender.submit(event)
-            future.add_done_callback(lambda done: self._on_set(done, proposed))
+            self._proposals.append(_Proposal(proposed, self._appender.submit(event)))
 
-    def _on_set(self, future: Future[ApplyResult], proposed: tuple[str, ...]) -> None:
-        try:
-            future.result()
-        except AppendUnknownError:
-            return
-        except LogError:
-            with self._lock:
-                self._proposed.discard(proposed)
+    def _may_take_effect(self, proposal: _Proposal) -> bool:
+        """Tells whether a proposal may be applied later, as far as known."""
+        if not proposal.future.done():
+            return True
+        error = proposal.future.exception()
+        return (
+            isinstance(error, AppendUnknownError)
+            and self._appender.outcome(error.sequence) is AppendOutcome.OPEN
+        )
