Daemon: an eviction whose first record did not reach the log begins again

Seen by operators: a member that died stays in the roster until the instance that tried to evict it restarts. In a log outage no proof by all peers is possible with such a member. Cause: an eviction has two records, and nobody looked at the outcome of the first. If that append failed, the second record was rejected every time ("not begun by the instance that completes it"), and the rejection was not taken for what it says. Evidence: EvictionsTest.test_eviction_is_begun_again_if_its_record_did_not_reach_the_log, before the change: "'two' unexpectedly found" in the roster. Fix: the eviction is completed only if the roster shows its first record; otherwise it begins again, if the member is still silent, and the time until its completion starts anew.

--- a/libs/daemon/src/azurecleat_daemon/_internal/evictions.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/evictions.py
@@ -63,17 +63,22 @@
                 continue
             eviction = self._in_progress.get(member.instance)
             if eviction is not None and eviction.member.incarnation == member.incarnation:
-                if now - eviction.began_at > self._bound_s * 2:
+                if now - eviction.began_at <= self._bound_s * 2:
+                    continue
+                if member.evicted_by:
                     self._finish_eviction(eviction)
-            elif not member.evicted_by and _is_long_dead(
-                member.instance, silence_s(member.instance)
-            ):
-                self._in_progress[member.instance] = _Eviction(member, now)
-                event = Evict(member.instance, member.incarnation, self._instance)
-                self._appender.submit(event)
+                    continue
+                # The first record did not reach the log, so the eviction may begin again.
+            if not member.evicted_by and _is_long_dead(member.instance, silence_s(member.instance)):
+                self._begin(member)
         for instance in set(self._in_progress) - set(members):
             del self._in_progress[instance]
 
+    def _begin(self, member: Member) -> None:
+        self._in_progress[member.instance] = _Eviction(member, self._clock.monotonic())
+        event = Evict(member.instance, member.incarnation, self._instance)
+        self._appender.submit(event)
+
     def _finish_eviction(self, eviction: _Eviction) -> None:
         member = eviction.member
         event = Evicted(member.instance, member.incarnation, self._instance)
