Daemon: the end of a task is not acknowledged while a start of it may still arrive

Seen by callers: a task that is not repeatable may run twice on one worker. Cause: a start without an answer is sent again; the repeat runs and ends, and the end is acknowledged. The worker then forgets the attempt, and the first start, which arrives late, runs it again. A worker promises only that a repeated start has no effect until the end is acknowledged (docs/ASSUMPTIONS.md, 4), and nothing orders control requests of one epoch. Evidence: LateStartTest.test_start_that_arrives_after_the_end_of_its_repeat_does_not_run_the_task, before the change: "AssertionError: 2 != 1" for the number of starts. A held acknowledgement counts neither as a command, which would make exchanges follow without pause, nor is its end reported again. A release of the lease does not carry it either; the next epoch fences late requests of this one. A second test shows that the acknowledgement is sent after the bound.

--- a/libs/daemon/src/azurecleat_daemon/_internal/target_session.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/target_session.py
@@ -29,6 +29,9 @@
 """Largest fraction by which a renewal period is shortened at random."""
 
 CONTROL_RETRY_S = 0.2
+LATE_ARRIVAL_S = 60.0
+"""Longest time after which a request that was sent and not answered takes effect."""
+
 UNRESPONSIVE_AFTER_LEASES = 0.5
 """Fraction of a lease without an answer after which the session stops renewing."""
 
@@ -107,7 +110,7 @@
         self._lock = threading.Lock()
         self._starts: dict[str, TaskStart] = {}
         self._sent_starts: set[str] = set()
-        self._unanswered_starts: set[str] = set()
+        self._unanswered_starts: dict[str, float] = {}
         self._stops: dict[str, TaskStop] = {}
         self._acknowledge: dict[str, None] = {}
         self._last_version = -1
@@ -132,7 +135,8 @@
 
     @property
     def has_commands(self) -> bool:
-        return bool(self._starts or self._stops or self._acknowledge)
+        with self._lock:
+            return bool(self._starts or self._stops or self._due_acknowledgements())
 
     def update_target(self, target: Target) -> None:
         """Replaces the target's description by the current one of the instance list."""
@@ -147,7 +151,6 @@
         """Drops a queued start; if it was already sent, the task must also be stopped."""
         with self._lock:
             self._starts.pop(task, None)
-            self._unanswered_starts.discard(task)
 
     def take_unsent_starts(self) -> list[str]:
         """Removes and returns the queued starts that were not sent yet."""
@@ -195,7 +198,8 @@
             self._on_failure(error)
         except OutcomeUnknownError as error:
             with self._lock:
-                self._unanswered_starts.update(start.task for start in request.start)
+                sent_by = self._clock.monotonic()
+                self._unanswered_starts.update((start.task, sent_by) for start in request.start)
             self._on_failure(error)
         else:
             self._on_reply(request, reply, sent_at)
@@ -214,6 +218,7 @@
 
     def _request(self) -> ControlRequest:
         with self._lock:
+            self._forget_arrived_starts()
             # Commands need a valid lease (a majority of the targets). A renewal does not: each
             # target decides by itself whether to grant it.
             may_act = self._lease.is_valid()
@@ -223,10 +228,23 @@
                 *self._settings,
                 start=starts,
                 stop=tuple(self._stops.values()) if may_act else (),
-                acknowledge=tuple(self._acknowledge) if may_act else (),
+                acknowledge=self._due_acknowledgements() if may_act else (),
                 since=self._last_version,
             )
 
+    def _forget_arrived_starts(self) -> None:
+        arrived_before = self._clock.monotonic() - LATE_ARRIVAL_S
+        self._unanswered_starts = {
+            task: at for task, at in self._unanswered_starts.items() if at > arrived_before
+        }
+
+    def _due_acknowledgements(self) -> tuple[str, ...]:
+        """Returns the ended tasks that the target may forget.
+
+        Until it forgets a task, the target ignores a start of it that arrives late.
+        """
+        return tuple(task for task in self._acknowledge if task not in self._unanswered_starts)
+
     def _on_reply(self, request: ControlRequest, reply: ControlReply, sent_at: float) -> None:
         self._lease.renew(self._target.name, sent_at)
         self._last_answer_at = self._clock.monotonic()
@@ -236,10 +254,11 @@
             for start in request.start:
                 self._starts.pop(start.task, None)
                 self._sent_starts.discard(start.task)
-                self._unanswered_starts.discard(start.task)
             for stop in request.stop:
                 if self._stops.get(stop.task) == stop:
                     del self._stops[stop.task]
+            # Ends that the target was told to forget, or will be, were processed before.
+            processed = {*request.acknowledge, *self._acknowledge}
             for task in request.acknowledge:
                 self._acknowledge.pop(task, None)
         if not self._granted:
@@ -253,7 +272,7 @@
             self._listener.on_refused(self, refused)
         if unknown:
             self._listener.on_start_unknown(self, unknown)
-        ended = tuple(end for end in reply.ended if end.task not in request.acknowledge)
+        ended = tuple(end for end in reply.ended if end.task not in processed)
         if ended:
             self._listener.on_ended(self, ended)
         if reply.running is not None:
@@ -285,7 +304,6 @@
         with self._lock:
             self._starts.clear()
             self._sent_starts.clear()
-            self._unanswered_starts.clear()
             self._stops.clear()
             self._acknowledge.clear()
         self._lost = True
--- a/tests/unit/daemon/test_task_manager.py
+++ b/tests/unit/daemon/test_task_manager.py
@@ -5,6 +5,7 @@
 import unittest
 
 from azurecleat_coordination.records import BeginTask, CancelJob, Claim, Entry, encode_entry
+from azurecleat_daemon._internal.target_session import LATE_ARRIVAL_S
 from azurecleat_fakes import Faults
 from azurecleat_platform import ControlRequest
 
@@ -37,6 +38,31 @@
         self.assertEqual((fixture.summary["done"], fixture.summary["unknown"]), (1, 0))
 
 
+class LateStartTest(unittest.TestCase):
+    """Starts that arrive after a later exchange with the same start."""
+
+    def setUp(self) -> None:
+        self.fixture = TaskManagerFixture(run_s=1.0)
+        self.fixture.schedule()
+        self.fixture.connection.holds_next = True
+        self.fixture.session.exchange()
+        self.fixture.run(rounds=6)
+
+    # The end of the repeated start was acknowledged at once. The worker then forgot the attempt,
+    # so that the first start, which arrived late, ran the task a second time.
+    def test_start_that_arrives_after_the_end_of_its_repeat_does_not_run_the_task(self) -> None:
+        self.assertEqual(self.fixture.summary["done"], 1)
+        self.fixture.connection.deliver_held()
+        self.assertEqual(self.fixture.starts[(JOB_ID, 0)], 1)
+
+    def test_end_is_acknowledged_once_no_start_can_arrive_late(self) -> None:
+        self.assertFalse(self.fixture.session.has_commands, "exchanges would follow without pause")
+        for _ in range(int(LATE_ARRIVAL_S / 0.6) + 2):
+            self.fixture.run()
+        reply = self.fixture.worker.control(ControlRequest(PARTITION, 1, "one", LEASE_S))
+        self.assertEqual(reply.ended, ())
+
+
 class BegunTaskTest(unittest.TestCase):
     """Tasks that are not repeatable, whose begin is recorded before they are sent."""
 
