Coordination: adding the same key again is accepted

Seen by operators: adding a key through the API has no answer (`outcome-unknown`); the repeat is refused with `conflict`, though the key is in force by the first one. Cause: the rejection "was used before" did not tell the caller's own earlier record from another key with the same id. Evidence: AppenderTest.test_repeated_addition_of_a_key_is_accepted, before the change: "[True, False, ...] != [True, True, ...]". Fix: the same hash under the same id for the same team changes nothing and is accepted. Another hash, another team or a withdrawn id is rejected as before. `azurecleat key give` makes a new secret each time, so a repeat there is still a conflict.

--- a/libs/coordination/src/azurecleat_coordination/_internal/configuration.py
+++ b/libs/coordination/src/azurecleat_coordination/_internal/configuration.py
@@ -82,9 +82,11 @@
         return ACCEPTED
 
     def give_key(self, event: GiveKey, offset: int) -> ApplyResult:
-        """Adds a key to an existing team."""
+        """Adds a key to an existing team; the same key may be added again, without effect."""
         if event.team not in self._teams:
             return rejected(f"no team {event.team!r}")
+        if self._keys.get(event.key.id) == (event.team, event.key):
+            return ACCEPTED
         if event.key.id in self._withdrawn or event.key.id in self._keys:
             return rejected(f"key id {event.key.id!r} was used before")
         self._added_keys[event.key.id] = (event.team, event.key)
--- a/tests/unit/coordination/test_replica.py
+++ b/tests/unit/coordination/test_replica.py
@@ -155,6 +155,25 @@
         self.assertTrue(all(future.result().accepted for future in futures))
         self.assertEqual(self.log.tail, 1)
 
+    # The repeat of a key's addition whose answer was lost was rejected as a conflict, as if the key
+    # were not in force.
+    def test_repeated_addition_of_a_key_is_accepted(self) -> None:
+        _, key = generate_key("k1")
+        commit = self.one.appender.commit
+        commit(Promote(to_plain(Environment("test", (Team("crew", 1.0), Team("other", 1.0)))), 0))
+        results = [
+            commit(event).accepted
+            for event in (
+                GiveKey("crew", key),
+                GiveKey("crew", key),
+                GiveKey("other", key),
+                GiveKey("crew", key._replace(sha256="0" * 64)),
+                WithdrawKey("k1"),
+                GiveKey("crew", key),
+            )
+        ]
+        self.assertEqual(results, [True, True, False, False, True, False])
+
     def test_first_of_two_racing_promotions_wins(self) -> None:
         two = Instance(self.log, "two")
         two.replica.catch_up()
