--- a/libs/daemon/src/azurecleat_daemon/_internal/partitions.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/partitions.py
@@ -100,6 +100,12 @@
             # The log names another owner. It need not wait for the leases of released targets.
             local_owner.release_targets()
             self._stop_local_owner(partition, local_owner, f"epoch {owner.epoch} was claimed")
+        elif not local_owner.tasks.follows_replica:
+            # The next epoch starts with the loaded jobs.
+            local_owner.release_targets()
+            self._stop_local_owner(
+                partition, local_owner, "the partition is loaded from a snapshot"
+            )
         elif local_owner.phase is Phase.LOST:
             self._stop_local_owner(
                 partition, local_owner, "a target is controlled by a higher epoch"
--- a/libs/daemon/src/azurecleat_daemon/_internal/task_manager.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/task_manager.py
@@ -124,6 +124,14 @@
     def scheduler(self) -> Scheduler:
         return self._scheduler
 
+    @property
+    def follows_replica(self) -> bool:
+        """Whether the replica still updates the jobs scheduled here.
+
+        It does not once it has fallen behind the log and loads the partition from a snapshot.
+        """
+        return self._replica.jobs(self._partition) is self._jobs
+
     def load(self) -> None:
         """Queues the live jobs of the partition."""
         with self._replica.lock, self._lock:
