--- a/libs/daemon/src/azurecleat_daemon/_internal/request_dispatcher.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/request_dispatcher.py
@@ -13,7 +13,14 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import NamedTuple
 
-from azurecleat_coordination import Appender, Backoff, CircuitBreaker, ControlLease, RetryBudget
+from azurecleat_coordination import (
+    Appender,
+    ApplyResult,
+    Backoff,
+    CircuitBreaker,
+    ControlLease,
+    RetryBudget,
+)
 from azurecleat_coordination.records import Intend, ReleaseIntent
 from azurecleat_model import (
     Clock,
@@ -48,6 +55,13 @@
 SLOT_SIZE = TaskSize(1, 1, 0)
 NOMINAL_RUN_S = 1.0
 INTENT_DEADLINE_S = 2.0
+LATE_RELEASE_DEADLINE_S = 30.0
+INTENT_RELEASE_WAIT_S = 0.3
+"""Longest time by which a refusal waits for the release of its key.
+
+It is shorter than the time after a deadline within which a forwarded refusal may still arrive.
+"""
+
 MAX_TRIES = 4
 SERVICE_TIME_SMOOTHING = 0.1
 """Weight of a new service time in the exponential moving average."""
@@ -114,6 +128,8 @@
         self._breakers: dict[str, CircuitBreaker] = {}
         self._grants: dict[str, Future[_Grant]] = {}
         self._unconfirmed: dict[str, _UnconfirmedRequest] = {}
+        self._last_running: dict[str, set[str]] = {}
+        self._unused_intents: set[str] = set()
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._mean_service_s = 0.0
         self._in_progress = 0
@@ -227,20 +243,26 @@
         """Adopts requests of a previous owner, and frees slots whose request has ended."""
         names = {task.task for task in running}
         with self._lock:
+            self._last_running[session.target.name] = names
             for request_id in sorted(names):
                 self._adopt(request_id, session.target.name, sent_at)
-            for request_id, unconfirmed in list(self._unconfirmed.items()):
-                job = self._scheduler.jobs.get(request_id)
-                is_on_target = job is not None and any(
-                    self._scheduler.worker_name(task) == session.target.name
-                    for task in job.running.values()
-                )
-                if (
-                    is_on_target
-                    and request_id not in names
-                    and sent_at > unconfirmed.unconfirmed_at
-                ):
-                    self._end(request_id, TaskResult.LOST)
+            self._free_slots(session.target.name, sent_at)
+
+    def on_unchanged(self, session: TargetSession, sent_at: float) -> None:
+        """Frees slots whose request never reached the runner, which therefore shows no change."""
+        with self._lock:
+            self._free_slots(session.target.name, sent_at)
+
+    def _free_slots(self, runner: str, sent_at: float) -> None:
+        """Frees the slots of unconfirmed requests that a later report does not show."""
+        names = self._last_running.get(runner, set())
+        for request_id, unconfirmed in list(self._unconfirmed.items()):
+            job = self._scheduler.jobs.get(request_id)
+            is_on_runner = job is not None and any(
+                self._scheduler.worker_name(task) == runner for task in job.running.values()
+            )
+            if is_on_runner and request_id not in names and sent_at > unconfirmed.unconfirmed_at:
+                self._end(request_id, TaskResult.LOST)
 
     def on_ended(self, session: TargetSession, ended: tuple[EndedTask, ...]) -> None:
         """Does nothing: runners report no ended attempts."""
@@ -248,10 +270,14 @@
     def on_refused(self, session: TargetSession, tasks: tuple[str, ...]) -> None:
         """Does nothing: runners receive no starts through their session."""
 
+    def on_start_unknown(self, session: TargetSession, tasks: tuple[str, ...]) -> None:
+        """Does nothing: runners receive no starts through their session."""
+
     def on_lost(self, session: TargetSession) -> None:
         """Removes a runner whose lease lapsed."""
         with self._lock:
             self._sessions.pop(session.target.name, None)
+            self._last_running.pop(session.target.name, None)
             self._scheduler.remove_worker(session.target.name, self._clock.monotonic())
             for request_id in list(self._unconfirmed):
                 if request_id not in self._scheduler.jobs:
@@ -271,17 +297,34 @@
             return self._try_once(spec, ends_at)
         except RefusalError as refusal:
             if refusal.ran is ExecutionStatus.NOT_RUN:
-                # Nothing was run under this key, so the caller may use it again.
-                self._appender.submit(ReleaseIntent(key), INTENT_DEADLINE_S * 2)
+                self._release_intent(key)
             raise
 
+    def _release_intent(self, key: str) -> None:
+        """Gives back the key of a request that was certainly not run.
+
+        The release should precede the refusal, because a retry that the log orders before the
+        release is refused as a duplicate.
+        """
+        future = self._appender.submit(ReleaseIntent(key), INTENT_DEADLINE_S * 2)
+        try:
+            self._appender.wait(future, INTENT_RELEASE_WAIT_S)
+        except (LogError, FutureTimeoutError) as error:
+            reason = type(error).__name__
+            self._metrics.retries.labels("request.release", reason).inc()
+
     def _reserve_intent(self, key: str) -> None:
         event = Intend(key, self._clock.wall())
         try:
-            applied = self._appender.commit(event, INTENT_DEADLINE_S)
+            applied = self._appender.commit(
+                event, INTENT_DEADLINE_S, lambda late: self._on_late_intent(key, late)
+            )
         except LogError as error:
             detail = f"the single run could not be reserved: {error}"
             raise self._refusal("intent-unavailable", detail, 5.0) from error
+        if not applied.accepted and key in self._unused_intents:
+            detail = "the key is being given back after an earlier request that was not run"
+            raise self._refusal("intent-unavailable", detail, 1.0)
         if not applied.accepted:
             raise RefusalError(
                 "duplicate",
@@ -291,6 +334,16 @@
                 step="request.reserve",
             )
 
+    def _on_late_intent(self, key: str, applied: ApplyResult) -> None:
+        """Gives back a key that was reserved after its request was refused as not run."""
+        if not applied.accepted:
+            return
+        self._unused_intents.add(key)
+        future = self._appender.submit(ReleaseIntent(key), LATE_RELEASE_DEADLINE_S)
+        # The release may have taken effect whatever the outcome of its append, and another request
+        # may hold the key then.
+        future.add_done_callback(lambda _: self._unused_intents.discard(key))
+
     def _serve_repeatable(self, spec: RequestSpec, ends_at: float) -> bytes:
         """Runs a repeatable request, with retries while budget and deadline allow."""
         budget = self._retry_budgets.setdefault(spec.team, RetryBudget())
--- /dev/null
+++ b/tests/unit/daemon/test_task_manager.py
@@ -0,0 +1,123 @@
+"""Tests of the task manager with one worker, over sessions that lose or delay requests."""
+
+from __future__ import annotations
+
+import unittest
+
+from azurecleat_coordination.records import BeginTask, CancelJob, Claim, Entry, encode_entry
+from azurecleat_daemon._internal.target_session import LATE_ARRIVAL_S
+from azurecleat_fakes import Faults
+from azurecleat_platform import ControlRequest
+
+from tests.lib.task_manager_fixture import JOB_ID, LEASE_S, PARTITION, TaskManagerFixture
+
+
+class RefusedStartTest(unittest.TestCase):
+    """Starts that the worker refuses."""
+
+    # A refusal was taken to show that the task never ran, although an earlier exchange with the
+    # same start had no answer and reached the worker later: the task ran twice.
+    def test_start_refused_after_an_unanswered_exchange_is_not_taken_as_not_run(self) -> None:
+        fixture = TaskManagerFixture(run_s=1.0)
+        fixture.schedule()
+        fixture.connection.holds_next = True
+        fixture.session.exchange()
+        fixture.fill_worker()
+        fixture.run(rounds=6)
+        fixture.connection.deliver_held()
+        fixture.run(rounds=3)
+        self.assertLessEqual(fixture.starts[(JOB_ID, 0)], 1)
+        self.assertEqual(fixture.summary["unknown"], 1)
+
+    def test_start_refused_in_its_only_exchange_is_sent_again(self) -> None:
+        fixture = TaskManagerFixture(run_s=1.0)
+        fixture.schedule()
+        fixture.fill_worker()
+        fixture.run(rounds=6)
+        self.assertEqual(fixture.starts[(JOB_ID, 0)], 1)
+        self.assertEqual((fixture.summary["done"], fixture.summary["unknown"]), (1, 0))
+
+
+class LateStartTest(unittest.TestCase):
+    """Starts that arrive after a later exchange with the same start."""
+
+    def setUp(self) -> None:
+        self.fixture = TaskManagerFixture(run_s=1.0)
+        self.fixture.schedule()
+        self.fixture.connection.holds_next = True
+        self.fixture.session.exchange()
+        self.fixture.run(rounds=6)
+
+    # The end of the repeated start was acknowledged at once. The worker then forgot the attempt,
+    # so that the first start, which arrived late, ran the task a second time.
+    def test_start_that_arrives_after_the_end_of_its_repeat_does_not_run_the_task(self) -> None:
+        self.assertEqual(self.fixture.summary["done"], 1)
+        self.fixture.connection.deliver_held()
+        self.assertEqual(self.fixture.starts[(JOB_ID, 0)], 1)
+
+    def test_end_is_acknowledged_once_no_start_can_arrive_late(self) -> None:
+        self.assertFalse(self.fixture.session.has_commands, "exchanges would follow without pause")
+        for _ in range(int(LATE_ARRIVAL_S / 0.6) + 2):
+            self.fixture.run()
+        reply = self.fixture.worker.control(ControlRequest(PARTITION, 1, "one", LEASE_S))
+        self.assertEqual(reply.ended, ())
+
+
+class BegunTaskTest(unittest.TestCase):
+    """Tasks that are not repeatable, whose begin is recorded before they are sent."""
+
+    def setUp(self) -> None:
+        self.fixture = TaskManagerFixture(run_s=1.0)
+
+    # The rejection of a repeated begin was taken to show that the task had run, although it was
+    # this owner's own first record: a task that was never sent ended as unknown.
+    def test_task_begun_by_an_append_without_answer_is_run(self) -> None:
+        self.fixture.log.faults = Faults(lose_answers=1, read_lag=10)
+        self.fixture.run(rounds=10)
+        self.fixture.log.faults = Faults()
+        self.fixture.run(rounds=6)
+        self.assertEqual(self.fixture.starts[(JOB_ID, 0)], 1)
+        self.assertEqual((self.fixture.summary["done"], self.fixture.summary["unknown"]), (1, 0))
+
+    def test_task_begun_by_a_later_owner_is_not_run(self) -> None:
+        self.fixture.log.drops = True
+        self.fixture.run(rounds=10)
+        self.fixture.log.drops = False
+        claim = Claim(PARTITION, 2, "two", "two", ("w1",))
+        events = (claim, BeginTask(PARTITION, 2, JOB_ID, 0))
+        self.fixture.log.append(encode_entry(Entry("two", 1, events)))
+        self.fixture.run(rounds=6)
+        self.assertEqual(self.fixture.starts[(JOB_ID, 0)], 0)
+
+
+class RecordedResultTest(unittest.TestCase):
+    """Results whose record the log's order rejects."""
+
+    def setUp(self) -> None:
+        self.fixture = TaskManagerFixture(run_s=1.0)
+        self.fixture.run(rounds=2)
+        self.fixture.clock.advance(1.0)
+        self.fixture.session.exchange()
+
+    def append_by_other(self, event) -> None:
+        self.fixture.log.append(encode_entry(Entry("two", 1, (event,))))
+
+    # A rejected record counted as recorded: the result was acknowledged to the worker, which then
+    # forgot it, so that the next owner recorded the task as unknown although it was done.
+    def test_result_rejected_after_a_later_claim_is_left_to_the_next_owner(self) -> None:
+        self.append_by_other(Claim(PARTITION, 2, "two", "two", ("w1",)))
+        self.fixture.run(rounds=2)
+        self.fixture.session.release()
+        reply = self.fixture.worker.control(ControlRequest(PARTITION, 2, "two", LEASE_S))
+        self.assertEqual([end.result for end in reply.ended], ["done"])
+
+    def test_result_of_a_cancelled_job_is_acknowledged(self) -> None:
+        self.append_by_other(CancelJob(PARTITION, JOB_ID))
+        self.fixture.run(rounds=2)
+        self.assertTrue(self.fixture.summary["cancelled"])
+        reply = self.fixture.worker.control(ControlRequest(PARTITION, 1, "one", LEASE_S))
+        self.assertEqual(reply.ended, ())
+
+
+if __name__ == "__main__":
+    unittest.main()
