A batching instance that dies leaves a queued append's outcome unknown

What callers saw: 503 "log unavailable: it took nothing" for a job that ran all the same (rule REFUSED).

Cause: the batching instance answered that it had queued the record, and then refused the connection for the next request. That request was not sent, which PeerOwnerClient took as "the record was not sent". The local append sent nothing either, so that the handler refused the job, while the batching instance may have sent the record before it died.

Test failed before: `AssertionError: <AppendOutcome.NOT_SENT: 'not sent'> != <AppendOutcome.UNKNOWN: 'unknown'>` (test_outcome_of_a_queued_append_is_unknown_after_any_failure, with PeerNotSentError).

Change: only a failure of the first request can mean that nothing was sent. The wait for a queued record is a method of its own, in which every failure is an unknown outcome; the handler then answers Undecided (504) unless it finds or appends the record.

--- a/libs/cluster/src/azurecleat_cluster/_internal/peers.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/peers.py
@@ -133,25 +133,40 @@
         deadline = self._clock.monotonic() + timeout_s
         fields = {"key": key, "value": value.decode()}
         try:
-            outcome = AppendOutcome(
-                self._request(address, "append", fields, REQUEST_TIMEOUT_S)["outcome"]
-            )
-            while outcome is AppendOutcome.QUEUED:
-                left_s = deadline - self._clock.monotonic()
-                if should_give_up():
-                    self._back_off(address)
-                    return AppendOutcome.UNKNOWN
-                if left_s <= 0:
-                    return AppendOutcome.UNKNOWN
-                answer = self._request(
-                    address, "appended", {"key": key}, QUEUED_POLL_S + REQUEST_TIMEOUT_S
-                )
-                outcome = AppendOutcome(answer["outcome"])
-            return outcome
+            answer = self._request(address, "append", fields, REQUEST_TIMEOUT_S)
         except PeerNotSentError:
             return AppendOutcome.NOT_SENT
         except AzurecleatError:
             return AppendOutcome.UNKNOWN
+        outcome = AppendOutcome(answer["outcome"])
+        if outcome is not AppendOutcome.QUEUED:
+            return outcome
+        return self._await_queued(address, key, deadline, should_give_up)
+
+    def _await_queued(
+        self, address: str, key: str, deadline: float, should_give_up: Callable[[], bool]
+    ) -> AppendOutcome:
+        """Waits for the outcome of an append that the batching instance has queued.
+
+        Without an answer the outcome is unknown, even if the request was not sent: the batching
+        instance may have sent the record to the log.
+        """
+        outcome = AppendOutcome.QUEUED
+        while outcome is AppendOutcome.QUEUED:
+            left_s = deadline - self._clock.monotonic()
+            if should_give_up():
+                self._back_off(address)
+                return AppendOutcome.UNKNOWN
+            if left_s <= 0:
+                return AppendOutcome.UNKNOWN
+            try:
+                answer = self._request(
+                    address, "appended", {"key": key}, QUEUED_POLL_S + REQUEST_TIMEOUT_S
+                )
+            except AzurecleatError:
+                return AppendOutcome.UNKNOWN
+            outcome = AppendOutcome(answer["outcome"])
+        return outcome
 
     def _batcher_address(self) -> str | None:
         """Returns the batching instance's address, None if that is this instance or there is none.
