Each forwarded append has an id, so that it has its own outcome

The caller had sent its request again through another instance, and both instances forwarded to the same batching instance.

Cause: the batching instance kept its queued appends by key. A second append of a key took the place of the first, whose instance was then told the outcome of the second, for example "not sent". After a restart of the batching instance at its address, an append of before the restart was answered with the outcome of a later one in the same way. And of two instances that asked, the first removed the entry, so that the second got "unknown" for a record that was in the log.

Tests failed before: - test_each_of_two_appends_of_a_key_has_its_own_outcome: 'not sent' != 'queued' - test_append_of_before_a_restart_is_unknown: 'not sent' != 'unknown' - test_both_of_two_appends_of_a_key_are_done: 'unknown' != 'done' - test_instance_without_ids_is_never_told_that_a_queued_record_was_not_sent: 'not sent' != 'unknown' - test_not_sent_is_the_outcome_only_if_the_answer_names_the_append: NOT_SENT != UNKNOWN

Change: the forwarding instance gives each append a random id, sends it with both requests, and the answer repeats it. The second append of a key does not join the first: the first may hang on an unresponsive connection while the second succeeds.

Instances of two versions: the id is optional both ways. A batching instance that gets none still finds the append by key, and answers "unknown" where it would say that a queued record was not sent. A forwarding instance takes "not sent" from an answer without its id as "unknown". During an upgrade a caller may thus get 504 instead of 503 while the log is unavailable, and never the reverse.

--- a/libs/cluster/src/azurecleat_cluster/_internal/peers.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/peers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import secrets
 import threading
 from collections.abc import Callable, Iterable, Sequence
 from concurrent.futures import Future
@@ -47,6 +48,9 @@
 """Time limit of an append by the batching instance. On a slow log an append may wait for two others
 to complete."""
 
+APPEND_ID_BYTES = 8
+"""Length of the random id of a forwarded append."""
+
 MAX_BODY_BYTES = 1 << 20
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -131,25 +135,32 @@
         if address is None:
             return AppendOutcome.NOT_SENT
         deadline = self._clock.monotonic() + timeout_s
-        fields = {"key": key, "value": value.decode()}
+        fields = {"key": key, "id": secrets.token_hex(APPEND_ID_BYTES)}
         try:
-            answer = self._request(address, "append", fields, REQUEST_TIMEOUT_S)
+            outcome = self._request_append(
+                address, "append", fields | {"value": value.decode()}, REQUEST_TIMEOUT_S
+            )
         except PeerNotSentError:
             return AppendOutcome.NOT_SENT
         except AzurecleatError:
             return AppendOutcome.UNKNOWN
-        outcome = AppendOutcome(answer["outcome"])
         if outcome is not AppendOutcome.QUEUED:
             return outcome
-        return self._await_queued(address, key, deadline, should_give_up)
+        return self._await_queued(address, fields, deadline, should_give_up)
 
     def _await_queued(
-        self, address: str, key: str, deadline: float, should_give_up: Callable[[], bool]
+        self,
+        address: str,
+        fields: dict[str, str],
+        deadline: float,
+        should_give_up: Callable[[], bool],
     ) -> AppendOutcome:
         """Waits for the outcome of an append that the batching instance has queued.
 
         Without an answer the outcome is unknown, even if the request was not sent: the batching
         instance may have sent the record to the log.
+
+        :param fields: Key and id of the append.
         """
         outcome = AppendOutcome.QUEUED
         while outcome is AppendOutcome.QUEUED:
@@ -160,12 +171,22 @@
             if left_s <= 0:
                 return AppendOutcome.UNKNOWN
             try:
-                answer = self._request(
-                    address, "appended", {"key": key}, QUEUED_POLL_S + REQUEST_TIMEOUT_S
+                outcome = self._request_append(
+                    address, "appended", fields, QUEUED_POLL_S + REQUEST_TIMEOUT_S
                 )
             except AzurecleatError:
                 return AppendOutcome.UNKNOWN
-            outcome = AppendOutcome(answer["outcome"])
+        return outcome
+
+    def _request_append(
+        self, address: str, operation: str, fields: dict[str, str], timeout_s: float
+    ) -> AppendOutcome:
+        answer = self._request(address, operation, fields, timeout_s)
+        outcome = AppendOutcome(answer["outcome"])
+        if outcome is AppendOutcome.NOT_SENT and answer.get("id") != fields["id"]:
+            # An instance of an earlier version identifies appends by key alone, so that this may be
+            # the outcome of another append of the key.
+            return AppendOutcome.UNKNOWN
         return outcome
 
     def _batcher_address(self) -> str | None:
@@ -229,7 +250,7 @@
         self._replica = replica
         self._appender = appender
         self._is_log_lost = is_log_lost
-        self._appends: dict[str, Future[int]] = {}
+        self._queued: dict[str, Future[int]] = {}
         self._owner = owner
         self._adviser = adviser
 
@@ -254,9 +275,12 @@
             case "/pending" if self._owner.term is not None:
                 return {"count": self._replica.pending(fields["queue"])}
             case "/append":
-                return {"outcome": self._append(fields["key"], fields["value"].encode()).value}
+                append_id = fields.get("id", "")
+                outcome = self._append(fields["key"], fields["value"].encode(), append_id)
+                return _append_answer(outcome, append_id)
             case "/appended":
-                return {"outcome": self._await_append(fields["key"], QUEUED_POLL_S).value}
+                append_id = fields.get("id", "")
+                return _append_answer(self._await_queued(fields["key"], append_id), append_id)
             case "/advise" if self._adviser is not None:
                 tickets = self._adviser.advise(
                     fields["step"], fields["targets"], fields["timeout_s"]
@@ -267,34 +291,56 @@
                 return {}
         return None
 
-    def _append(self, key: str, value: bytes) -> AppendOutcome:
+    def _append(self, key: str, value: bytes, append_id: str) -> AppendOutcome:
+        """Appends a record for another instance and waits briefly for the outcome.
+
+        :param append_id: Id that the other instance gave the append; empty if that instance is of
+            an earlier version, which names only the key.
+        """
         if self._is_log_lost():
             return AppendOutcome.NOT_SENT
-        self._appends[key] = self._appender.submit(key, value, BATCHED_APPEND_TIMEOUT_S)
-        return self._await_append(key, APPEND_POLL_S)
+        append = self._appender.submit(key, value, BATCHED_APPEND_TIMEOUT_S)
+        outcome = _await_append(append, APPEND_POLL_S)
+        if outcome is AppendOutcome.QUEUED:
+            self._queued[append_id or key] = append
+        return outcome
 
-    def _await_append(self, key: str, wait_s: float) -> AppendOutcome:
-        """Waits for an append and returns its outcome, or ``QUEUED`` after ``wait_s`` seconds.
+    def _await_queued(self, key: str, append_id: str) -> AppendOutcome:
+        """Waits for an append that was answered ``QUEUED`` and returns its outcome.
 
-        Returns ``UNKNOWN`` if this instance has no append of the key, as after a restart. The
-        answer ``QUEUED`` shows the requesting instance that this instance is alive.
+        Returns ``UNKNOWN`` if this instance does not have the append, as after a restart, and
+        ``QUEUED`` after ``QUEUED_POLL_S`` seconds, which shows the requesting instance that this
+        instance is alive.
         """
-        append = self._appends.get(key)
+        append = self._queued.get(append_id or key)
         if append is None:
             return AppendOutcome.UNKNOWN
-        try:
-            append.result(wait_s)
-            outcome = AppendOutcome.DONE
-        except FutureTimeoutError:
-            return AppendOutcome.QUEUED
-        except LogUnavailableError:
-            outcome = AppendOutcome.NOT_SENT
-        except LogError:
-            outcome = AppendOutcome.UNKNOWN
-        self._appends.pop(key, None)
+        outcome = _await_append(append, QUEUED_POLL_S)
+        if outcome is not AppendOutcome.QUEUED:
+            self._queued.pop(append_id or key, None)
+        if outcome is AppendOutcome.NOT_SENT and not append_id:
+            # The key does not tell this append from an earlier one that the log may still receive.
+            return AppendOutcome.UNKNOWN
         return outcome
 
 
+def _await_append(append: Future[int], wait_s: float) -> AppendOutcome:
+    """Returns the outcome of an append, or ``QUEUED`` after ``wait_s`` seconds."""
+    try:
+        append.result(wait_s)
+        return AppendOutcome.DONE
+    except FutureTimeoutError:
+        return AppendOutcome.QUEUED
+    except LogUnavailableError:
+        return AppendOutcome.NOT_SENT
+    except LogError:
+        return AppendOutcome.UNKNOWN
+
+
+def _append_answer(outcome: AppendOutcome, append_id: str) -> dict[str, str]:
+    return {"outcome": outcome.value} | ({"id": append_id} if append_id else {})
+
+
 def _respond(start: StartResponse, status: str, value: dict[str, Any]) -> list[bytes]:
     body = json.dumps(value).encode()
     start(
--- a/tests/unit/cluster/test_peers.py
+++ b/tests/unit/cluster/test_peers.py
@@ -2,13 +2,22 @@
 
 from __future__ import annotations
 
+import io
+import json
 import unittest
+from concurrent.futures import Future
 from typing import Any
 
 from azurecleat_base import ManualClock
-from azurecleat_base.exceptions import AzurecleatError, PeerAnswerLostError, PeerNotSentError
+from azurecleat_base.exceptions import (
+    AppendUnknownError,
+    AzurecleatError,
+    LogUnavailableError,
+    PeerAnswerLostError,
+    PeerNotSentError,
+)
 from azurecleat_cluster._internal.front.request_handler import AppendOutcome
-from azurecleat_cluster._internal.peers import PeerOwnerClient
+from azurecleat_cluster._internal.peers import PeerApplication, PeerOwnerClient
 from azurecleat_cluster._internal.replica import records
 from azurecleat_cluster._internal.replica.jobs import JobReplica
 from azurecleat_cluster.ports import LogRecord
@@ -32,6 +41,13 @@
         return answer
 
 
+class EchoingPeer(ScriptedPeer):
+    """Peer whose answers name the append, as those of this version do."""
+
+    def request(self, operation: str, fields: dict[str, Any], timeout_s: float) -> dict[str, Any]:
+        return super().request(operation, fields, timeout_s) | {"id": fields.get("id")}
+
+
 class PeerOwnerClientTest(unittest.TestCase):
     """An instance that forwards its appends to another instance, the batching instance."""
 
@@ -55,6 +71,91 @@
                 peer = ScriptedPeer({"outcome": "queued"}, {"outcome": "queued"}, error)
                 self.assertEqual(self.append(peer), AppendOutcome.UNKNOWN)
 
+    # Guards against a rejection of a job that runs, during an upgrade: a batching instance of an
+    # earlier version ignores the id and may answer for another append of the same key.
+    def test_not_sent_is_the_outcome_only_if_the_answer_names_the_append(self) -> None:
+        queued, not_sent = {"outcome": "queued"}, {"outcome": "not sent"}
+        for answers in ((not_sent,), (queued, not_sent)):
+            with self.subTest(answers=answers):
+                self.assertEqual(self.append(ScriptedPeer(*answers)), AppendOutcome.UNKNOWN)
+                self.assertEqual(self.append(EchoingPeer(*answers)), AppendOutcome.NOT_SENT)
+
+
+class QueuedAppends:
+    """Appender whose appends a test completes."""
+
+    def __init__(self) -> None:
+        self.futures: list[Future[int]] = []
+
+    def submit(self, key: str, value: bytes, timeout_s: float) -> Future[int]:
+        self.futures.append(Future())
+        return self.futures[-1]
+
+
+class PeerApplicationTest(unittest.TestCase):
+    """The batching instance, with appends that stay queued until a test completes them."""
+
+    def setUp(self) -> None:
+        self.appender = QueuedAppends()
+        self.application = PeerApplication(JobReplica(), self.appender, None, None, lambda: False)
+
+    def request(self, operation: str, **fields: str) -> str:
+        """Sends a request to the application and returns the outcome that it answers."""
+        body = json.dumps({"key": KEY} | fields).encode()
+        statuses: list[str] = []
+        environ = {
+            "PATH_INFO": f"/{operation}",
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.input": io.BytesIO(body),
+        }
+        answer = b"".join(self.application(environ, lambda status, _: statuses.append(status)))
+        self.assertEqual(statuses, ["200 OK"])
+        return json.loads(answer)["outcome"]
+
+    # Guards against a rejection of a job that runs: a caller sends its request again through
+    # another instance, and the outcome of the second append is told to the first instance.
+    def test_each_of_two_appends_of_a_key_has_its_own_outcome(self) -> None:
+        for id_ in ("1", "2"):
+            self.assertEqual(self.request("append", value="{}", id=id_), "queued")
+        first, second = self.appender.futures
+        second.set_exception(LogUnavailableError("answered 503"))
+        self.assertEqual(self.request("appended", id="1"), "queued")
+        self.assertEqual(self.request("appended", id="2"), "not sent")
+        first.set_result(0)
+        self.assertEqual(self.request("appended", id="1"), "done")
+
+    # Guards against a wait for a record that is in the log: the first of two instances that asks
+    # must not take the outcome away from the other.
+    def test_both_of_two_appends_of_a_key_are_done(self) -> None:
+        for id_ in ("1", "2"):
+            self.request("append", value="{}", id=id_)
+        for offset, append in enumerate(self.appender.futures):
+            append.set_result(offset)
+        for id_ in ("1", "2"):
+            self.assertEqual(self.request("appended", id=id_), "done")
+
+    # Guards against a rejection of a job that runs, during an upgrade: an instance of an earlier
+    # version names only the key, which does not tell its append from another one.
+    def test_instance_without_ids_is_never_told_that_a_queued_record_was_not_sent(self) -> None:
+        for expected, complete in (
+            ("done", lambda append: append.set_result(0)),
+            ("unknown", lambda append: append.set_exception(LogUnavailableError("answered 503"))),
+            ("unknown", lambda append: append.set_exception(AppendUnknownError("timeout"))),
+        ):
+            with self.subTest(expected=expected):
+                self.assertEqual(self.request("append", value="{}"), "queued")
+                complete(self.appender.futures[-1])
+                self.assertEqual(self.request("appended"), expected)
+
+    # Guards against a rejection of a job that runs: the batching instance restarts at its address
+    # and then knows only an append of another instance.
+    def test_append_of_before_a_restart_is_unknown(self) -> None:
+        self.request("append", value="{}", id="1")
+        self.application = PeerApplication(JobReplica(), self.appender, None, None, lambda: False)
+        self.request("append", value="{}", id="2")
+        self.appender.futures[-1].set_exception(LogUnavailableError("answered 503"))
+        self.assertEqual(self.request("appended", id="1"), "unknown")
+
 
 if __name__ == "__main__":
     unittest.main()
