The batching instance keeps a bounded number of queued appends

What operators see: the memory of the batching instance grows with each caller of a slow log, until it restarts.

Cause: a queued append was removed only when its outcome was told. An instance that has given up, because its caller's time was over or the log was fast for itself, never asks, and its entry stayed. The entry of a failed append also kept the exception, whose traceback refers to all records of the call to the log.

Tests failed before: test_appends_that_nobody_asks_for_are_forgotten_oldest_first with "Lists differ: ['done', 'done', 'done', 'done', 'done'] != ['unknown', 'unknown', 'done', 'done', 'done']", and test_exception_of_an_append_that_nobody_asks_for_is_not_kept with "LogUnavailableError('answered 503') is not None".

Only the outcome of an append is kept.

--- a/libs/cluster/src/azurecleat_cluster/_internal/peers.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/peers.py
@@ -17,7 +17,6 @@
 from azurecleat_base import AnswerLostError, Clock, HttpClient, NotSentError
 from azurecleat_base.exceptions import (
     AzurecleatError,
-    LogError,
     LogUnavailableError,
     PeerAnswerLostError,
     PeerNotSentError,
@@ -51,6 +50,10 @@
 APPEND_ID_BYTES = 8
 """Length of the random id of a forwarded append."""
 
+MAX_QUEUED_APPENDS = 2048
+"""Maximum number of queued appends that the batching instance keeps. Above it the oldest one, whose
+instance has most likely given it up, is forgotten, and its outcome is answered as unknown."""
+
 MAX_BODY_BYTES = 1 << 20
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -250,7 +253,8 @@
         self._replica = replica
         self._appender = appender
         self._is_log_lost = is_log_lost
-        self._queued: dict[str, Future[int]] = {}
+        self._queued: dict[str, Future[AppendOutcome]] = {}
+        self._lock = threading.Lock()
         self._owner = owner
         self._adviser = adviser
 
@@ -299,42 +303,63 @@
         """
         if self._is_log_lost():
             return AppendOutcome.NOT_SENT
-        append = self._appender.submit(key, value, BATCHED_APPEND_TIMEOUT_S)
-        outcome = _await_append(append, APPEND_POLL_S)
+        append = _outcome_of(self._appender.submit(key, value, BATCHED_APPEND_TIMEOUT_S))
+        outcome = _await_outcome(append, APPEND_POLL_S)
         if outcome is AppendOutcome.QUEUED:
-            self._queued[append_id or key] = append
+            self._keep(append_id or key, append)
         return outcome
 
+    def _keep(self, name: str, append: Future[AppendOutcome]) -> None:
+        """Keeps a queued append until its outcome is asked for, or forgets the oldest one."""
+        with self._lock:
+            self._queued[name] = append
+            if len(self._queued) > MAX_QUEUED_APPENDS:
+                del self._queued[next(iter(self._queued))]
+
     def _await_queued(self, key: str, append_id: str) -> AppendOutcome:
         """Waits for an append that was answered ``QUEUED`` and returns its outcome.
 
-        Returns ``UNKNOWN`` if this instance does not have the append, as after a restart, and
-        ``QUEUED`` after ``QUEUED_POLL_S`` seconds, which shows the requesting instance that this
-        instance is alive.
+        Returns ``UNKNOWN`` if this instance does not have the append, as after a restart or above
+        ``MAX_QUEUED_APPENDS``, and ``QUEUED`` after ``QUEUED_POLL_S`` seconds, which shows the
+        requesting instance that this instance is alive.
         """
-        append = self._queued.get(append_id or key)
+        with self._lock:
+            append = self._queued.get(append_id or key)
         if append is None:
             return AppendOutcome.UNKNOWN
-        outcome = _await_append(append, QUEUED_POLL_S)
+        outcome = _await_outcome(append, QUEUED_POLL_S)
         if outcome is not AppendOutcome.QUEUED:
-            self._queued.pop(append_id or key, None)
+            with self._lock:
+                self._queued.pop(append_id or key, None)
         if outcome is AppendOutcome.NOT_SENT and not append_id:
             # The key does not tell this append from an earlier one that the log may still receive.
             return AppendOutcome.UNKNOWN
         return outcome
 
 
-def _await_append(append: Future[int], wait_s: float) -> AppendOutcome:
+def _outcome_of(append: Future[int]) -> Future[AppendOutcome]:
+    """Returns the outcome without the exception, whose traceback refers to a batch of records."""
+    outcome: Future[AppendOutcome] = Future()
+
+    def on_done(done: Future[int]) -> None:
+        match done.exception():
+            case None:
+                outcome.set_result(AppendOutcome.DONE)
+            case LogUnavailableError():
+                outcome.set_result(AppendOutcome.NOT_SENT)
+            case _:
+                outcome.set_result(AppendOutcome.UNKNOWN)
+
+    append.add_done_callback(on_done)
+    return outcome
+
+
+def _await_outcome(append: Future[AppendOutcome], wait_s: float) -> AppendOutcome:
     """Returns the outcome of an append, or ``QUEUED`` after ``wait_s`` seconds."""
     try:
-        append.result(wait_s)
-        return AppendOutcome.DONE
+        return append.result(wait_s)
     except FutureTimeoutError:
         return AppendOutcome.QUEUED
-    except LogUnavailableError:
-        return AppendOutcome.NOT_SENT
-    except LogError:
-        return AppendOutcome.UNKNOWN
 
 
 def _append_answer(outcome: AppendOutcome, append_id: str) -> dict[str, str]:
--- a/tests/unit/cluster/test_peers.py
+++ b/tests/unit/cluster/test_peers.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import gc
 import io
 import json
 import unittest
+import unittest.mock
+import weakref
 from concurrent.futures import Future
 from typing import Any
 
@@ -16,6 +19,7 @@
     PeerAnswerLostError,
     PeerNotSentError,
 )
+from azurecleat_cluster._internal import peers
 from azurecleat_cluster._internal.front.request_handler import AppendOutcome
 from azurecleat_cluster._internal.peers import PeerApplication, PeerOwnerClient
 from azurecleat_cluster._internal.replica import records
@@ -156,6 +160,29 @@
         self.appender.futures[-1].set_exception(LogUnavailableError("answered 503"))
         self.assertEqual(self.request("appended", id="1"), "unknown")
 
+    # Guards against memory that grows with each caller of a slow log: an instance that has given up
+    # never asks for the outcome of its append.
+    def test_appends_that_nobody_asks_for_are_forgotten_oldest_first(self) -> None:
+        with unittest.mock.patch.multiple(peers, APPEND_POLL_S=0.0, MAX_QUEUED_APPENDS=3):
+            for number in range(5):
+                self.request("append", value="{}", id=str(number))
+            for append in self.appender.futures:
+                append.set_result(0)
+            outcomes = [self.request("appended", id=str(number)) for number in range(5)]
+        self.assertEqual(outcomes, ["unknown"] * 2 + ["done"] * 3)
+
+    # Guards against the same growth: the exception of a failed append refers, through its
+    # traceback, to all records of the call to the log.
+    def test_exception_of_an_append_that_nobody_asks_for_is_not_kept(self) -> None:
+        self.request("append", value="{}", id="1")
+        error = LogUnavailableError("answered 503")
+        reference = weakref.ref(error)
+        self.appender.futures.pop().set_exception(error)
+        del error
+        gc.collect()
+        self.assertIsNone(reference())
+        self.assertEqual(self.request("appended", id="1"), "not sent")
+
 
 if __name__ == "__main__":
     unittest.main()
