An append after the stop of an appender is refused at once

What callers see: a request that reaches an instance just before it exits waits until its deadline and gets 504, although its record was never sent; GroupAppender.append would wait without end.

Cause: submit() queued the record although the threads had ended, so that nobody completed its future.

Test failed before: test_append_after_stop_is_refused_at_once, with TimeoutError from result(1.0).

Change: after stop() the future has LogUnavailableError at once. That is exact, because the record is not queued; records queued before stop() keep their outcome, or none if the process exits first.

--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/appender.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/appender.py
@@ -8,7 +8,7 @@
 from concurrent.futures import Future
 from typing import NamedTuple
 
-from azurecleat_base.exceptions import LogError
+from azurecleat_base.exceptions import LogError, LogUnavailableError
 
 from azurecleat_cluster._internal.ports import Log
 
@@ -74,11 +74,17 @@
         return self.submit(key, value, timeout_s).result()
 
     def submit(self, key: str, value: bytes | None, timeout_s: float) -> Future[int]:
-        """Queues one record. The future has the result or the exception of :meth:`append`."""
+        """Queues one record. The future has the result or the exception of :meth:`append`.
+
+        After :meth:`stop` it has the exception :class:`LogUnavailableError` at once.
+        """
         entry = _PendingAppend(key, value, timeout_s, Future())
         with self._changed:
-            self._queue.append(entry)
-            self._changed.notify()
+            if not self._stopping:
+                self._queue.append(entry)
+                self._changed.notify()
+                return entry.done
+        entry.done.set_exception(LogUnavailableError("this instance stops", step="log.append"))
         return entry.done
 
     def _run(self) -> None:
--- a/tests/unit/cluster/test_replica.py
+++ b/tests/unit/cluster/test_replica.py
@@ -188,6 +188,17 @@
         appender.stop()
         self.assertLess(time.monotonic() - began_at, 1.0)
 
+    # Guards against a caller that waits until its deadline, or for ever in append(), for a record
+    # that no thread will append.
+    def test_append_after_stop_is_refused_at_once(self) -> None:
+        log = KeyedMemoryLog()
+        appender = GroupAppender(log, JOBS, lambda offset, records: None)
+        appender.start()
+        appender.stop()
+        with self.assertRaises(LogUnavailableError):
+            appender.submit("k", b"1", 1.0).result(1.0)
+        self.assertEqual(log.appends, 0)
+
 
 class EventLogTest(unittest.TestCase):
     """The structured log never blocks its callers."""
