--- a/tests/unit/cluster/test_replica.py
+++ b/tests/unit/cluster/test_replica.py
@@ -199,6 +199,24 @@
             appender.submit("k", b"1", 1.0).result(1.0)
         self.assertEqual(log.appends, 0)
 
+    # Guards against a rejection of a job that runs: all records of a call whose answer is lost may
+    # be in the log, and a later call that is refused says nothing of them.
+    def test_lost_answer_leaves_all_records_of_its_call_unknown(self) -> None:
+        log = KeyedMemoryLog()
+        appender = GroupAppender(log, JOBS, lambda offset, records: None)
+        lost = [appender.submit(key, b"1", 1.0) for key in ("a", "b")]
+        log.lose_answers = 1
+        appender.start()
+        self.addCleanup(appender.stop)
+        for append in lost:
+            self.assertIsInstance(append.exception(5.0), AppendUnknownError)
+        log.down = True
+        refused = appender.submit("a", b"1", 1.0)
+        self.assertIsInstance(refused.exception(5.0), LogUnavailableError)
+        self.assertIsInstance(lost[0].exception(), AppendUnknownError)
+        log.down = False
+        self.assertEqual({record.key for record in log.newest(JOBS).records}, {"a", "b"})
+
 
 class EventLogTest(unittest.TestCase):
     """The structured log never blocks its callers."""
--- a/tests/unit/cluster/test_request_handler.py
+++ b/tests/unit/cluster/test_request_handler.py
@@ -4,6 +4,7 @@
 
 import io
 import json
+import threading
 import time
 import unittest
 from collections.abc import Callable
@@ -133,6 +134,64 @@
                 self.log.down = False
                 self.assertEqual(self.in_log(), is_in_log)
 
+    # Guards against a rejection of a job that runs: a forwarded append of unknown outcome stays
+    # unknown if the local append is refused or is not attempted.
+    def test_unknown_forwarded_append_is_never_refused(self) -> None:
+        self.follow()
+        self.owner.outcome = AppendOutcome.UNKNOWN
+        self.log.down = True
+        self.assertIsInstance(self.submit(), Undecided)
+        self.log.down = False
+        self.lose_log()
+        self.assertIsInstance(self.submit(), Undecided)
+        self.assertFalse(self.in_log())
+
+    # Guards against the same fault without an attempt to append locally, because the forwarded
+    # append has taken the caller's time.
+    def test_unknown_forwarded_append_that_took_all_time_is_undecided(self) -> None:
+        self.follow()
+        self.owner.outcome = AppendOutcome.UNKNOWN
+        self.owner.effect = lambda key, value: time.sleep(0.3)
+        caller = self.caller()._replace(deadline=self.clock.monotonic() + 0.4)
+        admitted = self.request_handler.admit(caller)
+        answer = self.request_handler.submit(admitted, JOB, decode_job(BODY), caller)
+        self.assertIsInstance(answer, Undecided)
+        self.assertEqual(self.log.appends, 1, "only the configuration")
+
+    # Guards against a rejection of a job that runs: the log does not answer the local append, and
+    # appends the record after this instance has stopped waiting because the log counts as lost.
+    def test_local_append_that_is_given_up_is_undecided(self) -> None:
+        self.follow()
+        append, release, appended = self.log.append, threading.Event(), threading.Event()
+
+        def append_late(*arguments: object) -> int:
+            self.lose_log()
+            release.wait(5.0)
+            offset = append(*arguments)
+            appended.set()
+            return offset
+
+        self.log.append = append_late
+        self.assertIsInstance(self.submit(), Undecided)
+        self.assertFalse(self.in_log())
+        release.set()
+        self.assertTrue(appended.wait(5.0))
+        self.assertTrue(self.in_log())
+
+    # Guards against a cancellation that takes effect although it was refused.
+    def test_cancellation_is_refused_only_if_no_append_was_sent(self) -> None:
+        self.follow()
+        self.submit()
+        self.log.down = True
+        for forwarded, expected in (
+            (AppendOutcome.UNKNOWN, Undecided),
+            (AppendOutcome.NOT_SENT, Refused),
+            (AppendOutcome.DONE, Accepted),
+        ):
+            with self.subTest(forwarded=forwarded):
+                self.owner.outcome = forwarded
+                self.assertIsInstance(self.request_handler.cancel(JOB, self.caller()), expected)
+
     def test_job_found_in_the_log_is_accepted_after_a_lost_answer(self) -> None:
         self.follow()
         self.owner.outcome = AppendOutcome.UNKNOWN
