--- a/libs/cluster/src/azurecleat_cluster/_internal/peers.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/peers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import secrets
 import threading
 from collections.abc import Callable, Iterable, Sequence
 from concurrent.futures import Future
@@ -16,7 +17,6 @@
 from azurecleat_base import AnswerLostError, Clock, HttpClient, NotSentError
 from azurecleat_base.exceptions import (
     AzurecleatError,
-    LogError,
     LogUnavailableError,
     PeerAnswerLostError,
     PeerNotSentError,
@@ -47,6 +47,13 @@
 """Time limit of an append by the batching instance. On a slow log an append may wait for two others
 to complete."""
 
+APPEND_ID_BYTES = 8
+"""Length of the random id of a forwarded append."""
+
+MAX_QUEUED_APPENDS = 2048
+"""Maximum number of queued appends that the batching instance keeps. Above it the oldest one, whose
+instance has most likely given it up, is forgotten, and its outcome is answered as unknown."""
+
 MAX_BODY_BYTES = 1 << 20
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -131,27 +138,59 @@
         if address is None:
             return AppendOutcome.NOT_SENT
         deadline = self._clock.monotonic() + timeout_s
-        fields = {"key": key, "value": value.decode()}
+        fields = {"key": key, "id": secrets.token_hex(APPEND_ID_BYTES)}
         try:
-            outcome = AppendOutcome(
-                self._request(address, "append", fields, REQUEST_TIMEOUT_S)["outcome"]
+            outcome = self._request_append(
+                address, "append", fields | {"value": value.decode()}, REQUEST_TIMEOUT_S
             )
-            while outcome is AppendOutcome.QUEUED:
-                left_s = deadline - self._clock.monotonic()
-                if should_give_up():
-                    self._back_off(address)
-                    return AppendOutcome.UNKNOWN
-                if left_s <= 0:
-                    return AppendOutcome.UNKNOWN
-                answer = self._request(
-                    address, "appended", {"key": key}, QUEUED_POLL_S + REQUEST_TIMEOUT_S
-                )
-                outcome = AppendOutcome(answer["outcome"])
-            return outcome
         except PeerNotSentError:
             return AppendOutcome.NOT_SENT
         except AzurecleatError:
             return AppendOutcome.UNKNOWN
+        if outcome is not AppendOutcome.QUEUED:
+            return outcome
+        return self._await_queued(address, fields, deadline, should_give_up)
+
+    def _await_queued(
+        self,
+        address: str,
+        fields: dict[str, str],
+        deadline: float,
+        should_give_up: Callable[[], bool],
+    ) -> AppendOutcome:
+        """Waits for the outcome of an append that the batching instance has queued.
+
+        Without an answer the outcome is unknown, even if the request was not sent: the batching
+        instance may have sent the record to the log.
+
+        :param fields: Key and id of the append.
+        """
+        outcome = AppendOutcome.QUEUED
+        while outcome is AppendOutcome.QUEUED:
+            left_s = deadline - self._clock.monotonic()
+            if should_give_up():
+                self._back_off(address)
+                return AppendOutcome.UNKNOWN
+            if left_s <= 0:
+                return AppendOutcome.UNKNOWN
+            try:
+                outcome = self._request_append(
+                    address, "appended", fields, QUEUED_POLL_S + REQUEST_TIMEOUT_S
+                )
+            except AzurecleatError:
+                return AppendOutcome.UNKNOWN
+        return outcome
+
+    def _request_append(
+        self, address: str, operation: str, fields: dict[str, str], timeout_s: float
+    ) -> AppendOutcome:
+        answer = self._request(address, operation, fields, timeout_s)
+        outcome = AppendOutcome(answer["outcome"])
+        if outcome is AppendOutcome.NOT_SENT and answer.get("id") != fields["id"]:
+            # An instance of an earlier version identifies appends by key alone, so that this may be
+            # the outcome of another append of the key.
+            return AppendOutcome.UNKNOWN
+        return outcome
 
     def _batcher_address(self) -> str | None:
         """Returns the batching instance's address, None if that is this instance or there is none.
@@ -214,7 +253,8 @@
         self._replica = replica
         self._appender = appender
         self._is_log_lost = is_log_lost
-        self._appends: dict[str, Future[int]] = {}
+        self._queued: dict[str, Future[AppendOutcome]] = {}
+        self._lock = threading.Lock()
         self._owner = owner
         self._adviser = adviser
 
@@ -239,9 +279,12 @@
             case "/pending" if self._owner.term is not None:
                 return {"count": self._replica.pending(fields["queue"])}
             case "/append":
-                return {"outcome": self._append(fields["key"], fields["value"].encode()).value}
+                append_id = fields.get("id", "")
+                outcome = self._append(fields["key"], fields["value"].encode(), append_id)
+                return _append_answer(outcome, append_id)
             case "/appended":
-                return {"outcome": self._await_append(fields["key"], QUEUED_POLL_S).value}
+                append_id = fields.get("id", "")
+                return _append_answer(self._await_queued(fields["key"], append_id), append_id)
             case "/advise" if self._adviser is not None:
                 tickets = self._adviser.advise(
                     fields["step"], fields["targets"], fields["timeout_s"]
@@ -252,34 +295,77 @@
                 return {}
         return None
 
-    def _append(self, key: str, value: bytes) -> AppendOutcome:
+    def _append(self, key: str, value: bytes, append_id: str) -> AppendOutcome:
+        """Appends a record for another instance and waits briefly for the outcome.
+
+        :param append_id: Id that the other instance gave the append; empty if that instance is of
+            an earlier version, which names only the key.
+        """
         if self._is_log_lost():
             return AppendOutcome.NOT_SENT
-        self._appends[key] = self._appender.submit(key, value, BATCHED_APPEND_TIMEOUT_S)
-        return self._await_append(key, APPEND_POLL_S)
+        append = _outcome_of(self._appender.submit(key, value, BATCHED_APPEND_TIMEOUT_S))
+        outcome = _await_outcome(append, APPEND_POLL_S)
+        if outcome is AppendOutcome.QUEUED:
+            self._keep(append_id or key, append)
+        return outcome
 
-    def _await_append(self, key: str, wait_s: float) -> AppendOutcome:
-        """Waits for an append and returns its outcome, or ``QUEUED`` after ``wait_s`` seconds.
+    def _keep(self, name: str, append: Future[AppendOutcome]) -> None:
+        """Keeps a queued append until its outcome is asked for, or forgets the oldest one."""
+        with self._lock:
+            self._queued[name] = append
+            if len(self._queued) > MAX_QUEUED_APPENDS:
+                del self._queued[next(iter(self._queued))]
 
-        Returns ``UNKNOWN`` if this instance has no append of the key, as after a restart. The
-        answer ``QUEUED`` shows the requesting instance that this instance is alive.
+    def _await_queued(self, key: str, append_id: str) -> AppendOutcome:
+        """Waits for an append that was answered ``QUEUED`` and returns its outcome.
+
+        Returns ``UNKNOWN`` if this instance does not have the append, as after a restart or above
+        ``MAX_QUEUED_APPENDS``, and ``QUEUED`` after ``QUEUED_POLL_S`` seconds, which shows the
+        requesting instance that this instance is alive.
         """
-        append = self._appends.get(key)
+        with self._lock:
+            append = self._queued.get(append_id or key)
         if append is None:
             return AppendOutcome.UNKNOWN
-        try:
-            append.result(wait_s)
-            outcome = AppendOutcome.DONE
-        except FutureTimeoutError:
-            return AppendOutcome.QUEUED
-        except LogUnavailableError:
-            outcome = AppendOutcome.NOT_SENT
-        except LogError:
-            outcome = AppendOutcome.UNKNOWN
-        self._appends.pop(key, None)
+        outcome = _await_outcome(append, QUEUED_POLL_S)
+        if outcome is not AppendOutcome.QUEUED:
+            with self._lock:
+                self._queued.pop(append_id or key, None)
+        if outcome is AppendOutcome.NOT_SENT and not append_id:
+            # The key does not tell this append from an earlier one that the log may still receive.
+            return AppendOutcome.UNKNOWN
         return outcome
 
 
+def _outcome_of(append: Future[int]) -> Future[AppendOutcome]:
+    """Returns the outcome without the exception, whose traceback refers to a batch of records."""
+    outcome: Future[AppendOutcome] = Future()
+
+    def on_done(done: Future[int]) -> None:
+        match done.exception():
+            case None:
+                outcome.set_result(AppendOutcome.DONE)
+            case LogUnavailableError():
+                outcome.set_result(AppendOutcome.NOT_SENT)
+            case _:
+                outcome.set_result(AppendOutcome.UNKNOWN)
+
+    append.add_done_callback(on_done)
+    return outcome
+
+
+def _await_outcome(append: Future[AppendOutcome], wait_s: float) -> AppendOutcome:
+    """Returns the outcome of an append, or ``QUEUED`` after ``wait_s`` seconds."""
+    try:
+        return append.result(wait_s)
+    except FutureTimeoutError:
+        return AppendOutcome.QUEUED
+
+
+def _append_answer(outcome: AppendOutcome, append_id: str) -> dict[str, str]:
+    return {"outcome": outcome.value} | ({"id": append_id} if append_id else {})
+
+
 def _respond(start: StartResponse, status: str, value: dict[str, Any]) -> list[bytes]:
     body = json.dumps(value).encode()
     start(
