--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -50,6 +50,8 @@
         "first_percent",
         "previous_rate",
         "current_rate",
+        "start_answered_at",
+        "is_start_uncertain",
         "is_reported",
     )
 
@@ -74,8 +76,15 @@
         self.valid_until = 0.0
         """After this time the run can't begin, nor go on without a later lease renewal."""
         self.checkpoint = ""
+        self.start_answered_at: float | None = None
+        """When the start was answered; None while it may be sent again."""
+        self.is_start_uncertain = False
+        """Whether an attempt to start the run got no answer: it may be executed at any time."""
         self.is_reported = False
-        """Whether a report of the target's current incarnation contained the run."""
+        """Whether the answer to a poll that was sent after the answered start contained the run.
+
+        The start had then reached the incarnation that answers the polls, and no later one.
+        """
         self.progressed_at = 0.0
         self.reported_at = 0.0
         """When ``percent`` was last updated: at most once per ``MIN_RATE_INTERVAL_S``."""
@@ -274,10 +283,11 @@
         """Whether tasks of the job may still be started."""
         return not self.cancelled and not self.outcome
 
-    def open_occurrence(self, occurrence: int) -> None:
-        """Creates the steps of an occurrence that is due."""
-        for index in range(len(self.submission.spec.steps)):
-            self.steps[occurrence, index] = StepInfo(self, occurrence, index)
+    def open_occurrences(self, count: int) -> None:
+        """Creates the steps of the first ``count`` occurrences, except those that are open."""
+        for occurrence in range(self.occurrences_open, count):
+            for index in range(len(self.submission.spec.steps)):
+                self.steps[occurrence, index] = StepInfo(self, occurrence, index)
 
     @property
     def occurrences_open(self) -> int:
@@ -295,8 +305,8 @@
         self.begun = progress.begun
         self.outcome = progress.outcome
         for (occurrence, index), task in progress.steps.items():
-            if (occurrence, index) not in self.steps:
-                self.open_occurrence(occurrence)
+            # Occurrences need not begin in order: those before a recorded one may have no record.
+            self.open_occurrences(occurrence + 1)
             self.steps[occurrence, index].restore(task)
 
     def progress(self) -> Progress:
@@ -308,6 +318,10 @@
         return Progress(self.begun, self.outcome, steps)
 
 
+LATE_COMMAND_S = 10.0
+"""How long after its release a run may still be started by a command that is late."""
+
+
 class TargetInfo:
     """One incarnation of a target, its runs and its state."""
 
@@ -327,6 +341,9 @@
         self.throttle_percent = UNTHROTTLED_PERCENT
         """Throttle percent of the target's filling tasks."""
         self.throttled_at = float("-inf")
+        self._uncertain_runs: list[tuple[float, Run]] = []
+        """Released runs that a late start may still begin on a later incarnation, and when they
+        were released."""
         self.outcomes: list[tuple[float, str, bool]] = []
         """Recent run ends: time, job, whether the run was done."""
 
@@ -335,10 +352,30 @@
         return self.entry.id
 
     def update_entry(self, entry: TargetEntry) -> None:
-        """Replaces the registry entry by a newer one of the same incarnation."""
-        self.entry = entry
+        """Replaces the registry entry by a newer one of the same incarnation.
+
+        The start time stays known if the newer entry, which may come from another writer, has none.
+        """
+        self.entry = entry._replace(started_at_ms=entry.started_at_ms or self.entry.started_at_ms)
         self.free = entry.capacity.plus(self.used, -1)
 
+    def note_released(self, run: Run, now: float) -> None:
+        """Remembers a released run of which a start may still be on its way."""
+        if run.is_start_uncertain:
+            self._uncertain_runs = [(now, run), *self._recently_released(now)]
+
+    def unconfirmed_runs(self, now: float) -> list[Run]:
+        """Returns the runs that a later incarnation under the same id may have been told to start.
+
+        These are runs that no report shows to have begun here, and runs of which an attempt to
+        start them had no answer.
+        """
+        runs = [run for run in self.runs.values() if not run.is_reported or run.is_start_uncertain]
+        return runs + [run for _, run in self._recently_released(now)]
+
+    def _recently_released(self, now: float) -> list[tuple[float, Run]]:
+        return [each for each in self._uncertain_runs if now - each[0] < LATE_COMMAND_S]
+
     def add(self, run: Run) -> None:
         self.runs[run.key] = run
         self._use(run.allocation, 1)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -12,9 +12,9 @@
     StepInfo,
     TargetInfo,
 )
+from azurecleat_cluster._internal.owner.start_attempts import StartOutcome
 from azurecleat_cluster._internal.owner.state import TermState
 from azurecleat_cluster._internal.owner.throttling import throttle_target
-from azurecleat_cluster._internal.ports import StartResult
 from azurecleat_cluster._internal.values import (
     EndKind,
     JobState,
@@ -138,9 +138,16 @@
                 run.step.avoided.setdefault(run.task.index, set()).add(session.target.id)
                 self.stop_run(run, "it slows serving tasks down")
 
+    def may_start(self, run: Run) -> bool:
+        """Whether the start of a run is still wanted; it may have waited behind other commands."""
+        with self.lock:
+            return run.key in run.target.runs and run.state is RunState.STARTING
+
     def on_start_unanswered(self, run: Run, attempt: int, error: TargetError) -> None:
         """Records that an attempt to start a run got no answer; it may still be executed."""
         self._metrics.retries.labels("start").inc()
+        with self.lock:
+            run.is_start_uncertain = True
         self._events.write(
             eventlog.RUN_UNANSWERED,
             task=run.task,
@@ -150,7 +157,9 @@
             error=error,
         )
 
-    def on_start(self, run: Run, result: StartResult) -> None:
+    def on_start(self, run: Run, outcome: StartOutcome) -> None:
+        """Handles an answered start."""
+        result = outcome.result
         now = self._clock.monotonic()
         job = run.step.job
         self._metrics.command_s.observe(now - run.commanded_at)
@@ -159,7 +168,7 @@
                 return
             if not result.started:
                 self._metrics.starts.labels(result.reason or "refused").inc()
-                self._on_refused(run, result.reason)
+                self._on_refused(run, result.reason, outcome.may_run)
                 return
             self._metrics.starts.labels("started").inc()
             run.confirmed_at = now
@@ -180,8 +189,11 @@
                 waited_s=round(run.commanded_at - job.seen_at, 3),
             )
 
-    def _on_refused(self, run: Run, reason: str) -> None:
-        """Handles a refused start: nothing runs on the target under this run number."""
+    def _on_refused(self, run: Run, reason: str, may_run: bool) -> None:
+        """Handles a refused start.
+
+        :param may_run: Whether an earlier attempt may have started the run, or may still do so.
+        """
         self._events.write(
             eventlog.RUN_REFUSED,
             task=run.task,
@@ -190,7 +202,10 @@
             reason=reason,
         )
         step, now = run.step, self._clock.monotonic()
-        self._release(run)
+        if may_run:
+            self._stop_uncertain(run)
+        else:
+            self._release(run)
         match reason:
             case "ticket":
                 step.advice.invalidate_ticket(run.target.id)
@@ -221,16 +236,22 @@
                 error=error,
             )
             if may_run:
-                if run.state is RunState.STARTING:
-                    # The target may have started the run, or start it later. A stop that is
-                    # answered rules out both.
-                    self.stop_run(run, "start was not answered")
+                self._stop_uncertain(run)
             else:
                 self._release(run)
                 run.step.avoided.setdefault(run.task.index, set()).add(run.target.id)
             self._stop_gang(run, "another task of the gang was not started")
         self.wake()
 
+    def _stop_uncertain(self, run: Run) -> None:
+        """Stops a run that the target may have started, or may start later.
+
+        An answered stop rules out a later start, and the report after it shows what became of the
+        run. Until then its task is not started again.
+        """
+        if run.state is RunState.STARTING:
+            self.stop_run(run, "start was not answered")
+
     def on_stop(self, run: Run) -> None:
         """Handles an answered stop; the next report shows whether the run ended."""
         with self.lock:
@@ -247,6 +268,7 @@
         if run.key not in run.target.runs:
             return
         run.target.remove(run)
+        run.target.note_released(run, self._clock.monotonic())
         self.usage.add(run, -1)
         step, index = run.step, run.task.index
         step.backup_runs.get(index, set()).discard(run)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
@@ -18,8 +18,8 @@
 from azurecleat_cluster._internal.exceptions import ConnectionChangedError, TargetReplacedError
 from azurecleat_cluster._internal.owner.authority import Authority
 from azurecleat_cluster._internal.owner.model import UNKNOWN_THROTTLE_PERCENT, Run, TargetInfo
-from azurecleat_cluster._internal.owner.start_attempts import StartAttempts
-from azurecleat_cluster._internal.ports import StartCommand, StartResult, TargetClient
+from azurecleat_cluster._internal.owner.start_attempts import StartAttempts, StartOutcome
+from azurecleat_cluster._internal.ports import StartCommand, TargetClient
 from azurecleat_cluster._internal.values import TargetReport
 
 POLL_WAIT_S = 0.5
@@ -71,9 +71,11 @@
 
     def on_fenced(self, session: TargetSession, epoch: int) -> None: ...
 
+    def may_start(self, run: Run) -> bool: ...
+
     def on_start_unanswered(self, run: Run, attempt: int, error: TargetError) -> None: ...
 
-    def on_start(self, run: Run, result: StartResult) -> None: ...
+    def on_start(self, run: Run, outcome: StartOutcome) -> None: ...
 
     def on_start_failed(self, run: Run, error: TargetError, may_run: bool) -> None: ...
 
@@ -317,6 +319,9 @@
             self._observer.on_start_failed(run, error, may_run=False)
             return
         run.valid_until = self._authority.lease_end(now)
+        # Checked after the renewal: the run can't be released any more as one of an ended lease.
+        if not self._observer.may_start(run):
+            return
         command = StartCommand(
             run.task,
             run.number,
@@ -327,9 +332,9 @@
             ticket,
         )
         try:
-            result = self._send_start(run, command)
+            outcome = self._send_start(run, command)
         except FencedError as error:
-            self._observer.on_start_failed(run, error, may_run=False)
+            # The run stays allocated: its task must not become free while this term may still act.
             self._observer.on_fenced(self, error.epoch)
         except TargetReplacedError as error:
             self._observer.on_start_failed(run, error, may_run=False)
@@ -339,13 +344,14 @@
         except TargetError as error:
             self._observer.on_start_failed(run, error, may_run=False)
         else:
-            if result.clock_ms:
-                self._target_clock.note(result.clock_ms, self._clock.monotonic())
-            self._observer.on_start(run, result)
+            if outcome.result.clock_ms:
+                self._target_clock.note(outcome.result.clock_ms, self._clock.monotonic())
+            self._observer.on_start(run, outcome)
 
-    def _send_start(self, run: Run, command: StartCommand) -> StartResult:
+    def _send_start(self, run: Run, command: StartCommand) -> StartOutcome:
         """Sends a start, and sends it again while no answer comes.
 
+        :raises FencedError: The target is controlled by a newer owner.
         :raises NotRunError: The run was not started.
         :raises OutcomeUnknownError: The run may have been started.
         """
@@ -359,6 +365,8 @@
                 attempts.note_unanswered(error)
                 self._losses.note()
                 self._observer.on_start_unanswered(run, number, error)
+            except FencedError:
+                raise
             except NotRunError:
                 if attempts.unanswered is None:
                     raise
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -21,10 +21,12 @@
     TargetInfo,
 )
 from azurecleat_cluster._internal.owner.runs import RunTransitions
+from azurecleat_cluster._internal.owner.start_attempts import StartOutcome
 from azurecleat_cluster._internal.owner.state import Session
 from azurecleat_cluster._internal.ports import TargetClient
 from azurecleat_cluster._internal.replica import records as r
 from azurecleat_cluster._internal.values import (
+    JobSpec,
     RunStatus,
     TargetEntry,
     TargetReport,
@@ -54,6 +56,15 @@
             self.takeover = Takeover(set(targets), self.authority, now, previous_owner_gone)
             for job in self._replica.job_ids():
                 self._add_job(job, before_claim=bool(targets))
+            for name in self._replica.deleted_jobs_with_progress():
+                self._writer.put(r.JOB + name, lambda: None)
+        # A later claim may have been read before this term was told of new records.
+        self._check_claim()
+
+    def _check_claim(self) -> None:
+        claim = self._replica.claim
+        if claim.epoch > self.authority.epoch:
+            self.lose_ownership(f"epoch {claim.epoch} was claimed by {claim.instance}")
 
     def stop(self) -> None:
         """Stops sending commands and renewing leases."""
@@ -78,15 +89,16 @@
         match kind + "/":
             case r.SUBMISSION:
                 with self.lock:
-                    self._add_job(name, before_claim=False)
+                    if self._replica.knows(name):
+                        self._add_job(name, before_claim=False)
+                    else:
+                        self._drop_deleted_job(name)
             case r.CANCELLATION:
                 with self.lock:
                     if name in self.jobs:
                         self._cancel(self.jobs[name])
             case r.CLAIM | r.RELEASE:
-                claim = self._replica.claim
-                if claim.epoch > self.authority.epoch:
-                    self.lose_ownership(f"epoch {claim.epoch} was claimed by {claim.instance}")
+                self._check_claim()
                 return
             case _:
                 return
@@ -104,7 +116,7 @@
         now = self._clock.monotonic()
         job = JobInfo(submission, now, before_claim)
         if not submission.spec.repeats:
-            job.open_occurrence(0)
+            job.open_occurrences(1)
         if progress is not None:
             job.restore(progress)
         elif not before_claim:
@@ -130,13 +142,29 @@
         """
         spec = job.submission.spec
         while spec.repeats and job.occurrences_open < spec.occurrences and job.is_open:
-            due_ms = spec.first_ms + job.occurrences_open * spec.interval_ms
-            left_s = due_ms / 1000.0 - time.time()
+            left_s = _due_in_s(spec, job.occurrences_open)
             if left_s > 0:
                 return left_s
-            job.open_occurrence(job.occurrences_open)
+            job.open_occurrences(job.occurrences_open + 1)
         return None
 
+    def _open_reported_occurrence(self, task: TaskId, now: float) -> None:
+        """Opens the occurrence of a task that a target reports, if it is not due here yet.
+
+        The previous owner's clock may have been ahead. The occurrence's other tasks wait until it
+        is due by the clock of this instance.
+        """
+        job = self.jobs.get(task.job)
+        if job is None:
+            return
+        spec, first = job.submission.spec, job.occurrences_open
+        if not first <= task.occurrence < spec.occurrences:
+            return
+        job.open_occurrences(task.occurrence + 1)
+        for (occurrence, _), step in job.steps.items():
+            if occurrence >= first:
+                step.not_before = now + _due_in_s(spec, occurrence)
+
     # -- targets ------------------------------------------------------------------------------
 
     def on_target_entry(self, entry: TargetEntry) -> None:
@@ -145,11 +173,15 @@
             session = self.sessions.get(entry.id)
             if session is not None and _is_previous_incarnation(session.target.entry, entry):
                 return  # The entry is outdated: a newer incarnation of the target has answered.
+            if session is not None and _is_foreign(session.target.entry, entry):
+                return  # Only a start time could show that the known incarnation has ended.
             if session is not None and _is_same_incarnation(session.target.entry, entry):
                 self._update_entry(session.target, entry)
             else:
                 if session is not None:
-                    self._drop_target(session, "another incarnation registered under its id")
+                    self._drop_target(
+                        session, "another incarnation registered under its id", is_restarted=True
+                    )
                 if not self._is_replaced(entry):
                     self._add_target(entry)
         self.wake()
@@ -202,7 +234,7 @@
                 continue
             if known.started_at_ms > entry.started_at_ms:
                 if self.takeover is not None:
-                    self.takeover.mark_reached(entry.id, self._clock.monotonic())
+                    self.takeover.mark_ended(entry.id, self._clock.monotonic())
                 return True
             self._drop_target(session, f"{entry.id} now uses its address")
         return False
@@ -225,8 +257,9 @@
         )
         # The log must name the target before its first command: a later owner has to reach every
         # target in use, or wait for its lease to end.
-        encoded = r.dump([entry.address, entry.pool, entry.started_at_ms])
-        if self._replica.targets_in_use.get(entry.id) == encoded.decode():
+        encoded = _encode_target(entry)
+        is_recorded = self._replica.targets_in_use.get(entry.id) == encoded.decode()
+        if is_recorded and entry.id not in self._deleted_targets:
             self._start_session(session)
         else:
             self._writer.put(
@@ -237,8 +270,9 @@
         """Stops, on a target's new incarnation, a run whose start was sent to the previous one.
 
         Commands name only the target's id, which both incarnations share, so the new one may have
-        received the start. Unless the task is running elsewhere, it is not started again until the
-        new incarnation has answered a stop and a poll.
+        received the start, even if the previous one executed it and the start was sent again.
+        Unless the task is running elsewhere, it is not started again until the new incarnation has
+        answered a stop and a poll.
         """
         step, index = run.step, run.task.index
         run.target, run.confirmed_at, run.valid_until = target, None, 0.0
@@ -257,13 +291,17 @@
             self.authority.add_target(session.target.id)
         session.start()
 
-    def _drop_target(self, session: Session, reason: str) -> None:
-        """Drops a target incarnation that has certainly ended, and all its runs."""
+    def _drop_target(self, session: Session, reason: str, is_restarted: bool = False) -> None:
+        """Drops a target incarnation that has certainly ended, and all its runs.
+
+        :param is_restarted: Another incarnation has the same id. The previous owner may have used
+            it already, so a takeover still has to reach it.
+        """
         target = session.target
         if self.sessions.get(target.id) is not session:
             return
         del self.sessions[target.id]
-        unconfirmed = [run for run in target.runs.values() if not run.is_reported]
+        unconfirmed = target.unconfirmed_runs(self._clock.monotonic())
         if unconfirmed:
             self._unconfirmed_runs[target.id] = unconfirmed
         self._events.write(
@@ -271,8 +309,11 @@
         )
         self._release_lost_runs(target, reason)
         self.authority.remove_target(target.id)
-        if self.takeover is not None:
-            self.takeover.mark_reached(target.id, self._clock.monotonic())
+        if self.takeover is not None and is_restarted:
+            self.takeover.mark_restarted(target.id)
+        elif self.takeover is not None:
+            self.takeover.mark_ended(target.id, self._clock.monotonic())
+        self._deleted_targets.add(target.id)
         self._writer.put(r.TARGET + target.id, lambda: None)
         session.stop()
 
@@ -287,7 +328,13 @@
             )
             self._release(run)
 
-    # -- reports of sessions ------------------------------------------------------------------
+    # -- answers and reports of sessions ------------------------------------------------------
+
+    def on_start(self, run: Run, outcome: StartOutcome) -> None:
+        """Handles an answered start, which is not sent again from now on."""
+        with self.lock:
+            run.start_answered_at = self._clock.monotonic()
+        super().on_start(run, outcome)
 
     def on_report(self, session: Session, report: TargetReport, sent_at: float) -> None:
         """Handles a target's report of its running and ended runs.
@@ -304,17 +351,26 @@
                 and target.entry.started_at_ms
                 and report.started_at_ms != target.entry.started_at_ms
             ):
-                self._drop_target(session, "another incarnation answers under its id")
+                self._drop_target(
+                    session, "another incarnation answers under its id", is_restarted=True
+                )
                 new_entry = target.entry._replace(started_at_ms=report.started_at_ms)
                 self._add_target(new_entry)
                 return
+            if report.started_at_ms and not target.entry.started_at_ms:
+                self._note_start_time(target, report.started_at_ms)
+            is_complete = len(report.ended) < MAX_REPORTED_ENDS
             self.authority.add_target_proof(target.id, sent_at)
-            if self.takeover is not None:
+            if self.takeover is not None and is_complete:
                 self.takeover.mark_reached(target.id, now)
+            elif self.takeover is not None:
+                self.takeover.mark_partly_known(target.id)
             if not target.reached:
                 session.inherit_lease(now)
             if not target.responsive and target.reached:
                 self._events.write(eventlog.TARGET_BACK, target=target.id, runs=len(target.runs))
+            for reported in (*report.ended, *report.running):
+                self._open_reported_occurrence(reported.task, now)
             runs_before, was_known = len(target.runs), target.reached and target.responsive
             ended = {(end.task, end.run) for end in report.ended}
             for end in report.ended:
@@ -322,8 +378,8 @@
                     self._process_end(target, end, now)
                     session.processed = end.number
             for status in report.running:
-                self._process_status(target, status, now)
-            if len(report.ended) < MAX_REPORTED_ENDS:
+                self._process_status(target, status, sent_at, now)
+            if is_complete:
                 running = {(status.task, status.run) for status in report.running}
                 self._drop_missing(target, running | ended, sent_at)
             target.reached = target.responsive = True
@@ -334,13 +390,22 @@
         if is_changed:
             self.wake()
 
-    def _process_status(self, target: TargetInfo, status: RunStatus, now: float) -> None:
+    def _note_start_time(self, target: TargetInfo, started_at_ms: int) -> None:
+        """Notes which incarnation answers, where the target's entry does not say it."""
+        target.entry = target.entry._replace(started_at_ms=started_at_ms)
+        encoded = _encode_target(target.entry)
+        self._writer.put(r.TARGET + target.id, lambda: encoded)
+
+    def _process_status(
+        self, target: TargetInfo, status: RunStatus, sent_at: float, now: float
+    ) -> None:
         run = target.runs.get((status.task, status.run))
         if run is None:
             run = self._adopt(target, status)
             if run is None:
                 return
-        run.is_reported = True
+        if run.start_answered_at is not None and run.start_answered_at < sent_at:
+            run.is_reported = True
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
             run.confirmed_at = run.confirmed_at or now
@@ -362,6 +427,7 @@
         run.state = RunState.RUNNING
         run.confirmed_at = self._clock.monotonic()
         run.commanded_at = run.confirmed_at
+        run.start_answered_at = float("-inf")
         run.throttle_percent = UNKNOWN_THROTTLE_PERCENT
         index = status.task.index
         step.last_run = max(step.last_run, status.run)
@@ -437,6 +503,8 @@
                     self._drop_target(session, "no entry, and its lease is over")
                 else:
                     self._release_lost_runs(target, "its lease is over")
+                    if self.takeover is not None and target.reached:
+                        self.takeover.mark_reached(target.id, self._clock.monotonic())
         self.wake()
 
     def known_incarnations(self) -> frozenset[str]:
@@ -455,13 +523,13 @@
                 if name in self.sessions:
                     self._drop_target(self.sessions[name], "no longer in the directory")
                 elif self.takeover is not None:
-                    self.takeover.mark_reached(name, self._clock.monotonic())
+                    self.takeover.mark_ended(name, self._clock.monotonic())
         self.wake()
 
     def _may_drop(self, target: TargetInfo) -> bool:
         """Whether no lease given by a previous owner can still be valid on a target."""
         takeover = self.takeover
-        if takeover is None or target.id not in takeover.unreached:
+        if takeover is None or target.reached or target.id not in takeover.unreached:
             return True
         return takeover.is_complete()
 
@@ -475,21 +543,37 @@
 
     # -- clean-up -----------------------------------------------------------------------------
 
-    def drop_old_jobs(self, retention_s: float) -> list[str]:
-        """Drops jobs that ended more than ``retention_s`` ago and returns their ids."""
+    def old_jobs(self, retention_s: float) -> list[str]:
+        """Returns the ids of the jobs that ended more than ``retention_s`` seconds ago.
+
+        Such a job stays known, with its progress, until the deletion of its submission has been
+        read from the log: a submission without progress is a new job.
+        """
         now = self._clock.monotonic()
         with self.lock:
-            old = [
+            return [
                 job.id
                 for job in self.jobs.values()
                 if job.finished_at is not None
                 and now - job.finished_at > retention_s
                 and not any(step.active for step in job.steps.values())
             ]
-            for name in old:
-                del self.jobs[name]
-                self._writer.put(r.JOB + name, lambda: None)
-        return old
+
+    def _drop_deleted_job(self, name: str) -> None:
+        """Drops an ended job, and deletes its progress, after its submission was deleted."""
+        job = self.jobs.get(name)
+        if job is not None and job.finished_at is not None:
+            del self.jobs[name]
+            self._writer.put(r.JOB + name, lambda: None)
+
+
+def _encode_target(entry: TargetEntry) -> bytes:
+    return r.dump([entry.address, entry.pool, entry.started_at_ms])
+
+
+def _due_in_s(spec: JobSpec, occurrence: int) -> float:
+    """Returns the seconds until an occurrence is due, by the clock of this instance."""
+    return (spec.first_ms + occurrence * spec.interval_ms) / 1000.0 - time.time()
 
 
 def _is_same_incarnation(known: TargetEntry, reported: TargetEntry) -> bool:
@@ -502,3 +586,9 @@
 
 def _is_previous_incarnation(known: TargetEntry, reported: TargetEntry) -> bool:
     return known.address == reported.address and 0 < reported.started_at_ms < known.started_at_ms
+
+
+def _is_foreign(known: TargetEntry, reported: TargetEntry) -> bool:
+    """Whether another writer than the target wrote an entry: it lacks the target's start time."""
+    is_start_missing = known.started_at_ms and not reported.started_at_ms
+    return bool(is_start_missing) and known.address != reported.address
--- a/libs/daemon/src/azurecleat_daemon/_internal/target_session.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/target_session.py
@@ -29,6 +29,9 @@
 """Largest fraction by which a renewal period is shortened at random."""
 
 CONTROL_RETRY_S = 0.2
+LATE_ARRIVAL_S = 60.0
+"""Longest time after which a request that was sent and not answered takes effect."""
+
 UNRESPONSIVE_AFTER_LEASES = 0.5
 """Fraction of a lease without an answer after which the session stops renewing."""
 
@@ -47,12 +50,25 @@
         :param sent_at: When the request that the target answered was sent.
         """
 
+    def on_unchanged(self, session: TargetSession, sent_at: float) -> None:
+        """Called when the target runs the same as it last reported.
+
+        :param sent_at: When the request that the target answered was sent.
+        """
+
     def on_ended(self, session: TargetSession, ended: tuple[EndedTask, ...]) -> None:
         """Called with attempts that ended and were not acknowledged yet."""
 
     def on_refused(self, session: TargetSession, tasks: tuple[str, ...]) -> None:
         """Called with starts that the target refused; none of them was run."""
 
+    def on_start_unknown(self, session: TargetSession, tasks: tuple[str, ...]) -> None:
+        """Called with starts that the target refused after an exchange without an answer.
+
+        The refusal concerns only the repeated start. The target may have run the task after the
+        earlier exchange, or may still run it if that exchange arrives late.
+        """
+
     def on_lost(self, session: TargetSession) -> None:
         """Called when the target's lease has certainly lapsed, which ends all that it ran."""
 
@@ -94,6 +110,7 @@
         self._lock = threading.Lock()
         self._starts: dict[str, TaskStart] = {}
         self._sent_starts: set[str] = set()
+        self._unanswered_starts: dict[str, float] = {}
         self._stops: dict[str, TaskStop] = {}
         self._acknowledge: dict[str, None] = {}
         self._last_version = -1
@@ -118,7 +135,8 @@
 
     @property
     def has_commands(self) -> bool:
-        return bool(self._starts or self._stops or self._acknowledge)
+        with self._lock:
+            return bool(self._starts or self._stops or self._due_acknowledgements())
 
     def update_target(self, target: Target) -> None:
         """Replaces the target's description by the current one of the instance list."""
@@ -176,7 +194,12 @@
             reply = self._client.control(request)
         except FencedError as error:
             self._on_fenced(error)
-        except (NotRunError, OutcomeUnknownError) as error:
+        except NotRunError as error:
+            self._on_failure(error)
+        except OutcomeUnknownError as error:
+            with self._lock:
+                sent_by = self._clock.monotonic()
+                self._unanswered_starts.update((start.task, sent_by) for start in request.start)
             self._on_failure(error)
         else:
             self._on_reply(request, reply, sent_at)
@@ -195,6 +218,7 @@
 
     def _request(self) -> ControlRequest:
         with self._lock:
+            self._forget_arrived_starts()
             # Commands need a valid lease (a majority of the targets). A renewal does not: each
             # target decides by itself whether to grant it.
             may_act = self._lease.is_valid()
@@ -204,21 +228,37 @@
                 *self._settings,
                 start=starts,
                 stop=tuple(self._stops.values()) if may_act else (),
-                acknowledge=tuple(self._acknowledge) if may_act else (),
+                acknowledge=self._due_acknowledgements() if may_act else (),
                 since=self._last_version,
             )
 
+    def _forget_arrived_starts(self) -> None:
+        arrived_before = self._clock.monotonic() - LATE_ARRIVAL_S
+        self._unanswered_starts = {
+            task: at for task, at in self._unanswered_starts.items() if at > arrived_before
+        }
+
+    def _due_acknowledgements(self) -> tuple[str, ...]:
+        """Returns the ended tasks that the target may forget.
+
+        Until it forgets a task, the target ignores a start of it that arrives late.
+        """
+        return tuple(task for task in self._acknowledge if task not in self._unanswered_starts)
+
     def _on_reply(self, request: ControlRequest, reply: ControlReply, sent_at: float) -> None:
         self._lease.renew(self._target.name, sent_at)
         self._last_answer_at = self._clock.monotonic()
         self._last_version = reply.version
         with self._lock:
+            unknown = tuple(task for task in reply.refused if task in self._unanswered_starts)
             for start in request.start:
                 self._starts.pop(start.task, None)
                 self._sent_starts.discard(start.task)
             for stop in request.stop:
                 if self._stops.get(stop.task) == stop:
                     del self._stops[stop.task]
+            # Ends that the target was told to forget, or will be, were processed before.
+            processed = {*request.acknowledge, *self._acknowledge}
             for task in request.acknowledge:
                 self._acknowledge.pop(task, None)
         if not self._granted:
@@ -227,13 +267,18 @@
                 log_event(TARGET_BACK, target=self._target.name)
             self._lost = False
             self._listener.on_granted(self)
-        if reply.refused:
-            self._listener.on_refused(self, reply.refused)
-        ended = tuple(end for end in reply.ended if end.task not in request.acknowledge)
+        refused = tuple(task for task in reply.refused if task not in unknown)
+        if refused:
+            self._listener.on_refused(self, refused)
+        if unknown:
+            self._listener.on_start_unknown(self, unknown)
+        ended = tuple(end for end in reply.ended if end.task not in processed)
         if ended:
             self._listener.on_ended(self, ended)
         if reply.running is not None:
             self._listener.on_running(self, reply.running, sent_at)
+        else:
+            self._listener.on_unchanged(self, sent_at)
 
     def _on_fenced(self, error: FencedError) -> None:
         self._last_answer_at = self._clock.monotonic()
--- a/libs/policy/src/azurecleat_policy/_internal/scheduling_state.py
+++ b/libs/policy/src/azurecleat_policy/_internal/scheduling_state.py
@@ -28,6 +28,7 @@
     quantized_rank,
     virtual_time,
 )
+from azurecleat_policy._internal.sizing import FleetCapacity, reduce_to_limit
 from azurecleat_policy._internal.teams import TeamState
 from azurecleat_policy._internal.types import (
     AttemptEnd,
@@ -75,6 +76,8 @@
         self._over_limit: dict[str, TeamState] = {}
         self._ranks_are_stale = False
         self._shares_are_stale = False
+        self._sizes_are_stale = False
+        self._fleet_capacity: FleetCapacity | None = None
 
     @property
     def waiting_tasks(self) -> int:
@@ -112,6 +115,7 @@
         share_changed = team.policy.share != policy.share
         if team.policy == policy:
             return
+        self._sizes_are_stale |= team.policy.fleet_limit != policy.fleet_limit
         team.policy = policy
         if not policy.limit.covers(team.used):
             self._over_limit[policy.name] = team
@@ -130,6 +134,7 @@
             return
         worker = self._workers.add(policy)
         self._ranks_are_stale = True
+        self._usable_workers_changed()
         self._capacity_freed(worker)
 
     def remove_worker(self, name: str, now: float) -> list[AttemptEnd]:
@@ -142,6 +147,7 @@
         ]
         self._workers.remove(name)
         self._ranks_are_stale = True
+        self._usable_workers_changed()
         self._worker_closed(worker)
         return ended
 
@@ -152,6 +158,7 @@
             return
         worker.draining = draining
         self._workers.sync(worker)
+        self._usable_workers_changed()
         if draining:
             self._worker_closed(worker)
         else:
@@ -212,7 +219,9 @@
         self._teams[job.job.team].waiting -= 1
         if job.waiting:
             self._update_shape(job)
-        elif not job.running:
+            return
+        self._lane_changed(job.lane)
+        if not job.running:
             del self._jobs[job_id]
             self._job_left_queue(job)
 
@@ -304,8 +313,8 @@
 
     # Hooks with which subclasses keep their search structures up to date.
 
-    def _lane_changed(self, job: PolicyJob) -> None:
-        """Called when the head of a job's lane may have changed."""
+    def _lane_changed(self, lane: Lane | None) -> None:
+        """Called when the head of a lane may have changed, or the lane may have become empty."""
 
     def _team_changed(self, team: TeamState) -> None:
         """Called when a team's rank or headroom changed."""
@@ -358,7 +367,7 @@
                 continue
             indexes, job.waiting = job.waiting, []
             self._teams[job.job.team].waiting -= len(indexes)
-            self._lane_changed(job)
+            self._lane_changed(job.lane)
             self._job_left_queue(job)
             if not job.running:
                 self._jobs.pop(job.job.job_id, None)
@@ -384,8 +393,11 @@
                 self._capacity_freed(worker)
 
     def _refresh(self) -> None:
-        """Recomputes weights, entitlements and ranks if workers or teams changed."""
+        """Recomputes weights, sizes, entitlements and ranks if workers or teams changed."""
         self._workers.refresh_weights()
+        if self._sizes_are_stale:
+            self._sizes_are_stale = False
+            self._reduce_sizes()
         if self._shares_are_stale:
             self._shares_are_stale = self._ranks_are_stale = False
             self._update_entitlements()
@@ -393,6 +405,31 @@
             self._ranks_are_stale = False
             self._all_ranks_changed()
 
+    def _reduce_sizes(self) -> None:
+        """Reduces the sizes of waiting jobs that no longer fit into the workers or the limit."""
+        for team in self._teams.values():
+            for lane in list(team.lanes.values()):
+                if not self._could_start(team, lane.shape):
+                    for job in lane.jobs():
+                        self._update_shape(job)
+
+    def _could_start(self, team: TeamState, shape: Shape) -> bool:
+        """Returns whether a shape could start if all workers were idle."""
+        fleet = self._usable_fleet()
+        if not team.policy.fleet_limit.covers(task_quota(shape.size, shape.gang_size)):
+            return False
+        return fleet.is_empty or fleet.fits(shape.size, shape.gang_size)
+
+    def _usable_fleet(self) -> FleetCapacity:
+        if self._fleet_capacity is None:
+            self._fleet_capacity = FleetCapacity(self._workers.usable_capacities())
+        return self._fleet_capacity
+
+    def _usable_workers_changed(self) -> None:
+        """Called when a worker was added or removed, drains, resumes, or changes probation."""
+        self._fleet_capacity = None
+        self._sizes_are_stale = True
+
     def _update_entitlements(self) -> None:
         shares = sum(team.policy.share for team in self._teams.values())
         for team in self._teams.values():
@@ -403,7 +440,7 @@
         team = self._teams[job.job.team]
         job.virtual_time = self._virtual_time(job)
         team.lane_for(job.shape).push(job)
-        self._lane_changed(job)
+        self._lane_changed(job.lane)
 
     def _requeue(self, job: PolicyJob, index: int) -> None:
         self._teams[job.job.team].waiting += 1
@@ -423,19 +460,19 @@
         shape = self._shape_of(job.job, len(job.waiting))
         previous_lane = job.lane
         if previous_lane is not None and shape == job.shape:
-            self._lane_changed(job)
+            self._lane_changed(previous_lane)
             return
         job.lane = None
         job.shape = shape
-        if previous_lane is not None:
-            previous_head = previous_lane.head()
-            if previous_head is not None:
-                self._lane_changed(previous_head)
+        self._lane_changed(previous_lane)
         self._enqueue(job)
 
     def _shape_of(self, job: Job, tasks: int) -> Shape:
         gang_size = tasks if job.spec.kind is JobKind.ALL_AT_ONCE else 1
-        size = self._estimator.size(job)
+        declared = job.resources
+        limit = self._teams[job.team].policy.fleet_limit
+        size = reduce_to_limit(self._estimator.size(job), declared, gang_size, limit)
+        size = self._usable_fleet().reduce(size, declared, gang_size)
         return Shape(job.spec.urgent, job.spec.kind, size, gang_size, self._estimator.run_s(job))
 
     def _final_result(
@@ -457,10 +494,12 @@
     ) -> None:
         if result is TaskResult.DONE:
             self._estimator.observe_duration(job.job, now - task.started_at)
-            worker.probation.on_success()
+            if worker.probation.on_success():
+                self._usable_workers_changed()
         elif result is TaskResult.FAILED and worker.probation.on_failure(
             job.job.team, job.job.spec.name, now
         ):
             self._suspects.append(worker.policy.name)
             self._on_probation[worker.policy.name] = worker
+            self._usable_workers_changed()
             self._worker_closed(worker)
--- a/tests/unit/coordination/test_replica.py
+++ b/tests/unit/coordination/test_replica.py
@@ -128,12 +128,52 @@
                 self.assertEqual(instance.appender.outcome(number), expected)
                 self.assertEqual("k1" in instance.replica.fleet.intents, arrives)
 
+    # Guards against taking the refusal of a repeated append as the outcome of the first one.
+    def test_append_without_answer_stays_unknown_if_its_repeat_is_refused(self) -> None:
+        self.log.faults = Faults(lose_answers=1, read_lag=10)
+        future = self.one.appender.submit(Intend("k1", 0.0), 5.0)
+        self.one.appender.step()
+        self.log.faults = Faults(down=True)
+        self.one.appender.step()
+        self.one.clock.advance(6.0)
+        self.one.appender.step()
+        self.assertIsInstance(future.exception(), AppendUnknownError)
+
+    def test_late_result_is_reported_to_the_listener_of_its_event_only(self) -> None:
+        late = []
+        self.log.faults = Faults(lose_answers=1, read_lag=10)
+        with self.assertRaises(AppendUnknownError):
+            self.one.appender.commit(Intend("k1", 0.0), on_late=late.append)
+        self.log.faults = Faults()
+        self.assertEqual(late, [])
+        self.assertTrue(self.one.appender.commit(Intend("k2", 0.0), on_late=late.append).accepted)
+        self.assertEqual([result.accepted for result in late], [True])
+
     def test_events_submitted_together_share_an_entry(self) -> None:
         futures = [self.one.appender.submit(Intend(f"k{i}", 0.0)) for i in range(50)]
         self.one.appender.step()
         self.assertTrue(all(future.result().accepted for future in futures))
         self.assertEqual(self.log.tail, 1)
 
+    # The repeat of a key's addition whose answer was lost was rejected as a conflict, as if the key
+    # were not in force.
+    def test_repeated_addition_of_a_key_is_accepted(self) -> None:
+        _, key = generate_key("k1")
+        commit = self.one.appender.commit
+        commit(Promote(to_plain(Environment("test", (Team("crew", 1.0), Team("other", 1.0)))), 0))
+        results = [
+            commit(event).accepted
+            for event in (
+                GiveKey("crew", key),
+                GiveKey("crew", key),
+                GiveKey("other", key),
+                GiveKey("crew", key._replace(sha256="0" * 64)),
+                WithdrawKey("k1"),
+                GiveKey("crew", key),
+            )
+        ]
+        self.assertEqual(results, [True, True, False, False, True, False])
+
     def test_first_of_two_racing_promotions_wins(self) -> None:
         two = Instance(self.log, "two")
         two.replica.catch_up()
