The checker compares the order of starts, not run numbers

"TWICE after done" at an acknowledgement compared run numbers. A new owner may start a task under a lower number than its predecessor used for a run that it never saw, for instance on a target that has since restarted. The checker now keeps the order of the starts.

New test in tests.functional.test_soak, red before.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -190,6 +190,18 @@
         (violation,) = self.platform.checker.violations
         self.assertIn("TWICE after done", violation)
 
+    def test_task_whose_earlier_run_was_lost_and_had_a_higher_number(self) -> None:
+        self.platform.expect_job(JOB, BODY)
+        target, now = self.platform.targets["i-0"], time.monotonic()
+        until_ms = int(target.clock_ms(now)) + 5000
+        target.start(StartCommand(TaskId(JOB, 0, 0, 0), 5, "x", until_ms, 1), now)
+        self.platform.replace_target(0)
+        (target,) = self.platform.targets.values()
+        target.start(StartCommand(TaskId(JOB, 0, 0, 0), 1, "x", until_ms, 1), now)
+        target.poll(1, 1, None, now + 1.0)
+        self.assertEqual(self.platform.checker.done, {TaskId(JOB, 0, 0, 0)})
+        self.assertEqual(self.platform.checker.violations, [])
+
     def test_revoked_key_that_is_accepted(self) -> None:
         self.guarantee_checker.on_key_revoked("old")
         self.guarantee_checker.on_response("old", time.monotonic(), 200)
--- a/tests/lib/simulated_targets.py
+++ b/tests/lib/simulated_targets.py
@@ -57,14 +57,14 @@
         self.starts = 0
         self.started_at: dict[TaskId, float] = {}
         """Newest start of each task."""
-        self._highest_run: dict[TaskId, int] = {}
-        """Highest run number with which each task was started."""
+        self._started_runs: dict[TaskId, list[tuple[str, int]]] = {}
+        """Target and run number of each start of a task, in the order of the starts."""
 
     def on_start(self, target: SimTarget, command: StartCommand, now: float) -> None:
         task = command.task
         self.starts += 1
         self.started_at[task] = now
-        self._highest_run[task] = max(self._highest_run.get(task, 0), command.run)
+        self._started_runs.setdefault(task, []).append((target.id, command.run))
         expected = self.expected_steps.get((task.job, task.step))
         if expected is None:
             self._add_violation(now, "UNASKED", task, target.id)
@@ -100,7 +100,7 @@
     def on_end(self, target: SimTarget, task: TaskId, run: int) -> None:
         self.running.get(task, set()).discard((target.id, run))
 
-    def on_acknowledged(self, end: RunEnd, now: float) -> None:
+    def on_acknowledged(self, target: SimTarget, end: RunEnd, now: float) -> None:
         """Records a run end that was acknowledged before the target's lease expired.
 
         As long as the lease is valid, the task must not be started again, even if the owner has
@@ -110,8 +110,9 @@
             self.done.add(end.task)
             expected = self.expected_steps.get((end.task.job, end.task.step))
             is_speculative = expected is not None and expected.step.speculative
-            if self._highest_run[end.task] > end.run and not is_speculative:
-                detail = f"run {self._highest_run[end.task]} after run {end.run}"
+            last = self._started_runs[end.task][-1]
+            if last != (target.id, end.run) and not is_speculative:
+                detail = f"{last} started after {(target.id, end.run)}"
                 self._add_violation(now, "TWICE after done", end.task, detail)
         elif end.kind is EndKind.FAILED:
             self.acknowledged_failures[end.task] = self.acknowledged_failures.get(end.task, 0) + 1
@@ -211,7 +212,7 @@
             self._until_ms = max(self._until_ms, until_ms)
         for end, lapsed in self._ended:
             if end.number <= acknowledged and not lapsed:
-                self._checker.on_acknowledged(end, now)
+                self._checker.on_acknowledged(self, end, now)
         self._ended = [each for each in self._ended if each[0].number > acknowledged]
         running = tuple(
             RunStatus(task, number, "", run.percent(now), 0.0)
