--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -164,6 +164,7 @@
         job = run.step.job
         self._metrics.command_s.observe(now - run.commanded_at)
         with self.lock:
+            run.start_answered_at = now
             if run.key not in run.target.runs:
                 return
             if not result.started:
