--- a/libs/daemon/src/azurecleat_daemon/_internal/request_dispatcher.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/request_dispatcher.py
@@ -56,6 +56,8 @@
 NOMINAL_RUN_S = 1.0
 INTENT_DEADLINE_S = 2.0
 LATE_RELEASE_DEADLINE_S = 30.0
+"""Time within which the release of a key that was reserved late is still appended."""
+
 INTENT_RELEASE_WAIT_S = 0.3
 """Longest time by which a refusal waits for the release of its key.
 
