Ask for a gang's tickets in one request that makes them valid together

A request takes 0.89 s here and a ticket may be used for 1.6 s, so the ticket of the target named before had expired when the next one came, and each request counted it as valid when it was sent. Nine requests in 15 s, no start.

Ruled out: capacity (the pool was nearly idle), the team's limit (no other run), denied targets (9 were allowed), the workers' queue (waited_s 0.0).

Change: for a gang a ticket counts only if it is still valid when the answer is expected; the request asks for all of the gang, is not split, and names half as much capacity again; while it is in flight the capacity is held against the steps ranked after the gang.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/advice_requests.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/advice_requests.py
@@ -37,6 +37,13 @@
 RENEW_MARGIN_S = 0.15
 """Tickets with less validity left than this count as lapsed."""
 
+ANSWER_MARGIN_S = 0.25
+"""Time that a request is expected to take beyond its cost: others may be served first."""
+
+GANG_CAPACITY_FACTOR = 1.5
+"""Ratio of the capacity of the allowed targets that a gang's request names to the capacity needed:
+a few of the targets may be lost or full by the time of the answer."""
+
 PRIOR_ALLOWED = 3.0
 PRIOR_REQUESTED = 10.0
 """Counts that a queue starts with before its first answer."""
@@ -72,6 +79,7 @@
     :param include_full: Also renews tickets for full targets, so that a task starts as soon as one
         of them has capacity.
     """
+    needed_at = now + (_expected_answer_s(step) if step.spec.gang else 0.0)
     valid_capacity = 0
     lapsed: list[tuple[TargetInfo, int]] = []
     unknown: list[tuple[TargetInfo, int]] = []
@@ -79,7 +87,7 @@
         if not has_label(step, target) or target.id in step.advice.denied:
             continue
         capacity = capacity_for(step, target)
-        if step.advice.is_valid(target.id, now + RENEW_MARGIN_S):
+        if step.advice.is_valid(target.id, needed_at + RENEW_MARGIN_S):
             valid_capacity += capacity
         elif not step.advice.is_allowed(target.id):
             unknown.append((target, capacity))
@@ -90,11 +98,15 @@
         max_capacity = valid_capacity + lapsed_capacity + sum(capacity for _, capacity in unknown)
         if max_capacity < step.spec.count:
             return []
-    missing = len(step.pending) - valid_capacity
+    # After a failure the tasks of a gang become pending one by one, but start only together.
+    missing = (step.spec.count if step.spec.gang else len(step.pending)) - valid_capacity
     if missing <= 0:
         return []
     lapsed.sort(key=lambda each: -each[1])
-    names = list(_take_until(missing, lapsed))[:TARGETS_PER_REQUEST]
+    if step.spec.gang:
+        names = list(_take_until(missing * GANG_CAPACITY_FACTOR, lapsed))
+    else:
+        names = list(_take_until(missing, lapsed))[:TARGETS_PER_REQUEST]
     missing -= lapsed_capacity
     if missing > 0:
         selected = _select_unknown(
@@ -104,13 +116,23 @@
     return names[:MAX_TARGETS]
 
 
-def split_into_requests(names: list[str]) -> list[list[str]]:
-    """Splits names into requests that can be sent in parallel."""
+def split_into_requests(step: StepInfo, names: list[str]) -> list[list[str]]:
+    """Splits the names for a step into requests that can be sent in parallel.
+
+    A gang's names stay together: its tickets have to be valid at the same time.
+    """
+    if step.spec.gang:
+        return [names]
     count = math.ceil(len(names) / TARGETS_PER_REQUEST)
     size = math.ceil(len(names) / count)
     return [names[first : first + size] for first in range(0, len(names), size)]
 
 
+def _expected_answer_s(step: StepInfo) -> float:
+    """Returns the expected time until a request of a step is answered."""
+    return step.job.queue.advice.cost_s(TARGETS_PER_REQUEST) + ANSWER_MARGIN_S
+
+
 def _take_until(wanted: float, candidates: Iterable[tuple[TargetInfo, int]]) -> Iterator[str]:
     """Yields targets until their capacity sums up to ``wanted`` tasks."""
     for target, capacity in candidates:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -19,6 +19,7 @@
 )
 from azurecleat_cluster._internal.owner.model import Advice, JobInfo, StepInfo, TargetInfo
 from azurecleat_cluster._internal.owner.placement import (
+    IGNORE_EXPIRY,
     Preferences,
     is_usable,
     place,
@@ -73,6 +74,8 @@
         self._metrics = metrics
         self._evaluated_at = float("-inf")
         self._possible_usage: dict[str, Resources] = {}
+        self._held_targets: list[TargetInfo] = []
+        """Targets with capacity held for gangs that wait for tickets."""
         self._allowed_shares = AllowedShareEstimator()
         self._thread = threading.Thread(target=self._run, name="dispatch", daemon=True)
 
@@ -124,6 +127,7 @@
             self._evaluated_at = now
             term.move_slow_runs(now)
             term.throttle_filling_runs(now)
+        self._release_holds()
         pools = UsablePools([session.target for session in term.sessions.values()], now)
         is_takeover_complete = term.takeover is None or term.takeover.is_complete()
         self._possible_usage = {} if is_takeover_complete else self._estimate_possible_usage()
@@ -142,6 +146,7 @@
                 started += self._place(step, pool, now)
                 self._request_advice(step, pool, rank, now, include_full=renewals_left > 0)
                 renewals_left -= bool(step.pending and step.job.queue.advice)
+                self._hold_capacity(step, pool)
         self._metrics.waiting_tasks.set(sum(len(step.pending) for _, step in waiting))
         return started
 
@@ -211,7 +216,7 @@
         if names:
             step.advice_requested_at = now
             step.advice.requested.update(names)
-            for targets in split_into_requests(names):
+            for targets in split_into_requests(step, names):
                 self._advice.submit(step, targets, rank)
 
     def rank(self, step: StepInfo, now: float) -> tuple:
@@ -275,6 +280,23 @@
             self._term.send_start(run)
         return len(runs)
 
+    def _hold_capacity(self, step: StepInfo, pool: UsablePool) -> None:
+        """Holds capacity for a gang whose request for tickets is in flight.
+
+        The steps after it in this round would otherwise take the capacity before the answer.
+        """
+        if not (step.spec.gang and step.advice.requested and len(step.pending) == step.spec.count):
+            return
+        targets = pool.select(step.advice.allowed_targets())
+        for _, target in place_gang(step, targets, IGNORE_EXPIRY, self._preferences):
+            target.hold(step.spec.allocation)
+            self._held_targets.append(target)
+
+    def _release_holds(self) -> None:
+        for target in self._held_targets:
+            target.release_holds()
+        self._held_targets.clear()
+
     def _count_within_limit(self, step: StepInfo, count: int) -> int:
         """Returns how many of ``count`` tasks the team's resource limit allows."""
         team = self._term.configuration.team_named(step.job.team)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -181,6 +181,9 @@
         if target in self._tickets:
             self._tickets[target] = ("", float("-inf"))
 
+    def allowed_targets(self) -> list[str]:
+        return list(self._tickets)
+
     def valid_targets(self, now: float) -> list[str]:
         return [target for target, (_, until) in self._tickets.items() if now < until]
 
@@ -330,6 +333,8 @@
         self.runs: dict[tuple[TaskId, int], Run] = {}
         self.used = ZERO
         self.free = entry.capacity
+        """Capacity that is neither used nor held."""
+        self._held = ZERO
         self.reached = False
         """Whether the target has answered a poll under the current epoch."""
         self.responsive = False
@@ -357,7 +362,7 @@
         The start time stays known if the newer entry, which may come from another writer, has none.
         """
         self.entry = entry._replace(started_at_ms=entry.started_at_ms or self.entry.started_at_ms)
-        self.free = entry.capacity.plus(self.used, -1)
+        self._update_free()
 
     def note_released(self, run: Run, now: float) -> None:
         """Remembers a released run of which a start may still be on its way."""
@@ -384,9 +389,21 @@
         if self.runs.pop(run.key, None) is not None:
             self._use(run.allocation, -1)
 
+    def hold(self, allocation: Resources) -> None:
+        """Keeps capacity free for one task until :meth:`release_holds`."""
+        self._held = self._held.plus(allocation)
+        self._update_free()
+
+    def release_holds(self) -> None:
+        self._held = ZERO
+        self._update_free()
+
     def _use(self, allocation: Resources, times: int) -> None:
         self.used = self.used.plus(allocation, times)
-        self.free = self.entry.capacity.plus(self.used, -1)
+        self._update_free()
+
+    def _update_free(self) -> None:
+        self.free = self.entry.capacity.plus(self.used, -1).plus(self._held, -1)
 
 
 class TeamUsage:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/placement.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/placement.py
@@ -13,6 +13,10 @@
 was unavailable are back two seconds after its return."""
 
 
+IGNORE_EXPIRY = float("-inf")
+"""Time to pass as ``now`` to place a step on allowed targets whose tickets have expired."""
+
+
 class Preferences:
     """What the scheduler prefers among the targets that can run a task.
 
--- /dev/null
+++ b/tests/lib/pool_simulation.py
@@ -0,0 +1,210 @@
+"""One owner's scheduling under a load of jobs, on a simulated clock and without a network.
+
+The term and its dispatcher are the real ones. Targets run what they are told to, and the advice
+service answers after its declared cost, one request at a time for each of its workers.
+"""
+
+from __future__ import annotations
+
+import random
+import zlib
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from azurecleat_base import ManualClock
+from azurecleat_cluster._internal.owner.advice import TICKET_MARGIN_S
+from azurecleat_cluster._internal.owner.model import Advice, JobInfo, Run, StepInfo
+from azurecleat_cluster._internal.replica.jobs import JobReplica
+from azurecleat_cluster._internal.replica.records import SUBMISSION
+from azurecleat_cluster.values import (
+    EndKind,
+    JobSpec,
+    Queue,
+    RunEnd,
+    RunStatus,
+    TargetEntry,
+    TargetReport,
+)
+
+from tests.lib.term_harness import TermHarness, submit
+
+TICK_S = 0.025
+"""Time between two dispatch rounds: that of an owner under load."""
+
+ADVICE_WORKERS = 8
+TRANSPORT_S = 0.02
+"""Time that a request for advice and its answer take beside the service's own."""
+
+BREAK_S = 0.2
+"""Time until the other runs of a gang end after one of them has failed."""
+
+
+class AdviceStandIn:
+    """Advice service with several workers, which all share one queue.
+
+    :param is_allowed: Whether a step may use a target; does not change.
+    """
+
+    def __init__(self, clock: ManualClock, is_allowed: Callable[[StepInfo, str], bool]) -> None:
+        self.requests: list[tuple[float, StepInfo, list[str]]] = []
+        """Every request: when it was queued, its step and the targets named."""
+        self._clock = clock
+        self._is_allowed = is_allowed
+        self._free_at = [0.0] * ADVICE_WORKERS
+        self._due: list[tuple[float, StepInfo, Advice]] = []
+
+    @property
+    def general_worker_count(self) -> int:
+        return len(self._free_at)
+
+    def submit(self, step: StepInfo, targets: list[str], rank: tuple) -> None:
+        now, terms = self._clock.monotonic(), step.job.queue.advice
+        worker = min(range(ADVICE_WORKERS), key=self._free_at.__getitem__)
+        answered_at = max(now, self._free_at[worker]) + terms.cost_s(len(targets)) + TRANSPORT_S
+        self._free_at[worker] = answered_at
+        tickets = {name: "ticket" for name in targets if self._is_allowed(step, name)}
+        valid_until = answered_at + terms.valid_ms / 1000.0 - TICKET_MARGIN_S
+        self._due.append((answered_at, step, Advice(tuple(targets), tickets, valid_until)))
+        self.requests.append((now, step, targets))
+
+    def retry_overdue(self, now: float) -> None:
+        pass  # Every request is answered.
+
+    def answers_due(self, now: float) -> list[tuple[StepInfo, Advice]]:
+        due = [each for each in self._due if each[0] <= now]
+        self._due = [each for each in self._due if each[0] > now]
+        return [(step, advice) for _, step, advice in sorted(due, key=lambda each: each[0])]
+
+
+class Arrival(NamedTuple):
+    """A job of the load; ``at`` in seconds from the start of the simulation."""
+
+    at: float
+    queue: Queue
+    spec: JobSpec
+
+
+class JobResult(NamedTuple):
+    """When a job of the load arrived, started and ended; None for what did not happen."""
+
+    arrival: Arrival
+    started_at: float | None
+    ended_at: float | None
+
+    @property
+    def waited_s(self) -> float:
+        """Seconds until the first start; infinite if there was none."""
+        return float("inf") if self.started_at is None else self.started_at - self.arrival.at
+
+
+class PoolSimulation:
+    """Plays a load on the targets of one pool.
+
+    :param allowed_share: Share of the targets that each step may use.
+    :param fails: Whether a run ends as failed instead of done; the other runs of a gang break then.
+    """
+
+    def __init__(
+        self,
+        entries: Iterable[TargetEntry],
+        allowed_share: float,
+        seed: int,
+        fails: Callable[[Run], bool] = lambda run: False,
+    ) -> None:
+        self.clock = ManualClock()
+        self._start = self.clock.monotonic()
+        self._rng = random.Random(seed)
+        self._seed, self._allowed_share = seed, allowed_share
+        self._fails = fails
+        self._replica = JobReplica()
+        self.advice = AdviceStandIn(self.clock, self.is_allowed)
+        self.harness = TermHarness(self.clock, self._replica, advice=self.advice)
+        self._running: dict[str, dict[Run, float]] = {}
+        self._ended: dict[str, list[RunEnd]] = {}
+        self._counts: dict[str, int] = {}
+        self._broken: set[tuple[str, int]] = set()
+        """Steps of gangs and the run numbers of which a run has failed."""
+        self._taken: dict[int, int] = {}
+        self._started_at: dict[str, float] = {}
+        for entry in entries:
+            self.harness.term.on_target_entry(entry)
+            self._running[entry.id], self._ended[entry.id] = {}, []
+            self.harness.report(entry.id, started_at_ms=entry.started_at_ms)
+
+    @property
+    def now(self) -> float:
+        """Seconds since the start of the simulation."""
+        return self.clock.monotonic() - self._start
+
+    def is_allowed(self, step: StepInfo, target: str) -> bool:
+        draw = zlib.crc32(f"{self._seed}/{step.name}/{target}".encode()) % 1000
+        return draw < 1000 * self._allowed_share
+
+    def play(self, load: Iterable[Arrival], until_s: float) -> list[JobResult]:
+        """Submits the load and lets time pass.
+
+        :param until_s: End of the simulation, in seconds from its start.
+        """
+        waiting = sorted(load, key=lambda arrival: arrival.at)
+        names: list[tuple[str, Arrival]] = []
+        while self.now < until_s:
+            while waiting and waiting[0].at <= self.now:
+                arrival = waiting.pop(0)
+                names.append((f"{len(names):016x}", arrival))
+                submit(self._replica, arrival.spec, names[-1][0], arrival.queue)
+                self.harness.term.on_job_record(SUBMISSION + names[-1][0])
+            self._tick()
+        return [self._result(name, arrival) for name, arrival in names]
+
+    def _tick(self) -> None:
+        harness, now = self.harness, self.clock.monotonic()
+        harness.authority.add_log_proof(now)
+        for step, advice in self.advice.answers_due(now):
+            harness.dispatcher.on_advice(step, advice)
+        self._end_runs(now)
+        harness.writer.commit()
+        harness.dispatch()
+        for session in harness.sessions:
+            new = session.started[self._taken.get(id(session), 0) :]
+            self._taken[id(session)] = len(session.started)
+            for run in new:
+                self._started_at.setdefault(run.task.job, self.now)
+                took_s = run.step.spec.estimate_ms / 1000.0 * self._rng.uniform(0.7, 1.3)
+                self._running[session.target.id][run] = now + took_s
+                run.start_answered_at = run.confirmed_at = now
+        self.clock.advance(TICK_S)
+
+    def _end_runs(self, now: float) -> None:
+        for target, runs in self._running.items():
+            over = [run for run, ends_at in runs.items() if ends_at <= now]
+            if not over:
+                continue
+            for run in over:
+                del runs[run]
+                self._counts[target] = self._counts.get(target, 0) + 1
+                end = RunEnd(self._counts[target], run.task, run.number, self._end_kind(run), "")
+                self._ended[target].append(end)
+            session = self.harness.session(target)
+            self._ended[target] = [
+                end for end in self._ended[target] if end.number > session.acknowledged
+            ]
+            running = tuple(RunStatus(run.task, run.number, "", 50.0, 0.0) for run in runs)
+            report = TargetReport(0.0, 1, running, tuple(self._ended[target]))
+            self.harness.term.on_report(session, report, now)
+
+    def _end_kind(self, run: Run) -> EndKind:
+        if (run.step.name, run.number) in self._broken:
+            return EndKind.BROKEN
+        if not self._fails(run):
+            return EndKind.DONE
+        if run.step.spec.gang:
+            self._broken.add((run.step.name, run.number))
+            ends_at = self.clock.monotonic() + BREAK_S
+            for runs in self._running.values():
+                runs.update({each: ends_at for each in runs if each.step is run.step})
+        return EndKind.FAILED
+
+    def _result(self, name: str, arrival: Arrival) -> JobResult:
+        job: JobInfo | None = self.harness.term.jobs.get(name)
+        ended_at = None if job is None or not job.outcome else job.finished_at - self._start
+        return JobResult(arrival, self._started_at.get(name), ended_at)
--- a/tests/lib/term_harness.py
+++ b/tests/lib/term_harness.py
@@ -4,6 +4,7 @@
 
 import io
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from azurecleat_base import ManualClock, Resources
 from azurecleat_cluster import EventLog, Preferences
@@ -12,7 +13,7 @@
 from azurecleat_cluster._internal.owner.advice import AdviceClient
 from azurecleat_cluster._internal.owner.authority import Authority
 from azurecleat_cluster._internal.owner.dispatch import Dispatcher
-from azurecleat_cluster._internal.owner.model import Run, TargetInfo
+from azurecleat_cluster._internal.owner.model import Run, StepInfo, TargetInfo
 from azurecleat_cluster._internal.owner.term import OwnerTerm
 from azurecleat_cluster._internal.replica import records
 from azurecleat_cluster._internal.replica.jobs import JobReplica
@@ -120,10 +121,22 @@
             callback()
 
 
+class AdviceRequests(Protocol):
+    """The part of :class:`AdviceClient` that a dispatcher uses."""
+
+    @property
+    def general_worker_count(self) -> int: ...
+
+    def submit(self, step: StepInfo, targets: list[str], rank: tuple) -> None: ...
+
+    def retry_overdue(self, now: float) -> None: ...
+
+
 class TermHarness:
     """One term with its dispatcher. The replica stands for the log and outlives the term.
 
     :param targets: Entries of the targets that the previous owner used.
+    :param advice: Stand-in for the client of the advice service; by default one without workers.
     """
 
     def __init__(
@@ -132,6 +145,7 @@
         replica: JobReplica,
         epoch: int = 1,
         targets: Iterable[TargetEntry] = (),
+        advice: AdviceRequests | None = None,
     ) -> None:
         events = EventLog("test", io.StringIO())
         configuration = ConfigurationView(OneConfiguration(), events)
@@ -158,8 +172,9 @@
             lambda reason: None,
         )
         self.term.take_over(replica.targets_in_use, previous_owner_gone=False)
-        advice = AdviceClient(clock, events, metrics, lambda step, answer: None)
-        self._dispatcher = Dispatcher(self.term, advice, preferences, clock, events, metrics)
+        if advice is None:
+            advice = AdviceClient(clock, events, metrics, lambda step, answer: None)
+        self.dispatcher = Dispatcher(self.term, advice, preferences, clock, events, metrics)
 
     def _make_session(self, target: TargetInfo, observer: OwnerTerm) -> StandInSession:
         self.sessions.append(StandInSession(target, self.authority))
@@ -183,15 +198,15 @@
     def dispatch(self) -> list[TaskId]:
         """Dispatches once and returns the tasks that were started."""
         before = {id(session): len(session.started) for session in self.sessions}
-        self._dispatcher.dispatch(self.clock.monotonic())
+        self.dispatcher.dispatch(self.clock.monotonic())
         return [
             run.task for session in self.sessions for run in session.started[before[id(session)] :]
         ]
 
 
-def submit(replica: JobReplica, spec: JobSpec, job: str = JOB) -> None:
+def submit(replica: JobReplica, spec: JobSpec, job: str = JOB, queue: Queue = QUEUE) -> None:
     """Puts a job's submission into a replica."""
-    value = records.encode_submission(records.Submission(job, "team", QUEUE, spec))
+    value = records.encode_submission(records.Submission(job, "team", queue, spec))
     replica.apply_job(LogRecord(records.SUBMISSION + job, value, 0))
 
 
