Report what a step that waits for long lacks

A step that could run and did not was found in no log line or metric; its cause had to be read from the advice lines.

--- a/libs/cli/src/azurecleat_cli/_internal/operations/explain.py
+++ b/libs/cli/src/azurecleat_cli/_internal/operations/explain.py
@@ -174,13 +174,7 @@
     since = seen.at if seen is not None else job_lines[0].at
     started = _first_named(job_lines, "run.started")
     if started is None:
-        advice = [line for line in job_lines if line.name == "advice.given"]
-        text = (
-            "not started: no free capacity on allowed targets"
-            if advice
-            else "not started: no advice"
-        )
-        yield Phase(job_lines[-1].at - since, text)
+        yield Phase(job_lines[-1].at - since, f"not started: {_missing_condition(job_lines)}")
         return
     advice = [line for line in job_lines if line.name == "advice.given" and line.at <= started.at]
     if advice:
@@ -189,6 +183,16 @@
     yield Phase(started.at - since, "wait for free capacity or a limit before the first start")
 
 
+def _missing_condition(job_lines: list[LogLine]) -> str:
+    """Returns what a job that was not started lacked."""
+    stalled = [line for line in job_lines if line.name == "step.stalled"]
+    if stalled:
+        return f"its step lacked {stalled[-1].fields.get('missing')}"
+    if any(line.name == "advice.given" for line in job_lines):
+        return "no free capacity on allowed targets"
+    return "no advice"
+
+
 def _run_phases(job_lines: list[LogLine]) -> Iterator[Phase]:
     """Yields the run time of each finished task and the time lost to repeated starts."""
     by_task: dict[str, list[LogLine]] = defaultdict(list)
--- a/libs/cluster/src/azurecleat_cluster/_internal/metrics.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/metrics.py
@@ -26,6 +26,9 @@
         self.refusals = counter("refusals", "Refused requests by reason", "reason")
         self.retries = counter("retries", "Retries by reason", "reason")
         self.starts = counter("starts", "Starts by result", "result")
+        self.stalled_steps = counter(
+            "stalled_steps", "Reports of waiting steps by missing condition", "missing"
+        )
         self.ends = counter("ends", "Ended runs by kind", "kind")
         self.log_errors = counter("log_errors", "Failed calls to the log", "stream")
         self.accept_s = histogram("accept_seconds", "Time until a job is in the log")
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -25,6 +25,7 @@
     place,
     place_gang,
 )
+from azurecleat_cluster._internal.owner.stalls import StallReporter
 from azurecleat_cluster._internal.owner.term import OwnerTerm
 
 MAX_IDLE_S = 0.25
@@ -77,6 +78,7 @@
         self._held_targets: list[TargetInfo] = []
         """Targets with capacity held for gangs that wait for tickets."""
         self._allowed_shares = AllowedShareEstimator()
+        self._stalls = StallReporter(events, metrics)
         self._thread = threading.Thread(target=self._run, name="dispatch", daemon=True)
 
     def start(self) -> None:
@@ -128,6 +130,7 @@
             term.move_slow_runs(now)
             term.throttle_filling_runs(now)
         self._release_holds()
+        self._stalls.begin_round()
         pools = UsablePools([session.target for session in term.sessions.values()], now)
         is_takeover_complete = term.takeover is None or term.takeover.is_complete()
         self._possible_usage = {} if is_takeover_complete else self._estimate_possible_usage()
@@ -147,6 +150,9 @@
                 self._request_advice(step, pool, rank, now, include_full=renewals_left > 0)
                 renewals_left -= bool(step.pending and step.job.queue.advice)
                 self._hold_capacity(step, pool)
+                if step.pending:
+                    within_limit = self._count_within_limit(step, len(step.pending))
+                    self._stalls.check(step, pool.targets, within_limit, now)
         self._metrics.waiting_tasks.set(sum(len(step.pending) for _, step in waiting))
         return started
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -216,6 +216,10 @@
         self.advice_checked_at = float("-inf")
         """When the step was last checked for missing advice."""
         self.ready_at: float | None = None
+        self.started_at = float("-inf")
+        """When a task of the step was last started."""
+        self.stall_reported_at = float("-inf")
+        """When the step was last reported as stalled."""
         self.not_before = 0.0
         """Time before which no task of the step is started.
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -65,7 +65,7 @@
     def allocate_run(self, step: StepInfo, index: int, target: TargetInfo, number: int) -> Run:
         """Creates a run and allocates its resources; :meth:`send_start` sends the command."""
         run = Run(step.task(index), step, number, target)
-        run.commanded_at = self._clock.monotonic()
+        run.commanded_at = step.started_at = self._clock.monotonic()
         run.checkpoint = step.checkpoints.get(index, "")
         step.pending.discard(index)
         step.active[index] = run
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -51,6 +51,15 @@
     def test_job_that_was_cancelled(self) -> None:
         self.assertIn("was cancelled", self.cause(CANCELLED))
 
+    def test_job_that_was_not_started_names_what_its_step_lacked(self) -> None:
+        fields = '"instance":"n","step":"j.0.0"'
+        self.texts = [
+            '{"at":1.0,"name":"job.seen","instance":"n","job":"j"}',
+            f'{{"at":2.0,"name":"advice.given",{fields}}}',
+            f'{{"at":5.0,"name":"step.stalled",{fields},"missing":"tickets"}}',
+        ]
+        self.assertIn("not started: its step lacked tickets (4.00 s)", self.cause("j"))
+
     def test_unknown_job(self) -> None:
         self.assertEqual(self.cause("0" * 16), f"no events of job {'0' * 16} in these logs")
 
