Load the log once per instance, however many requests wait for it

Every request for a job that the replica did not know read the log to its end, and before the first load that means a load of all jobs, in each request's thread. The loads shared the link, timed out and began again; submissions took 0.3 to 1.2 s there (0.01 s on the large machines), and looks got 503.

Ruled out: the owner (its own and the large machines' submissions took 0.01 s), the store (4 ms), the processor (0.02 cores on average).

Change: loads are serialized, and a thread that waited for another's load does not repeat it. While a load runs, a request for an unknown job is refused at once with when to come back.

--- a/libs/cluster/src/azurecleat_cluster/_internal/front/request_handler.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/request_handler.py
@@ -295,8 +295,12 @@
         return PendingOf(count)
 
     def _is_known(self, job: str) -> bool:
-        """Returns whether a job is known, after reading the log to its end if necessary."""
-        if not self._jobs.knows(job):
+        """Returns whether a job is known, after reading the log to its end if necessary.
+
+        While the replica is being loaded this does not wait: the caller is refused sooner than the
+        load ends.
+        """
+        if not self._jobs.knows(job) and not self._jobs_follower.is_loading:
             try:
                 self._jobs_follower.catch_up()
             except LogError:
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
@@ -38,6 +38,8 @@
         self._clock = clock
         self._events = events
         self._lock = threading.RLock()
+        self._load_lock = threading.Lock()
+        """Held during a load: loads at the same time would share the network link and time out."""
         self._next: int | None = None
         self._keys: set[str] = set()
         self._fresh_at = NEVER
@@ -64,6 +66,11 @@
         """Whether this instance cannot reach the log, so that callers should not wait for it."""
         return self._is_failing and self.age() > LOG_LOST_AGE_S
 
+    @property
+    def is_loading(self) -> bool:
+        """Whether a thread is rebuilding the view; a read would have to wait for it."""
+        return self._load_lock.locked()
+
     @property
     def next_offset(self) -> int:
         return self._next or 0
@@ -81,11 +88,11 @@
         sent_at = self._clock.monotonic()
         start = self._next
         if start is None:
-            return self._load(sent_at)
+            return self._load(start)
         try:
             page = self._log.read(self._stream, start, wait_s)
         except OffsetForgottenError:
-            return self._load(sent_at)
+            return self._load(start)
         with self._lock:
             # Another thread may have applied some of these records in the meantime.
             fresh = [record for record in page.records if record.offset >= self._next]
@@ -130,18 +137,26 @@
                 on_error(self._stream, error)
                 stopping.wait(RETRY_PAUSE_S)
 
-    def _load(self, sent_at: float) -> bool:
-        """Rebuilds the view from the newest record of each key; deletes keys that are gone."""
-        page = self._log.newest(self._stream)
-        with self._lock:
-            if self._next is not None and page.next_offset < self._next:
+    def _load(self, start: int | None) -> bool:
+        """Rebuilds the view from the newest record of each key; deletes keys that are gone.
+
+        :param start: Next offset that the caller saw. If it has changed, another thread has rebuilt
+            the view meanwhile, and nothing is read.
+        """
+        with self._load_lock:
+            if self._next != start:
                 return False
-            dropped = self._keys - {record.key for record in page.records}
-            self._apply_records([LogRecord(key, None, page.next_offset) for key in dropped])
-            self._apply_records(sorted(page.records, key=lambda record: record.offset))
-            self._next = page.next_offset
-            self._fresh_at = max(self._fresh_at, sent_at)
-        return bool(page.records)
+            sent_at = self._clock.monotonic()
+            page = self._log.newest(self._stream)
+            with self._lock:
+                if self._next is not None and page.next_offset < self._next:
+                    return False
+                dropped = self._keys - {record.key for record in page.records}
+                self._apply_records([LogRecord(key, None, page.next_offset) for key in dropped])
+                self._apply_records(sorted(page.records, key=lambda record: record.offset))
+                self._next = page.next_offset
+                self._fresh_at = max(self._fresh_at, sent_at)
+            return bool(page.records)
 
     def _apply_records(self, records: Sequence[LogRecord]) -> None:
         for record in records:
