--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -129,7 +129,12 @@
         self.open_due_occurrences(job)
         if job.outcome:
             job.finished_at = now
-        self._events.write(eventlog.JOB_SEEN, job=name, epoch=self.authority.epoch)
+        self._events.write(
+            eventlog.JOB_SEEN,
+            job=name,
+            epoch=self.authority.epoch,
+            over_share=job.is_over_share,
+        )
         if self._replica.is_cancelled(name):
             self._cancel(job)
 
