--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
@@ -148,6 +148,13 @@
                 return False
             sent_at = self._clock.monotonic()
             page = self._log.newest(self._stream)
+            self._events.write(
+                eventlog.REPLICA_LOADED,
+                stream=self._stream,
+                records=len(page.records),
+                kb=sum(len(record.value or b"") for record in page.records) // 1024,
+                took_s=round(self._clock.monotonic() - sent_at, 3),
+            )
             with self._lock:
                 if self._next is not None and page.next_offset < self._next:
                     return False
