Bound the lines that the log's writer takes at a time

The writer formatted lines as long as callers added them, before it wrote the first: 4604 of 12288 here, which no bound covered. It now takes 256 at a time, so that at most 4096 + 256 lines are kept. The test is unchanged.

--- a/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
@@ -23,7 +23,8 @@
 """Maximum time that a line stays queued."""
 
 FLUSH_LINES = 256
-"""Number of queued lines that wakes the writer before ``FLUSH_S`` is over."""
+"""Number of queued lines that wakes the writer before ``FLUSH_S`` is over, and the most lines that
+it takes from the queue at a time: these do not count against ``MAX_QUEUED_LINES``."""
 
 LINES_PER_WRITE = 12
 """Lines per write. A write of up to 4 KiB to a pipe is atomic, so lines are not split."""
@@ -84,14 +85,16 @@
             self._flush_requested.clear()
             stopping = self._stopping
             batch = []
-            while self._lines:
+            while self._lines and len(batch) < FLUSH_LINES:
                 batch.append(self._format(*self._lines.popleft()))
+            if self._lines:
+                self._flush_requested.set()
             if self._dropped_lines > reported:
                 reported = self._dropped_lines
                 batch.append(self._format(time.time(), LINES_LEFT_OUT, {"total": reported}))
             for first in range(0, len(batch), LINES_PER_WRITE):
                 self._put(batch[first : first + LINES_PER_WRITE])
-            if stopping:
+            if stopping and not self._lines:
                 return
 
     def _put(self, lines: list[str]) -> None:
