Start at once what the previous owner can't have started out of reach

Two facts show that a task can't run out of reach: - The owner publishes in its heartbeat up to which offset of the jobs stream it starts jobs, ahead of the jobs read, so that none waits for an append. Later jobs were started by no previous owner. A horizon counts only if it is of the epoch before; a submission known from a load has no offset, since a repeated one replaces the first. - A task that runs under the new epoch has been seen ended by no previous owner: neither the task itself nor a step that depends on it was started elsewhere (not for speculative steps).

Ruled out: shorter proofs and leases (they would save 1 to 2 of the 6.6 s); placements in the log before each start (35 ms on each start, and none while the log is down).

Tests: unit tests of both rules and of what must still wait; the model check learns the horizon and two safeguards, each needed (reading the horizon before the fence breaks TWICE); simulation and random schedules pass.

--- a/libs/bench/src/azurecleat_bench/_internal/commands/owner.py
+++ b/libs/bench/src/azurecleat_bench/_internal/commands/owner.py
@@ -21,6 +21,7 @@
     Metrics,
     OwnerTerm,
     ProgressWriter,
+    StartHorizon,
     Submission,
     TargetSession,
     encode_submission,
@@ -44,6 +45,7 @@
 LEASE_S = 3.2
 ADVICE_WORKERS = 30
 SETTLE_S = 1.0
+UNLIMITED_HORIZON = 1 << 40
 
 
 class OwnerHarness:
@@ -58,11 +60,13 @@
         configuration.apply(LogRecord("config", b"{}", 0))
         authority = Authority(1, LEASE_S, clock)
         losses, preferences = LossTracker(clock), Preferences()
+        start_horizon = StartHorizon(1, lambda: UNLIMITED_HORIZON, lambda: 0.0, clock)
         self._writer = ProgressWriter(
             KeyedMemoryLog(),
             1,
             clock,
             metrics,
+            start_horizon,
             self._replica.apply_progress,
             authority.add_log_proof,
             lambda reason: None,
@@ -72,6 +76,7 @@
             self._replica,
             configuration,
             self._writer,
+            start_horizon,
             lambda target, observer: TargetSession(
                 target, BenchTarget(target.entry, seed), authority, observer, losses, clock
             ),
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -74,6 +74,7 @@
         self._events = events
         self._metrics = metrics
         self._evaluated_at = float("-inf")
+        self._is_takeover_complete = False
         self._possible_usage: dict[str, Resources] = {}
         self._held_targets: list[TargetInfo] = []
         """Targets with capacity held for gangs that wait for tickets."""
@@ -133,11 +134,14 @@
         self._stalls.begin_round()
         pools = UsablePools([session.target for session in term.sessions.values()], now)
         is_takeover_complete = term.takeover is None or term.takeover.is_complete()
+        self._is_takeover_complete = is_takeover_complete
         self._possible_usage = {} if is_takeover_complete else self._estimate_possible_usage()
         waiting: list[tuple[tuple, StepInfo]] = []
         for job in list(term.open_jobs.values()):
+            if not term.start_horizon.allows(job.offset):
+                continue
             for step in job.steps.values():
-                if step.pending and (is_takeover_complete or not job.before_claim):
+                if step.pending and step.startable(is_takeover_complete):
                     self._consider(step, waiting, pools, now)
         waiting.sort(key=lambda pair: pair[0])
         started = 0
@@ -166,9 +170,10 @@
             if not job.before_claim:
                 continue
             for step in job.steps.values():
-                if step.pending and step.is_ready:
+                uncertain = len(step.pending & step.uncertain)
+                if uncertain and step.is_ready:
                     known = possible.get(job.team, ZERO)
-                    possible[job.team] = known.plus(step.spec.need, len(step.pending))
+                    possible[job.team] = known.plus(step.spec.need, uncertain)
         return possible
 
     def _consider(
@@ -263,7 +268,8 @@
             targets = pool.select(step.advice.valid_targets(now))
         if step.spec.gang:
             return self._place_gang(step, targets, now)
-        indices = sorted(step.pending)[: self._count_within_limit(step, len(step.pending))]
+        startable = step.startable(self._is_takeover_complete)
+        indices = sorted(startable)[: self._count_within_limit(step, len(startable))]
         chosen = place(step, indices, targets, now, self._preferences)
         for index, target in chosen:
             run = self._term.allocate_run(step, index, target, step.last_run + 1)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -10,6 +10,7 @@
 
 from azurecleat_base import ZERO, Resources
 
+from azurecleat_cluster._internal.ports import UNKNOWN_OFFSET
 from azurecleat_cluster._internal.replica.records import Progress, Submission, TaskProgress
 from azurecleat_cluster._internal.values import Queue, Step, TargetEntry, TaskId
 
@@ -197,6 +198,8 @@
         self.index = index
         self.spec: Step = job.submission.spec.steps[index]
         self.pending: set[int] = set(range(self.spec.count))
+        self.uncertain: set[int] = set(self.pending) if job.before_claim else set()
+        """Tasks that a previous owner may have started on a target that is not reached yet."""
         self.active: dict[int, Run] = {}
         self.done: set[int] = set()
         self.failures: dict[int, set[str]] = {}
@@ -245,6 +248,25 @@
         steps = self.job.steps
         return all(steps[self.occurrence, index].is_done for index in self.spec.depends_on)
 
+    def depends_on(self, index: int) -> bool:
+        """Whether the step depends on another one of its occurrence, directly or not."""
+        steps = self.job.steps
+        return any(
+            each == index or steps[self.occurrence, each].depends_on(index)
+            for each in self.spec.depends_on
+        )
+
+    def startable(self, is_takeover_complete: bool) -> set[int]:
+        """Returns the pending tasks that no previous owner can have running.
+
+        :param is_takeover_complete: Whether every run of the previous owner is known or over.
+        """
+        if is_takeover_complete or not self.uncertain:
+            return self.pending
+        if self.spec.gang:
+            return set()
+        return self.pending - self.uncertain
+
     def task(self, index: int) -> TaskId:
         return TaskId(self.job.id, self.occurrence, self.index, index)
 
@@ -264,12 +286,20 @@
 class JobInfo:
     """One accepted job."""
 
-    def __init__(self, submission: Submission, seen_at: float, before_claim: bool) -> None:
+    def __init__(
+        self,
+        submission: Submission,
+        seen_at: float,
+        before_claim: bool,
+        offset: int = UNKNOWN_OFFSET,
+    ) -> None:
         self.id = submission.job
+        self.offset = offset
+        """Offset of the submission in the jobs stream, or ``UNKNOWN_OFFSET``."""
         self.submission = submission
         self.seen_at = seen_at
         self.before_claim = before_claim
-        """Whether the job precedes this owner's claim: a previous owner may have started tasks."""
+        """Whether a previous owner may have started tasks of the job."""
         self.steps: dict[tuple[int, int], StepInfo] = {}
         self.cancelled = False
         self.outcome = ""
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/progress.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/progress.py
@@ -9,8 +9,8 @@
 from azurecleat_base.exceptions import FencedError, LogError
 
 from azurecleat_cluster._internal.metrics import Metrics
+from azurecleat_cluster._internal.owner.start_horizon import StartHorizon
 from azurecleat_cluster._internal.ports import PROGRESS, Log, LogRecord, Writer
-from azurecleat_cluster._internal.replica import records as r
 
 WRITER_NAME = "owner"
 
@@ -34,6 +34,7 @@
 class ProgressWriter:
     """Appends the records of one term in order.
 
+    :param start_horizon: Published with the records, and as the heartbeat.
     :param on_recorded: Called with each record once it is in the log.
     :param on_proof: Called after each successful append with the time at which it was sent.
     :param on_fenced: Called with the reason when the log has seen a writer with a higher epoch.
@@ -45,6 +46,7 @@
         epoch: int,
         clock: Clock,
         metrics: Metrics,
+        start_horizon: StartHorizon,
         on_recorded: Callable[[LogRecord], None],
         on_proof: Callable[[float], None],
         on_fenced: Callable[[str], None],
@@ -54,6 +56,7 @@
         self._sequence = 0
         self._clock = clock
         self._metrics = metrics
+        self._start_horizon = start_horizon
         self._on_recorded = on_recorded
         self._on_proof = on_proof
         self._on_fenced = on_fenced
@@ -122,8 +125,12 @@
             if stopping and not records and not callbacks:
                 return
             batch = [(key, encode()) for key, encode in records.items()]
-            if not self._append(batch or [(r.HEARTBEAT, b"1")]):
+            horizon = self._start_horizon.propose()
+            if not batch or self._start_horizon.is_news(horizon):
+                batch.append(self._start_horizon.encode(horizon))
+            if not self._append(batch):
                 return
+            self._start_horizon.commit(horizon)
             for callback in callbacks:
                 callback()
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
@@ -20,6 +20,7 @@
 )
 from azurecleat_cluster._internal.owner.placement import Preferences
 from azurecleat_cluster._internal.owner.shares import TeamShareLimiter
+from azurecleat_cluster._internal.owner.start_horizon import StartHorizon
 from azurecleat_cluster._internal.owner.target_health import HealthMonitor
 from azurecleat_cluster._internal.owner.target_session import SessionObserver
 from azurecleat_cluster._internal.replica import records as r
@@ -83,6 +84,7 @@
         replica: JobReplica,
         configuration: ConfigurationView,
         writer: ProgressLog,
+        start_horizon: StartHorizon,
         make_session: MakeSession,
         preferences: Preferences,
         clock: Clock,
@@ -104,6 +106,7 @@
         self.health = HealthMonitor(events, preferences)
         self.takeover: Takeover | None = None
         self.dirty = True
+        self.start_horizon = start_horizon
         self._unconfirmed_runs: dict[str, list[Run]] = {}
         """Runs that dropped target incarnations never reported, by target id.
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -18,6 +18,7 @@
     JobInfo,
     Run,
     RunState,
+    StepInfo,
     TargetInfo,
 )
 from azurecleat_cluster._internal.owner.state import Session
@@ -52,13 +53,22 @@
         now = self._clock.monotonic()
         with self.lock:
             self.takeover = Takeover(set(targets), self.authority, now, previous_owner_gone)
+            horizon = self._previous_horizon()
             for job in self._replica.job_ids():
-                self._add_job(job, before_claim=bool(targets))
+                is_later = horizon is not None and self._replica.offset(job) >= horizon
+                self._add_job(job, before_claim=bool(targets) and not is_later)
             for name in self._replica.deleted_jobs_with_progress():
                 self._writer.put(r.JOB + name, lambda: None)
         # A later claim may have been read before this term was told of new records.
         self._check_claim()
 
+    def _previous_horizon(self) -> int | None:
+        """Returns from which offset on the previous owner has started no job; None if unknown."""
+        heartbeat = self._replica.heartbeat
+        if heartbeat is None or heartbeat.epoch != self.authority.epoch - 1:
+            return None
+        return heartbeat.horizon
+
     def _check_claim(self) -> None:
         claim = self._replica.claim
         if claim.epoch > self.authority.epoch:
@@ -112,7 +122,7 @@
             self._events.write(eventlog.RECORD_UNREADABLE, stream="jobs", key=name, error=error)
             return
         now = self._clock.monotonic()
-        job = JobInfo(submission, now, before_claim)
+        job = JobInfo(submission, now, before_claim, self._replica.offset(name))
         if not submission.spec.repeats:
             job.open_occurrences(1)
         if progress is not None:
@@ -126,6 +136,9 @@
         self.jobs[name] = job
         if job.is_open:
             self.open_jobs[name] = job
+        if not self.start_horizon.allows(job.offset):
+            # The append publishes a higher horizon.
+            self._writer.call_after_commit(self.wake)
         self.open_due_occurrences(job)
         if job.outcome:
             job.finished_at = now
@@ -267,6 +280,7 @@
         step.last_run = max(step.last_run, status.run)
         target.add(run)
         self.usage.add(run)
+        _note_running(step, index)
         is_wanted = step.job.is_open and index in step.pending and index not in step.active
         if is_wanted:
             step.pending.discard(index)
@@ -382,6 +396,20 @@
             self._writer.put(r.JOB + name, lambda: None)
 
 
+def _note_running(step: StepInfo, index: int) -> None:
+    """Notes that a task runs under this epoch.
+
+    The previous owner has seen no end of it, so that it has neither started the task elsewhere nor
+    any step that depends on it. A speculative task may have several runs.
+    """
+    if step.spec.speculative or not step.job.before_claim:
+        return
+    step.uncertain.discard(index)
+    for (occurrence, _), other in step.job.steps.items():
+        if occurrence == step.occurrence and other.uncertain and other.depends_on(step.index):
+            other.uncertain.clear()
+
+
 def _due_in_s(spec: JobSpec, occurrence: int) -> float:
     """Returns the seconds until an occurrence is due, by the clock of this instance."""
     return (spec.first_ms + occurrence * spec.interval_ms) / 1000.0 - time.time()
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term_runner.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term_runner.py
@@ -22,6 +22,7 @@
 from azurecleat_cluster._internal.owner.dispatch import Dispatcher
 from azurecleat_cluster._internal.owner.placement import Preferences
 from azurecleat_cluster._internal.owner.progress import ProgressWriter
+from azurecleat_cluster._internal.owner.start_horizon import StartHorizon
 from azurecleat_cluster._internal.owner.target_session import LossTracker, TargetSession
 from azurecleat_cluster._internal.owner.term import Connect, OwnerTerm
 from azurecleat_cluster._internal.ports import (
@@ -141,11 +142,18 @@
         """Time before which no old jobs are deleted."""
         settings = dependencies.settings
         authority = Authority(epoch, settings.lease_s, dependencies.clock, settings.max_lease_s)
+        start_horizon = StartHorizon(
+            epoch,
+            lambda: dependencies.jobs.next_offset,
+            dependencies.ports.log.latency_s,
+            dependencies.clock,
+        )
         self._writer = ProgressWriter(
             dependencies.ports.log,
             epoch,
             dependencies.clock,
             dependencies.metrics,
+            start_horizon,
             dependencies.replica.apply_progress,
             authority.add_log_proof,
             lambda reason: self._term.lose_ownership(reason),
@@ -156,6 +164,7 @@
             dependencies.replica,
             dependencies.configuration,
             self._writer,
+            start_horizon,
             lambda target, observer: TargetSession(
                 target,
                 dependencies.ports.connect(target.entry),
--- a/libs/cluster/src/azurecleat_cluster/_internal/ports.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/ports.py
@@ -36,6 +36,10 @@
     sequence: int
 
 
+UNKNOWN_OFFSET = -1
+"""Offset of a record that replaced earlier ones of its key, whose offsets are not known."""
+
+
 class LogRecord(NamedTuple):
     """A record of a keyed stream. A value of None deletes the key."""
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/jobs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/jobs.py
@@ -6,7 +6,7 @@
 import threading
 from collections.abc import Callable, Iterable
 
-from azurecleat_cluster._internal.ports import LogRecord
+from azurecleat_cluster._internal.ports import UNKNOWN_OFFSET, LogRecord
 from azurecleat_cluster._internal.replica import records
 from azurecleat_cluster._internal.values import JobState
 
@@ -22,11 +22,14 @@
     def __init__(self) -> None:
         self._lock = threading.RLock()
         self._submissions: dict[str, bytes] = {}
+        self._offsets: dict[str, int] = {}
+        """Offset of each job's first submission."""
         self._queues: dict[str, str] = {}
         self._cancelled: set[str] = set()
         self._progress: dict[str, bytes] = {}
         self._summaries: dict[str, tuple[bool, str]] = {}
         self._targets: dict[str, str] = {}
+        self._heartbeat: records.Heartbeat | None = None
         self._claim = NO_CLAIM
         self._instances: dict[str, records.InstanceEntry] = {}
         self._listeners: list[Callable[[LogRecord], None]] = []
@@ -48,6 +51,15 @@
         with self._lock:
             return dict(self._targets)
 
+    @property
+    def heartbeat(self) -> records.Heartbeat | None:
+        """The newest heartbeat of an owner; None if it is of an earlier version."""
+        return self._heartbeat
+
+    def offset(self, job: str) -> int:
+        """Returns the offset of a known job's first submission, or ``UNKNOWN_OFFSET``."""
+        return self._offsets.get(job, UNKNOWN_OFFSET)
+
     def subscribe(self, listener: Callable[[LogRecord], None]) -> None:
         """Calls the listener with each later record of the jobs stream after it is applied."""
         with self._lock:
@@ -109,7 +121,7 @@
         with self._lock:
             match kind + "/":
                 case records.SUBMISSION:
-                    self._apply_submission(name, value)
+                    self._apply_submission(name, record)
                 case records.CANCELLATION:
                     self._apply_cancellation(name, value)
                 case records.INSTANCE if value is None:
@@ -128,6 +140,9 @@
         """Applies a record of the progress stream."""
         kind, _, name = record.key.partition("/")
         with self._lock:
+            if record.key == records.HEARTBEAT:
+                self._heartbeat = records.decode_heartbeat(record.value or b"")
+                return
             match kind + "/":
                 case records.JOB if record.value is None:
                     self._progress.pop(name, None)
@@ -138,13 +153,16 @@
                 case records.TARGET:
                     _set_or_remove(self._targets, name, record.value)
 
-    def _apply_submission(self, job: str, value: bytes | None) -> None:
+    def _apply_submission(self, job: str, record: LogRecord) -> None:
+        value = record.value
         if value is None:
             self._submissions.pop(job, None)
+            self._offsets.pop(job, None)
             self._queues.pop(job, None)
         elif job not in self._submissions:
             # Callers repeat a submission after a lost answer; only the first one counts.
             self._submissions[job] = value
+            self._offsets[job] = record.offset
             self._queues[job] = json.loads(value)["queue"]["name"]
 
     def _apply_cancellation(self, job: str, value: bytes | None) -> None:
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
@@ -59,6 +59,16 @@
     cores: float = 1.0
 
 
+class Heartbeat(NamedTuple):
+    """Sign of life of an owner, and which jobs it may have started.
+
+    :param horizon: Offset in the jobs stream from which on the owner has started no job.
+    """
+
+    epoch: int
+    horizon: int
+
+
 class TaskProgress(NamedTuple):
     """Progress of one step that the next owner needs.
 
@@ -163,6 +173,18 @@
         raise ValueError(f"instance: {error}") from error
 
 
+def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
+    return dump(heartbeat._asdict())
+
+
+def decode_heartbeat(value: bytes) -> Heartbeat | None:
+    """Decodes a heartbeat; None if it names no horizon, as that of an earlier version."""
+    try:
+        return Heartbeat(**json.loads(value))
+    except (TypeError, ValueError):
+        return None
+
+
 def encode_progress(progress: Progress) -> bytes:
     steps = {
         f"{occurrence}.{step}": [
--- a/libs/cluster/src/azurecleat_cluster/components.py
+++ b/libs/cluster/src/azurecleat_cluster/components.py
@@ -7,6 +7,7 @@
 from azurecleat_cluster._internal.owner.dispatch import Dispatcher
 from azurecleat_cluster._internal.owner.model import JobInfo
 from azurecleat_cluster._internal.owner.progress import ProgressWriter
+from azurecleat_cluster._internal.owner.start_horizon import StartHorizon
 from azurecleat_cluster._internal.owner.target_session import LossTracker, TargetSession
 from azurecleat_cluster._internal.owner.term import OwnerTerm
 from azurecleat_cluster._internal.replica.jobs import JobReplica
@@ -24,6 +25,7 @@
     "Metrics",
     "OwnerTerm",
     "ProgressWriter",
+    "StartHorizon",
     "Submission",
     "TargetSession",
     "encode_submission",
--- a/tests/lib/cluster_simulation.py
+++ b/tests/lib/cluster_simulation.py
@@ -27,6 +27,7 @@
 from azurecleat_cluster._internal.owner.dispatch import Dispatcher
 from azurecleat_cluster._internal.owner.model import Run, TargetInfo
 from azurecleat_cluster._internal.owner.start_attempts import StartAttempts
+from azurecleat_cluster._internal.owner.start_horizon import StartHorizon
 from azurecleat_cluster._internal.owner.target_session import TargetClock
 from azurecleat_cluster._internal.owner.term import OwnerTerm
 from azurecleat_cluster._internal.replica import records
@@ -103,10 +104,13 @@
     def __init__(self, node: SimNode, epoch: int) -> None:
         self._node = node
         self._epoch = epoch
+        self.start_horizon = StartHorizon(
+            epoch, lambda: node.jobs.next_offset, lambda: 0.0, node.simulation.clock
+        )
         self._sequence = 0
         self._records: dict[str, Callable] = {}
         self._committed: list[Callable] = []
-        self._batch: tuple[list, list] | None = None
+        self._batch: tuple[list, list, int] | None = None
 
     def fence(self) -> None:
         self._node.log.append(PROGRESS, (), 1.0, Writer("owner", self._epoch, 0))
@@ -122,10 +126,12 @@
     def flush(self) -> None:
         if self._batch is None:
             batch = [(key, encode()) for key, encode in self._records.items()]
-            self._batch = (batch or [(records.HEARTBEAT, b"1")], self._committed)
+            horizon = self.start_horizon.propose()
+            batch.append(self.start_horizon.encode(horizon))
+            self._batch = (batch, self._committed, horizon)
             self._records, self._committed = {}, []
             self._sequence += 1
-        batch, committed = self._batch
+        batch, committed, horizon = self._batch
         now = self._node.simulation.clock.monotonic()
         try:
             writer = Writer("owner", self._epoch, self._sequence)
@@ -136,6 +142,7 @@
         except LogError:
             return
         self._batch = None
+        self.start_horizon.commit(horizon)
         self._node.term.authority.add_log_proof(now)
         for index, (key, value) in enumerate(batch):
             self._node.replica.apply_progress(LogRecord(key, value, offset + index))
@@ -362,6 +369,7 @@
             self.replica,
             self.configuration,
             self.writer,
+            self.writer.start_horizon,
             lambda target, observer: SimTargetSession(self, target, observer),
             preferences,
             self.simulation.clock,
--- a/tests/lib/term_harness.py
+++ b/tests/lib/term_harness.py
@@ -14,6 +14,7 @@
 from azurecleat_cluster._internal.owner.authority import Authority
 from azurecleat_cluster._internal.owner.dispatch import Dispatcher
 from azurecleat_cluster._internal.owner.model import Run, StepInfo, TargetInfo
+from azurecleat_cluster._internal.owner.start_horizon import StartHorizon
 from azurecleat_cluster._internal.owner.term import OwnerTerm
 from azurecleat_cluster._internal.replica import records
 from azurecleat_cluster._internal.replica.jobs import JobReplica
@@ -36,6 +37,7 @@
 JOB = "0" * 16
 QUEUE = Queue("q", "host", "/q/", "pool", attempts=3)
 LEASE_S = 3.0
+UNLIMITED_HORIZON = 1 << 40
 
 
 class OneConfiguration:
@@ -136,6 +138,7 @@
     """One term with its dispatcher. The replica stands for the log and outlives the term.
 
     :param targets: Entries of the targets that the previous owner used.
+    :param horizon: Offset in the jobs stream up to which jobs may be started.
     :param advice: Stand-in for the client of the advice service; by default one without workers.
     """
 
@@ -146,6 +149,7 @@
         epoch: int = 1,
         targets: Iterable[TargetEntry] = (),
         advice: AdviceRequests | None = None,
+        horizon: int = UNLIMITED_HORIZON,
     ) -> None:
         events = EventLog("test", io.StringIO())
         configuration = ConfigurationView(OneConfiguration(), events)
@@ -155,6 +159,8 @@
         self.sessions: list[StandInSession] = []
         """All sessions of the term, oldest first."""
         self.writer = StandInWriter(replica)
+        self.start_horizon = StartHorizon(epoch, lambda: horizon, lambda: 0.0, clock)
+        self.start_horizon.commit(horizon)
         self.authority = Authority(epoch, LEASE_S, clock)
         self.authority.add_log_proof(clock.monotonic())
         for entry in targets:
@@ -164,6 +170,7 @@
             replica,
             configuration,
             self.writer,
+            self.start_horizon,
             self._make_session,
             preferences,
             clock,
@@ -204,10 +211,12 @@
         ]
 
 
-def submit(replica: JobReplica, spec: JobSpec, job: str = JOB, queue: Queue = QUEUE) -> None:
+def submit(
+    replica: JobReplica, spec: JobSpec, job: str = JOB, queue: Queue = QUEUE, offset: int = 0
+) -> None:
     """Puts a job's submission into a replica."""
     value = records.encode_submission(records.Submission(job, "team", queue, spec))
-    replica.apply_job(LogRecord(records.SUBMISSION + job, value, 0))
+    replica.apply_job(LogRecord(records.SUBMISSION + job, value, offset))
 
 
 def make_entry(name: str, started_at_ms: int = 1, address: str = "") -> TargetEntry:
@@ -227,8 +236,8 @@
     return records.dump([entry.address, entry.pool, entry.started_at_ms])
 
 
-def task(index: int, occurrence: int = 0) -> TaskId:
-    return TaskId(JOB, occurrence, 0, index)
+def task(index: int, occurrence: int = 0, step: int = 0, job: str = JOB) -> TaskId:
+    return TaskId(job, occurrence, step, index)
 
 
 def running(task_id: TaskId, run: int = 1) -> RunStatus:
--- a/tests/unit/cluster/test_ownership_model.py
+++ b/tests/unit/cluster/test_ownership_model.py
@@ -35,6 +35,8 @@
     successor_waits_for_proofs: bool = True
     successor_reads_running_tasks: bool = True
     commands_expire: bool = True
+    starts_follow_the_published_horizon: bool = True
+    horizon_is_read_after_the_fence: bool = True
 
 
 class Owner(NamedTuple):
@@ -45,6 +47,8 @@
     has_started: bool = False
     has_seen_run: bool = False
     """Whether a poll has shown the task running."""
+    knows_unstarted: bool = False
+    """Whether the previous owner had not published a horizon that covers the task's job."""
 
 
 class Target(NamedTuple):
@@ -65,6 +69,8 @@
     owners: tuple[Owner, Owner]
     targets: tuple[Target, ...]
     commands: frozenset[Command]
+    is_published: bool = False
+    """Whether the first owner's horizon covers the task's job."""
 
     def with_owner(self, number: int, owner: Owner) -> State:
         owners = tuple(owner if n == number else each for n, each in enumerate(self.owners))
@@ -88,7 +94,7 @@
 def is_settled(state: State, safeguards: Safeguards) -> bool:
     """Whether the second owner may assume that the task is not running anywhere."""
     owner = state.owners[1]
-    if len(owner.reached) == len(TARGETS):
+    if len(owner.reached) == len(TARGETS) or owner.knows_unstarted:
         return True
     if owner.majority_at == NEVER:
         return False
@@ -101,7 +107,10 @@
     if state.now < HORIZON_TICKS:
         yield tick(state)
     if state.log_epoch == 1:
-        yield state._replace(log_epoch=2).with_owner(1, Owner(proved_at=state.now))
+        yield claim(state, safeguards)
+    can_append = state.log_epoch == 1 or not safeguards.log_refuses_previous_owners
+    if can_append and not state.is_published:
+        yield state._replace(is_published=True)
     for number in (0, 1):
         if number == 0 or state.owners[1].proved_at != NEVER:
             yield from owner_actions(state, number, safeguards)
@@ -109,6 +118,16 @@
         yield deliver(state._replace(commands=state.commands - {command}), command, safeguards)
 
 
+def claim(state: State, safeguards: Safeguards) -> State:
+    """Lets the second owner fence the log, and read whether the task's job may have been started.
+
+    Without the safeguard the horizon is one that was read before the first owner published it.
+    """
+    is_known = not state.is_published or not safeguards.horizon_is_read_after_the_fence
+    owner = Owner(proved_at=state.now, knows_unstarted=is_known)
+    return state._replace(log_epoch=2).with_owner(1, owner)
+
+
 def tick(state: State) -> State:
     now = state.now + 1
     targets = tuple(
@@ -129,7 +148,10 @@
     for index in TARGETS:
         if obeys(state.targets[index], epoch, safeguards):
             yield poll(state, number, index, safeguards)
-    may_start = number == 0 or (is_settled(state, safeguards) and not owner.has_seen_run)
+    if number == 0:
+        may_start = state.is_published or not safeguards.starts_follow_the_published_horizon
+    else:
+        may_start = is_settled(state, safeguards) and not owner.has_seen_run
     index = FIRST_OWNERS_TARGET if number == 0 else SECOND_OWNERS_TARGET
     if may_start and not owner.has_started and index in owner.reached:
         command = Command(index, epoch, state.now + LEASE_TICKS)
