A wait for the batching instance does not wait for a load of the jobs

Found by reading after the loads became shared: BatcherTimeout polls the jobs stream to measure the log, and would wait there for another thread's load, 1.5 s on a narrow link, while a caller waits. The new test fails without the change.

--- a/libs/cluster/src/azurecleat_cluster/_internal/front/request_handler.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/request_handler.py
@@ -143,12 +143,12 @@
 
         True if the log is fast, so that a local append is quicker, or if this instance cannot reach
         the log and has waited ``LOG_LOST_BATCHER_WAIT_S``. To measure the log, this method polls
-        the jobs stream every ``BATCHER_CHECK_S`` seconds.
+        the jobs stream every ``BATCHER_CHECK_S`` seconds, except while the stream is being loaded.
         """
         now = self._clock.monotonic()
         if self._config_follower.is_log_lost:
             return now - self._since > LOG_LOST_BATCHER_WAIT_S
-        if now < self._next_check_at:
+        if now < self._next_check_at or self._jobs_follower.is_loading:
             return False
         self._next_check_at = now + BATCHER_CHECK_S
         try:
--- a/tests/unit/cluster/test_restart_load.py
+++ b/tests/unit/cluster/test_restart_load.py
@@ -14,7 +14,11 @@
 from azurecleat_base.exceptions import LogError, OffsetForgottenError
 from azurecleat_cluster import EventLog, FrontLimits, RequestHandler
 from azurecleat_cluster._internal.configuration import ConfigurationView
-from azurecleat_cluster._internal.front.request_handler import OwnerClient
+from azurecleat_cluster._internal.front.request_handler import (
+    BATCHER_CHECK_S,
+    BatcherTimeout,
+    OwnerClient,
+)
 from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.replica import records
 from azurecleat_cluster._internal.replica.appender import GroupAppender
@@ -127,6 +131,18 @@
         self.assertEqual(self.handler.state("f" * 16), NoJob())
         self.assertEqual(self.log.loads, 1)
 
+    def test_append_that_waits_for_the_batcher_does_not_wait_for_a_load(self) -> None:
+        timeout = BatcherTimeout(self.config, self.jobs, self.clock)
+        time.sleep(BATCHER_CHECK_S)
+        loading = threading.Thread(target=self.jobs.poll)
+        loading.start()
+        time.sleep(LOAD_S / 5)
+        began_at = time.monotonic()
+        self.assertFalse(timeout.has_expired())
+        self.assertLess(time.monotonic() - began_at, LOAD_S / 3)
+        loading.join()
+        self.assertTrue(timeout.has_expired())
+
     def test_load_that_failed_is_repeated(self) -> None:
         self.log.down = True
         with self.assertRaises(LogError):
