Examine waiting steps only when a report is due; one test harness of a front

The dispatcher counted within the team's limit and listed the pool's targets for every waiting step in every round; now only for a step that is due for a report. The setup that two tests of fronts shared is a harness.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -154,9 +154,9 @@
                 self._request_advice(step, pool, rank, now, include_full=renewals_left > 0)
                 renewals_left -= bool(step.pending and step.job.queue.advice)
                 self._hold_capacity(step, pool)
-                if step.pending:
+                if step.pending and self._stalls.is_due(step, now):
                     within_limit = self._count_within_limit(step, len(step.pending))
-                    self._stalls.check(step, pool.targets, within_limit, now)
+                    self._stalls.report(step, pool.targets, within_limit, now)
         self._metrics.waiting_tasks.set(sum(len(step.pending) for _, step in waiting))
         return started
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/stalls.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/stalls.py
@@ -56,17 +56,19 @@
     def begin_round(self) -> None:
         self._reports_left = MAX_REPORTS_PER_ROUND
 
-    def check(
+    def is_due(self, step: StepInfo, now: float) -> bool:
+        """Whether a step with pending tasks has waited for so long that it is to be reported."""
+        waiting_since = max(step.ready_at or now, step.started_at, step.stall_reported_at)
+        return self._reports_left > 0 and now - waiting_since >= STALLED_AFTER_S
+
+    def report(
         self, step: StepInfo, targets: Iterable[TargetInfo], within_limit: int, now: float
     ) -> None:
-        """Reports a step with pending tasks if it has waited for long.
+        """Logs and counts what a step lacks.
 
         :param targets: Usable targets of the step's pool.
         :param within_limit: Number of tasks that the team's resource limit allows.
         """
-        waiting_since = max(step.ready_at or now, step.started_at, step.stall_reported_at)
-        if not self._reports_left or now - waiting_since < STALLED_AFTER_S:
-            return
         self._reports_left -= 1
         step.stall_reported_at = now
         stall = examine(step, targets, within_limit, now)
--- a/tests/unit/cluster/test_request_handler.py
+++ b/tests/unit/cluster/test_request_handler.py
@@ -2,28 +2,22 @@
 
 from __future__ import annotations
 
-import io
 import json
 import threading
 import time
 import unittest
 from collections.abc import Callable
 
-from adapter.documents import PlatformDecoder, decode_job
-from azurecleat_base import SystemClock
-from azurecleat_cluster import Admitted, Caller, EventLog, FrontLimits, RequestHandler
-from azurecleat_cluster._internal.configuration import ConfigurationView
+from adapter.documents import decode_job
+from azurecleat_cluster import Admitted, Caller
 from azurecleat_cluster._internal.front.request_handler import (
     BATCHER_CHECK_S,
     AppendOutcome,
     BatcherTimeout,
     OwnerClient,
 )
-from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.peers import PeerApplication
 from azurecleat_cluster._internal.replica.appender import GroupAppender
-from azurecleat_cluster._internal.replica.follower import Follower
-from azurecleat_cluster._internal.replica.jobs import JobReplica
 from azurecleat_cluster.answers import (
     Accepted,
     Answer,
@@ -38,6 +32,7 @@
 from azurecleat_cluster.values import JobState
 from azurecleat_fakes import KeyedMemoryLog
 
+from tests.lib.front_harness import FrontHarness
 from tests.unit.adapter.test_documents import CONFIGURATION as DOCUMENT
 
 JOB = "0" * 16
@@ -61,27 +56,12 @@
     """One request handler with a log that can be down or lose answers."""
 
     def setUp(self) -> None:
-        clock, events = SystemClock(), EventLog("test", io.StringIO())
-        self.clock, self.log, self.owner = clock, KeyedMemoryLog(), ScriptedOwner()
-        self.view = ConfigurationView(PlatformDecoder(), events)
-        self.replica = JobReplica()
-        self.config = Follower(self.log, CONFIGURATION, self.view.apply, clock, events)
-        self.jobs = Follower(self.log, JOBS, self.replica.apply_job, clock, events)
-        appender = GroupAppender(self.log, JOBS, self.jobs.apply_appended)
-        appender.start()
-        self.addCleanup(appender.stop)
-        self.request_handler = RequestHandler(
-            self.view,
-            self.config,
-            self.replica,
-            self.jobs,
-            appender,
-            self.owner,
-            FrontLimits(3.5, 1.9),
-            clock,
-            events,
-            Metrics(),
-        )
+        self.log, self.owner = KeyedMemoryLog(), ScriptedOwner()
+        front = FrontHarness(self.log, self.owner)
+        self.addCleanup(front.stop)
+        self.clock, self.view, self.replica = front.clock, front.view, front.replica
+        self.config, self.jobs = front.config, front.jobs
+        self.request_handler = front.request_handler
         self.log.append(CONFIGURATION, [("config", json.dumps(DOCUMENT).encode())], 1.0)
 
     def follow(self) -> None:
--- a/tests/unit/cluster/test_restart_load.py
+++ b/tests/unit/cluster/test_restart_load.py
@@ -2,33 +2,25 @@
 
 from __future__ import annotations
 
-import io
 import json
 import threading
 import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
-from adapter.documents import PlatformDecoder
-from azurecleat_base import SystemClock
 from azurecleat_base.exceptions import LogError, OffsetForgottenError
-from azurecleat_cluster import EventLog, FrontLimits, RequestHandler
-from azurecleat_cluster._internal.configuration import ConfigurationView
 from azurecleat_cluster._internal.front.request_handler import (
     BATCHER_CHECK_S,
     BatcherTimeout,
     OwnerClient,
 )
-from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.replica import records
-from azurecleat_cluster._internal.replica.appender import GroupAppender
-from azurecleat_cluster._internal.replica.follower import Follower
-from azurecleat_cluster._internal.replica.jobs import JobReplica
 from azurecleat_cluster.answers import NoJob, Refused, StateOf
 from azurecleat_cluster.ports import CONFIGURATION, JOBS, LogPage
 from azurecleat_cluster.values import JobState
 from azurecleat_fakes import KeyedMemoryLog
 
+from tests.lib.front_harness import FrontHarness
 from tests.unit.adapter.test_documents import CONFIGURATION as DOCUMENT
 from tests.unit.cluster.test_replica import SUBMISSION
 
@@ -75,27 +67,11 @@
     """One restarted instance, whose callers know jobs that it has not loaded yet."""
 
     def setUp(self) -> None:
-        clock, events = SystemClock(), EventLog("test", io.StringIO())
-        self.clock, self.log = clock, NarrowLinkLog()
-        self.view = ConfigurationView(PlatformDecoder(), events)
-        self.replica = JobReplica()
-        self.config = Follower(self.log, CONFIGURATION, self.view.apply, clock, events)
-        self.jobs = Follower(self.log, JOBS, self.replica.apply_job, clock, events)
-        appender = GroupAppender(self.log, JOBS, self.jobs.apply_appended)
-        appender.start()
-        self.addCleanup(appender.stop)
-        self.handler = RequestHandler(
-            self.view,
-            self.config,
-            self.replica,
-            self.jobs,
-            appender,
-            OwnerClient(),
-            FrontLimits(3.5, 1.9),
-            clock,
-            events,
-            Metrics(),
-        )
+        self.log = NarrowLinkLog()
+        front = FrontHarness(self.log, OwnerClient())
+        self.addCleanup(front.stop)
+        self.clock, self.replica = front.clock, front.replica
+        self.config, self.jobs, self.handler = front.config, front.jobs, front.request_handler
         self.log.append(CONFIGURATION, [("config", json.dumps(DOCUMENT).encode())], 1.0)
         key = records.SUBMISSION + SUBMISSION.job
         self.log.append(JOBS, [(key, records.encode_submission(SUBMISSION))], 1.0)
--- a/tests/unit/cluster/test_stalls.py
+++ b/tests/unit/cluster/test_stalls.py
@@ -75,7 +75,8 @@
 
     def check(self, step: StepInfo, now: float) -> None:
         step.ready_at = NOW
-        self.reporter.check(step, [make_target(0)], 99, now)
+        if self.reporter.is_due(step, now):
+            self.reporter.report(step, [make_target(0)], 99, now)
 
     def test_step_is_reported_every_few_seconds(self) -> None:
         step = make_advised("waits", 2)
