A job known from a load is started only within the published horizon

Found by reading the start horizon again: a job known from a load had no offset and was taken to precede every horizon. An owner whose history was forgotten in its term could so start a job beyond what it had published, and a successor that had read the job's first submission would take it for one that was started nowhere: TWICE. Also pages of a load may hold records beyond the load's own end.

Now a job keeps the highest offset that its first submission may have, for its owner's horizon, and the successor uses only an offset known to be that of the first submission.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -10,7 +10,6 @@
 
 from azurecleat_base import ZERO, Resources
 
-from azurecleat_cluster._internal.ports import UNKNOWN_OFFSET
 from azurecleat_cluster._internal.replica.records import Progress, Submission, TaskProgress
 from azurecleat_cluster._internal.values import Queue, Step, TargetEntry, TaskId
 
@@ -291,11 +290,11 @@
         submission: Submission,
         seen_at: float,
         before_claim: bool,
-        offset: int = UNKNOWN_OFFSET,
+        offset: int = 0,
     ) -> None:
         self.id = submission.job
         self.offset = offset
-        """Offset of the submission in the jobs stream, or ``UNKNOWN_OFFSET``."""
+        """Highest offset in the jobs stream that the first submission may have."""
         self.submission = submission
         self.seen_at = seen_at
         self.before_claim = before_claim
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/start_horizon.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/start_horizon.py
@@ -14,7 +14,6 @@
 
 from azurecleat_base import Clock
 
-from azurecleat_cluster._internal.ports import UNKNOWN_OFFSET
 from azurecleat_cluster._internal.replica import records as r
 
 MIN_RECORDS_AHEAD = 4
@@ -54,12 +53,8 @@
         self._committed: int | None = None
 
     def allows(self, offset: int) -> bool:
-        """Whether a job submitted at an offset may be started; at first, none may.
-
-        A job with ``UNKNOWN_OFFSET`` precedes every horizon.
-        """
-        committed = self._committed
-        return committed is not None and (offset == UNKNOWN_OFFSET or offset < committed)
+        """Whether a job submitted at an offset, or before, may be started; at first, none may."""
+        return self._committed is not None and offset < self._committed
 
     def propose(self) -> int:
         """Returns the horizon to publish next."""
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -55,7 +55,8 @@
             self.takeover = Takeover(set(targets), self.authority, now, previous_owner_gone)
             horizon = self._previous_horizon()
             for job in self._replica.job_ids():
-                is_later = horizon is not None and self._replica.offset(job) >= horizon
+                offset = self._replica.first_offset(job)
+                is_later = None not in (horizon, offset) and offset >= horizon
                 self._add_job(job, before_claim=bool(targets) and not is_later)
             for name in self._replica.deleted_jobs_with_progress():
                 self._writer.put(r.JOB + name, lambda: None)
@@ -122,7 +123,7 @@
             self._events.write(eventlog.RECORD_UNREADABLE, stream="jobs", key=name, error=error)
             return
         now = self._clock.monotonic()
-        job = JobInfo(submission, now, before_claim, self._replica.offset(name))
+        job = JobInfo(submission, now, before_claim, self._replica.last_offset(name))
         if not submission.spec.repeats:
             job.open_occurrences(1)
         if progress is not None:
--- a/libs/cluster/src/azurecleat_cluster/_internal/ports.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/ports.py
@@ -36,16 +36,16 @@
     sequence: int
 
 
-UNKNOWN_OFFSET = -1
-"""Offset of a record that replaced earlier ones of its key, whose offsets are not known."""
-
-
 class LogRecord(NamedTuple):
-    """A record of a keyed stream. A value of None deletes the key."""
+    """A record of a keyed stream. A value of None deletes the key.
+
+    :param may_replace: Whether the log may have dropped earlier records of the key.
+    """
 
     key: str
     value: bytes | None
     offset: int
+    may_replace: bool = False
 
 
 class LogPage(NamedTuple):
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
@@ -10,7 +10,7 @@
 
 from azurecleat_cluster._internal import eventlog
 from azurecleat_cluster._internal.eventlog import EventLog
-from azurecleat_cluster._internal.ports import UNKNOWN_OFFSET, Log, LogRecord
+from azurecleat_cluster._internal.ports import Log, LogRecord
 
 NEVER = float("-inf")
 
@@ -161,7 +161,7 @@
                 dropped = self._keys - {record.key for record in page.records}
                 self._apply_records([LogRecord(key, None, page.next_offset) for key in dropped])
                 ordered = sorted(page.records, key=lambda record: record.offset)
-                self._apply_records([each._replace(offset=UNKNOWN_OFFSET) for each in ordered])
+                self._apply_records([each._replace(may_replace=True) for each in ordered])
                 self._next = page.next_offset
                 self._fresh_at = max(self._fresh_at, sent_at)
             return bool(page.records)
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/jobs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/jobs.py
@@ -6,7 +6,7 @@
 import threading
 from collections.abc import Callable, Iterable
 
-from azurecleat_cluster._internal.ports import UNKNOWN_OFFSET, LogRecord
+from azurecleat_cluster._internal.ports import LogRecord
 from azurecleat_cluster._internal.replica import records
 from azurecleat_cluster._internal.values import JobState
 
@@ -22,8 +22,8 @@
     def __init__(self) -> None:
         self._lock = threading.RLock()
         self._submissions: dict[str, bytes] = {}
-        self._offsets: dict[str, int] = {}
-        """Offset of each job's first submission."""
+        self._offsets: dict[str, tuple[int, bool]] = {}
+        """Offset of the submission by which each job became known, and whether it is the first."""
         self._queues: dict[str, str] = {}
         self._cancelled: set[str] = set()
         self._progress: dict[str, bytes] = {}
@@ -56,9 +56,17 @@
         """The newest heartbeat of an owner; None if it is of an earlier version."""
         return self._heartbeat
 
-    def offset(self, job: str) -> int:
-        """Returns the offset of a known job's first submission, or ``UNKNOWN_OFFSET``."""
-        return self._offsets.get(job, UNKNOWN_OFFSET)
+    def last_offset(self, job: str) -> int:
+        """Returns the highest offset that a known job's first submission may have."""
+        return self._offsets[job][0]
+
+    def first_offset(self, job: str) -> int | None:
+        """Returns the offset of a known job's first submission; None if it is not known.
+
+        After a load only the newest of repeated submissions is known.
+        """
+        offset, is_first = self._offsets[job]
+        return offset if is_first else None
 
     def subscribe(self, listener: Callable[[LogRecord], None]) -> None:
         """Calls the listener with each later record of the jobs stream after it is applied."""
@@ -162,7 +170,7 @@
         elif job not in self._submissions:
             # Callers repeat a submission after a lost answer; only the first one counts.
             self._submissions[job] = value
-            self._offsets[job] = record.offset
+            self._offsets[job] = (record.offset, not record.may_replace)
             self._queues[job] = json.loads(value)["queue"]["name"]
 
     def _apply_cancellation(self, job: str, value: bytes | None) -> None:
