Log and count crashes of targets with the runs that were being started there

Change: E756 target.crashed, the counter azurecleat_target_crashes_total, both for targets that end without having drained; a target that is only silent counts as none.

--- a/libs/cli/src/azurecleat_cli/_internal/operations/explain.py
+++ b/libs/cli/src/azurecleat_cli/_internal/operations/explain.py
@@ -17,7 +17,14 @@
 OWNER_EVENTS = frozenset(("owner.claimed", "owner.serving", "owner.ended"))
 INSTANCE_EVENTS = frozenset(("dependency.lost", "dependency.back", "log.lines_left_out"))
 TARGET_EVENTS = frozenset(
-    ("target.lost", "target.back", "target.gone", "target.suspect", "target.draining")
+    (
+        "target.lost",
+        "target.back",
+        "target.gone",
+        "target.suspect",
+        "target.draining",
+        "target.crashed",
+    )
 )
 HIDDEN_FIELDS = frozenset(("at", "event", "name", "instance", "job"))
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/metrics.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/metrics.py
@@ -30,6 +30,9 @@
             "stalled_steps", "Reports of waiting steps by missing condition", "missing"
         )
         self.ends = counter("ends", "Ended runs by kind", "kind")
+        self.target_crashes = counter(
+            "target_crashes", "Targets that ended unannounced, by runs being started", "starting"
+        )
         self.log_errors = counter("log_errors", "Failed calls to the log", "stream")
         self.accept_s = histogram("accept_seconds", "Time until a job is in the log")
         self.first_start_s = histogram("first_start_seconds", "Seen job to its first start")
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -53,6 +53,7 @@
         "start_answered_at",
         "is_start_uncertain",
         "is_reported",
+        "has_survived_start",
     )
 
     def __init__(self, task: TaskId, step: StepInfo, number: int, target: TargetInfo) -> None:
@@ -85,6 +86,8 @@
 
         The start had then reached the incarnation that answers the polls, and no later one.
         """
+        self.has_survived_start = False
+        """Whether a report has shown the run some time after its start."""
         self.progressed_at = 0.0
         self.reported_at = 0.0
         """When ``percent`` was last updated: at most once per ``MIN_RATE_INTERVAL_S``."""
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from azurecleat_cluster._internal import eventlog
+from azurecleat_cluster._internal.owner.crashes import describe_tasks, runs_being_started
 from azurecleat_cluster._internal.owner.model import Run, RunState, TargetInfo
 from azurecleat_cluster._internal.owner.runs import RunTransitions
 from azurecleat_cluster._internal.owner.state import Session
@@ -137,15 +138,24 @@
             self.authority.add_target(session.target.id)
         session.start()
 
-    def _drop_target(self, session: Session, reason: str, is_restarted: bool = False) -> None:
-        """Drops a target incarnation that has certainly ended, and all its runs.
+    def _drop_target(
+        self,
+        session: Session,
+        reason: str,
+        is_restarted: bool = False,
+        may_be_unreachable: bool = False,
+    ) -> None:
+        """Drops a target incarnation all of whose runs have certainly ended.
 
         :param is_restarted: Another incarnation has the same id. The previous owner may have used
             it already, so a takeover still has to reach it.
+        :param may_be_unreachable: Only its lease is known to be over: the target itself may be up.
         """
         target = session.target
         if self.sessions.get(target.id) is not session:
             return
+        if not may_be_unreachable and target.entry.state is not TargetState.DRAINING:
+            self._note_crash(target, reason)
         del self.sessions[target.id]
         unconfirmed = target.unconfirmed_runs(self._clock.monotonic())
         if unconfirmed:
@@ -163,6 +173,21 @@
         self._writer.put(r.TARGET + target.id, lambda: None)
         session.stop()
 
+    def _note_crash(self, target: TargetInfo, reason: str) -> None:
+        """Notes that a target ended without having announced that it leaves."""
+        starting = runs_being_started(target)
+        suspects = "none" if not starting else "one" if len(starting) == 1 else "several"
+        self._metrics.target_crashes.labels(suspects).inc()
+        self._events.write(
+            eventlog.TARGET_CRASHED,
+            target=target.id,
+            address=target.entry.address,
+            reason=reason,
+            runs=len(target.runs),
+            starting=len(starting),
+            tasks=describe_tasks(starting),
+        )
+
     def _release_lost_runs(self, target: TargetInfo, reason: str) -> None:
         for run in list(target.runs.values()):
             self._events.write(
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -13,6 +13,7 @@
 
 from azurecleat_cluster._internal import eventlog
 from azurecleat_cluster._internal.owner.authority import Takeover
+from azurecleat_cluster._internal.owner.crashes import has_survived
 from azurecleat_cluster._internal.owner.model import (
     UNKNOWN_THROTTLE_PERCENT,
     JobInfo,
@@ -257,6 +258,7 @@
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
             run.confirmed_at = run.confirmed_at or now
+        run.has_survived_start = run.has_survived_start or has_survived(run, now)
         run.update_progress(status.percent, now)
         run.load = status.load
         if status.checkpoint:
@@ -349,7 +351,9 @@
                 )
             if self.authority.is_lease_over(session.lease_end) and self._may_drop(target):
                 if not target.registered:
-                    self._drop_target(session, "no entry, and its lease is over")
+                    self._drop_target(
+                        session, "no entry, and its lease is over", may_be_unreachable=True
+                    )
                 else:
                     self._release_lost_runs(target, "its lease is over")
                     if self.takeover is not None and target.reached:
