--- a/tests/lib/cluster_simulation.py
+++ b/tests/lib/cluster_simulation.py
@@ -51,6 +51,7 @@
     Step,
     TargetEntry,
     TargetState,
+    TaskId,
     Team,
 )
 from azurecleat_fakes import KeyedMemoryLog
@@ -60,6 +61,14 @@
 STEP_S = 0.02
 LEASE_S = 2.0
 POLL_PERIOD_S = 0.2
+CRASH_DELAY_S = 0.01
+"""Time from the start of a deadly task until its target crashes."""
+
+DOWN_S = 3.0
+"""Time from a target's crash under a deadly task until its next incarnation."""
+
+DIRECTORY_PERIOD_S = 0.4
+
 TEAM_LIMIT = Resources(24_000, 0, 0)
 """Resource limit of the only team."""
 
@@ -318,6 +327,7 @@
         self.term: OwnerTerm | None = None
         self.writer: SimWriter | None = None
         self._dispatcher: Dispatcher | None = None
+        self._directory_polled_at = float("-inf")
 
     @property
     def is_paused(self) -> bool:
@@ -336,11 +346,19 @@
             return
         self.writer.flush()
         term = self.term
+        self._poll_directory(term)
         if term.authority.lost_reason:
             self.end_term()
         elif term.authority.may_act():
             self.simulation.dispatch(self._dispatcher)
 
+    def _poll_directory(self, term: OwnerTerm) -> None:
+        now = self.simulation.clock.monotonic()
+        if self.simulation.has_directory and now - self._directory_polled_at >= DIRECTORY_PERIOD_S:
+            self._directory_polled_at = now
+            ended = term.known_incarnations() - self.simulation.live_incarnations()
+            term.on_incarnations_ended(ended)
+
     def take_over(self) -> None:
         """Claims the next epoch and serves it if this claim is the first of its epoch."""
         if self.term is not None or self.is_paused:
@@ -430,6 +448,10 @@
         self.answer_loss_rate = 0.0
         """Fraction of the commands that are executed at once and whose answer is lost."""
         self.completed_tasks: set = set()
+        self.deadly_tasks: set[TaskId] = set()
+        """Tasks that crash each target that starts them."""
+        self.has_directory = False
+        """Whether owners poll a directory of the target incarnations that exist."""
         self._scheduled: list = []
         self._sequence = itertools.count()
         self._durations: dict = {}
@@ -527,6 +549,26 @@
         self.targets[number] = self._make_target(number, incarnation)
         self._announce(self.targets[number])
 
+    def _on_started(self, target: SimTarget, task: TaskId) -> None:
+        if task in self.deadly_tasks:
+            self.checker.on_deadly_start(target, task, self.clock.monotonic())
+            self.schedule(CRASH_DELAY_S, lambda: self._crash_under_task(target))
+
+    def _crash_under_task(self, target: SimTarget) -> None:
+        """Lets a target crash; its next incarnation starts after ``DOWN_S``."""
+        if target in self.targets and target.is_up:
+            target.crash()
+            number = self.targets.index(target)
+            self.schedule(DOWN_S, lambda: self._restart_crashed(number, target))
+
+    def _restart_crashed(self, number: int, target: SimTarget) -> None:
+        if self.targets[number] is target:
+            self.crash_target(number)
+
+    def live_incarnations(self) -> frozenset[str]:
+        """Returns the ids of the target incarnations that are up, as the directory lists them."""
+        return frozenset(target.id for target in self.targets if target.is_up)
+
     def restart_with_same_id(self, number: int, notice_s: float) -> None:
         """Restarts a target under the same id; owners are notified after ``notice_s`` seconds."""
         old = self.targets[number]
@@ -597,6 +639,7 @@
             completed_tasks=self.completed_tasks,
             duration=self._duration,
         )
+        target.on_started = lambda task: self._on_started(target, task)
         self.targets_by_id[target.id] = target
         return target
 
--- a/tests/lib/simulated_targets.py
+++ b/tests/lib/simulated_targets.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from azurecleat_base import Resources
@@ -40,6 +40,11 @@
     attempts: int
 
 
+MAX_CRASHES = 3
+MAX_STARTS_AFTER_CRASHES = 3
+"""A task that crashes its targets must not be started this often after ``MAX_CRASHES`` crashes."""
+
+
 class ExecutionChecker:
     """Checks each start against what the targets did before. Shares no code with the scheduler."""
 
@@ -62,6 +67,10 @@
         self.starts = 0
         self.started_at: dict[TaskId, float] = {}
         """Newest start of each task."""
+        self.crashes: dict[TaskId, int] = {}
+        """Number of targets that crashed while a run of the task was on them."""
+        self._starts_after_crashes: dict[TaskId, int] = {}
+        """Starts of a deadly task after ``MAX_CRASHES`` targets had crashed under it."""
 
     def on_start(self, target: SimTarget, command: StartCommand, now: float) -> None:
         task = command.task
@@ -107,8 +116,21 @@
         if kind is EndKind.DONE:
             self._unacknowledged.setdefault(task, set()).add((target.id, run))
 
-    def on_crash(self, target: SimTarget) -> None:
-        """Forgets the unacknowledged ends of an incarnation: no later one lists them."""
+    def on_deadly_start(self, target: SimTarget, task: TaskId, now: float) -> None:
+        """Checks the start of a task that crashes each target that starts it."""
+        if self.crashes.get(task, 0) < MAX_CRASHES:
+            return
+        starts = self._starts_after_crashes[task] = self._starts_after_crashes.get(task, 0) + 1
+        if starts == MAX_STARTS_AFTER_CRASHES:
+            self._add_violation(now, "BUDGET crashes", task, f"{starts} more starts, {target.id}")
+
+    def on_crash(self, target: SimTarget, tasks: Iterable[TaskId] = ()) -> None:
+        """Forgets the unacknowledged ends of an incarnation: no later one lists them.
+
+        :param tasks: Tasks that the incarnation was running.
+        """
+        for task in tasks:
+            self.crashes[task] = self.crashes.get(task, 0) + 1
         for runs in self._unacknowledged.values():
             runs.difference_update([each for each in runs if each[0] == target.id])
         self._repeated = {each for each in self._repeated if each[1] != target.id}
@@ -171,6 +193,8 @@
         self.capacity = entry.capacity
         self.completed_tasks = completed_tasks
         self.is_up = True
+        self.on_started: Callable[[TaskId], None] | None = None
+        """Called with the task of each run that begins."""
         self._checker = checker
         self._rng = rng
         self.rate = rate
@@ -249,6 +273,8 @@
         kind = EndKind.FAILED if fails else EndKind.DONE
         self._runs[key] = _SimRun(command, now + self.duration(command.task), kind, now)
         self._checker.on_start(self, command, now)
+        if self.on_started is not None:
+            self.on_started(command.task)
         return StartResult(True, "", clock_ms)
 
     def stop(self, task: TaskId, run: int, fencing_token: int, now: float) -> None:
@@ -265,7 +291,7 @@
         self.is_up = False
         for task, run in self._runs:
             self._checker.on_end(self, task, run, EndKind.LAPSED)
-        self._checker.on_crash(self)
+        self._checker.on_crash(self, [task for task, _ in self._runs])
         self._runs.clear()
 
     def _check_fencing_token(self, fencing_token: int) -> None:
--- a/tests/lib/term_harness.py
+++ b/tests/lib/term_harness.py
@@ -14,11 +14,12 @@
 from azurecleat_cluster._internal.owner.authority import Authority
 from azurecleat_cluster._internal.owner.dispatch import Dispatcher
 from azurecleat_cluster._internal.owner.model import Run, StepInfo, TargetInfo
+from azurecleat_cluster._internal.owner.start_attempts import StartOutcome
 from azurecleat_cluster._internal.owner.start_horizon import StartHorizon
 from azurecleat_cluster._internal.owner.term import OwnerTerm
 from azurecleat_cluster._internal.replica import records
 from azurecleat_cluster._internal.replica.jobs import JobReplica
-from azurecleat_cluster.ports import LogRecord
+from azurecleat_cluster.ports import LogRecord, StartResult
 from azurecleat_cluster.values import (
     Configuration,
     EndKind,
@@ -202,6 +203,11 @@
         report = TargetReport(0.0, started_at_ms, tuple(running), tuple(ended))
         self.term.on_report(self.session(target), report, self.clock.monotonic())
 
+    def answer_start(self, session: StandInSession) -> None:
+        """Lets a target answer the oldest start that was sent to it."""
+        result = StartResult(True, "", 0.0)
+        self.term.on_start(session.started[0], StartOutcome(result, may_run=True))
+
     def dispatch(self) -> list[TaskId]:
         """Dispatches once and returns the tasks that were started."""
         before = {id(session): len(session.started) for session in self.sessions}
