Give up tasks that crash the targets that start them

Cause: only an end that a target reports as failed counted as an attempt. A crash reports no end, so the task became pending again with nothing held against it, and was placed among other runs. Class: a failure that destroys its own evidence is counted as no failure. Change: a crash is held against the runs that had not survived their start there (against all, if none was being started). Such a task starts next on a target that starts nothing else until a report shows it, so that a second crash names it. It is given up after two crashes of different addresses if it was the only suspect, and at the latest after four (five if starts had no answer). The crashes are part of the job's progress; from the second on the task waits until the log has them. A target that leaves, or is only silent, is held against nobody. E735, azurecleat_jobs_given_up_total.

--- a/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
@@ -137,6 +137,7 @@
 JOB_CANCELLED = LogEvent(732, "job.cancelled", "job, config")
 JOB_SEEN = LogEvent(733, "job.seen", "job, epoch, over_share")
 JOB_ENDED = LogEvent(734, "job.ended", "job, outcome, age_s, epoch")
+JOB_GIVEN_UP = LogEvent(735, "job.given_up", "job, task, crashes")
 OWNER_CLAIMED = LogEvent(740, "owner.claimed", "epoch, silent_s, reason")
 OWNER_SERVING = LogEvent(741, "owner.serving", "epoch, jobs, targets, took_s")
 OWNER_ENDED = LogEvent(742, "owner.ended", "epoch, reason")
--- a/libs/cluster/src/azurecleat_cluster/_internal/metrics.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/metrics.py
@@ -33,6 +33,7 @@
         self.target_crashes = counter(
             "target_crashes", "Targets that ended unannounced, by runs being started", "starting"
         )
+        self.jobs_given_up = counter("jobs_given_up", "Jobs failed by a task in a crash loop")
         self.log_errors = counter("log_errors", "Failed calls to the log", "stream")
         self.accept_s = histogram("accept_seconds", "Time until a job is in the log")
         self.first_start_s = histogram("first_start_seconds", "Seen job to its first start")
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/crashes.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/crashes.py
@@ -1,27 +1,129 @@
-"""Attributes the crash of a target to the runs that may have caused it. No I/O, no clock."""
+"""Attributes crashes of targets to the tasks that were started there. No I/O, no clock.
+
+A crash ends all runs on a target without a report, so the task that caused it looks like the tasks
+beside it. Only what had just been started there is suspected; a suspected task is then started
+isolated, so that the next crash tells it apart from its neighbours.
+"""
 
 from __future__ import annotations
 
-from azurecleat_cluster._internal.owner.model import Run, TargetInfo
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from azurecleat_cluster._internal.owner.model import Run, StepInfo, TargetInfo
+from azurecleat_cluster._internal.owner.placement import capacity_for, may_run_on
+from azurecleat_cluster._internal.replica.records import Crash
 
 MIN_SURVIVAL_S = 0.1
 """Age of a run from which a report that shows it proves that its start did not crash the target."""
 
+STABLE_S = 10.0
+"""Age of a long-running run from which the earlier crashes of its task no longer count."""
+
+MIN_CONFIRMED_CRASHES = 2
+"""Crashes of different targets under runs that are known to have begun, before a task is given up:
+one alone may be a coincidence."""
+
+MAX_CRASHES = 4
+"""Crashes after which a task is given up even if other runs were suspected as well each time."""
+
+MAX_UNCONFIRMED_CRASHES = 5
+"""The same if some of the runs may not have begun, as their starts got no answer."""
+
+MAX_ISOLATED_SHARE = 0.5
+"""Share of the targets that may be isolated at one time; the others accept all tasks."""
+
 MAX_LISTED_TASKS = 5
 """Most tasks named in the log line of a crash."""
 
 
+class Suspicion(NamedTuple):
+    """The runs that may have caused a crash.
+
+    :param runs: Runs to hold the crash against; empty if nothing ran on the target.
+    :param only: The only run that had just been started there; None if there were several or none.
+    """
+
+    runs: tuple[Run, ...]
+    only: Run | None
+
+
 def has_survived(run: Run, now: float) -> bool:
     """Whether a report received now that shows the run proves that it survived its start."""
-    return run.start_answered_at is not None and now - run.start_answered_at >= MIN_SURVIVAL_S
+    return bool(run.began_at) and now - run.began_at >= MIN_SURVIVAL_S
+
+
+def runs_being_started(runs: Iterable[Run]) -> list[Run]:
+    """Returns the runs that no report has shown to have survived their start."""
+    return [run for run in runs if not run.has_survived_start]
+
+
+def suspect_runs(runs: Iterable[Run]) -> Suspicion:
+    """Chooses the suspects among the runs that were on a target when it crashed.
+
+    Without a run that was being started, all of them are: one may crash its target later.
+    """
+    runs = tuple(runs)
+    starting = runs_being_started(runs)
+    begun = [run for run in starting if run.began_at]
+    single = begun or starting
+    return Suspicion(tuple(starting) or runs, single[0] if len(single) == 1 else None)
+
+
+def crash_under(run: Run) -> Crash:
+    """Returns the record of a crash of a run's target."""
+    return Crash(run.number, run.target.entry.address, bool(run.began_at))
+
+
+def is_crash_loop(crashes: Iterable[Crash], was_only_suspect: bool) -> bool:
+    """Whether a task is to be given up after these crashes.
+
+    :param was_only_suspect: Whether the task was the only suspect of the last one.
+    """
+    crashes = list(crashes)
+    confirmed = [crash for crash in crashes if crash.has_begun]
+    addresses = {crash.address for crash in confirmed}
+    return (
+        (was_only_suspect and len(addresses) >= MIN_CONFIRMED_CRASHES)
+        or (len(crashes) >= MAX_CRASHES and len(confirmed) >= MIN_CONFIRMED_CRASHES)
+        or len(crashes) >= MAX_UNCONFIRMED_CRASHES
+    )
+
+
+def place_isolated(
+    step: StepInfo,
+    indices: Sequence[int],
+    targets: Iterable[TargetInfo],
+    max_count: int,
+    now: float,
+) -> list[tuple[int, TargetInfo]]:
+    """Chooses a target of its own for each suspected task of a step.
 
+    The targets with the fewest runs come first, as a crash would end these runs, and those that
+    have crashed under the task come last.
 
-def runs_being_started(target: TargetInfo) -> list[Run]:
-    """Returns the runs on a target that no report has shown to have survived their start."""
-    return [run for run in target.runs.values() if not run.has_survived_start]
+    :param max_count: Number of targets that may still be isolated.
+    :returns: Pairs of a task index and its target.
+    """
+    free = [
+        target
+        for target in targets
+        if may_run_on(step, target, now)
+        and capacity_for(step, target)
+        and not runs_being_started(target.runs.values())
+    ]
+    chosen: list[tuple[int, TargetInfo]] = []
+    for index in indices[: max(0, max_count)]:
+        if not free:
+            break
+        crashed = {crash.address for crash in step.crashes.get(index, ())}
+        best = min(free, key=lambda each: (each.entry.address in crashed, len(each.runs), each.id))
+        free.remove(best)
+        chosen.append((index, best))
+    return chosen
 
 
-def describe_tasks(runs: list[Run]) -> str:
+def describe_tasks(runs: Sequence[Run]) -> str:
     """Names the tasks of some runs for the log."""
     names = [str(run.task) for run in runs[:MAX_LISTED_TASKS]]
     return ",".join(names + ["..."] if len(runs) > MAX_LISTED_TASKS else names)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -17,6 +17,7 @@
     select_targets,
     split_into_requests,
 )
+from azurecleat_cluster._internal.owner.crashes import MAX_ISOLATED_SHARE, place_isolated
 from azurecleat_cluster._internal.owner.model import Advice, JobInfo, StepInfo, TargetInfo
 from azurecleat_cluster._internal.owner.placement import (
     IGNORE_EXPIRY,
@@ -269,11 +270,37 @@
         if step.spec.gang:
             return self._place_gang(step, targets, now)
         startable = step.startable(self._is_takeover_complete)
-        indices = sorted(startable)[: self._count_within_limit(step, len(startable))]
+        suspects = {index for index in startable if step.is_suspect(index)}
+        started = self._place_isolated(step, sorted(suspects), pool, targets, now)
+        others = startable - suspects
+        indices = sorted(others)[: self._count_within_limit(step, len(others))]
         chosen = place(step, indices, targets, now, self._preferences)
         for index, target in chosen:
             run = self._term.allocate_run(step, index, target, step.last_run + 1)
             self._term.send_start(run)
+        return started + len(chosen)
+
+    def _place_isolated(
+        self,
+        step: StepInfo,
+        suspects: list[int],
+        pool: UsablePool,
+        targets: list[TargetInfo],
+        now: float,
+    ) -> int:
+        """Starts tasks that may crash their target, each on a target that starts nothing else."""
+        if not suspects:
+            return 0
+        isolated = sum(target.is_isolated for target in pool.targets)
+        max_count = min(
+            max(1, int(len(pool.targets) * MAX_ISOLATED_SHARE)) - isolated,
+            self._count_within_limit(step, len(suspects)),
+        )
+        chosen = place_isolated(step, suspects, targets, max_count, now)
+        for index, target in chosen:
+            run = self._term.allocate_run(step, index, target, step.last_run + 1)
+            target.isolate(run)
+            self._term.send_start(run)
         return len(chosen)
 
     def _place_gang(self, step: StepInfo, targets: list[TargetInfo], now: float) -> int:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -10,7 +10,12 @@
 
 from azurecleat_base import ZERO, Resources
 
-from azurecleat_cluster._internal.replica.records import Progress, Submission, TaskProgress
+from azurecleat_cluster._internal.replica.records import (
+    Crash,
+    Progress,
+    Submission,
+    TaskProgress,
+)
 from azurecleat_cluster._internal.values import Queue, Step, TargetEntry, TaskId
 
 
@@ -207,6 +212,12 @@
         self.failures: dict[int, set[str]] = {}
         """Failed runs of each task; a gang's failures are all under its first task."""
         self.checkpoints: dict[int, str] = {}
+        self.crashes: dict[int, set[Crash]] = {}
+        """Crashes of targets that are held against each task."""
+        self.suspects: set[int] = set()
+        """Tasks that were being started on a target that crashed."""
+        self.unrecorded: set[int] = set()
+        """Tasks that wait until their crashes are in the log."""
         self.last_run = 0
         self.avoided: dict[int, set[str]] = {}
         self.backup_runs: dict[int, set[Run]] = {}
@@ -259,15 +270,24 @@
         )
 
     def startable(self, is_takeover_complete: bool) -> set[int]:
-        """Returns the pending tasks that no previous owner can have running.
+        """Returns the pending tasks that no previous owner can have running, and whose crashes are
+        recorded.
 
         :param is_takeover_complete: Whether every run of the previous owner is known or over.
         """
-        if is_takeover_complete or not self.uncertain:
+        waiting = self.unrecorded if is_takeover_complete else self.uncertain | self.unrecorded
+        if not waiting:
             return self.pending
         if self.spec.gang:
             return set()
-        return self.pending - self.uncertain
+        return self.pending - waiting
+
+    def is_suspect(self, index: int) -> bool:
+        """Whether a task is started isolated, as a target crashed when it was last started.
+
+        The tasks of a gang can only start together.
+        """
+        return index in self.suspects and not self.spec.gang
 
     def task(self, index: int) -> TaskId:
         return TaskId(self.job.id, self.occurrence, self.index, index)
@@ -278,11 +298,16 @@
         self.pending -= self.done
         self.failures = {index: set(runs) for index, runs in progress.failures.items()}
         self.checkpoints = dict(progress.checkpoints)
+        self.crashes = {index: set(crashes) for index, crashes in progress.crashes.items()}
+        self.suspects = set(self.crashes)
         self.last_run = progress.last_run
 
     def progress(self) -> TaskProgress:
         failures = {index: tuple(sorted(runs)) for index, runs in self.failures.items()}
-        return TaskProgress(tuple(self.done), failures, dict(self.checkpoints), self.last_run)
+        crashes = {index: tuple(sorted(each)) for index, each in self.crashes.items()}
+        return TaskProgress(
+            tuple(self.done), failures, dict(self.checkpoints), self.last_run, crashes
+        )
 
 
 class JobInfo:
@@ -352,7 +377,7 @@
         steps = {
             key: step.progress()
             for key, step in self.steps.items()
-            if step.done or step.failures or step.checkpoints or step.last_run
+            if step.done or step.failures or step.checkpoints or step.last_run or step.crashes
         }
         return Progress(self.begun, self.outcome, steps)
 
@@ -369,8 +394,11 @@
         self.runs: dict[tuple[TaskId, int], Run] = {}
         self.used = ZERO
         self.free = entry.capacity
-        """Capacity that is neither used nor held."""
+        """Capacity for further runs: neither used nor held, and nothing while it is isolated."""
         self._held = ZERO
+        self._isolated_run: Run | None = None
+        self.lapsed_runs: tuple[Run, ...] = ()
+        """Runs that were released because the target's lease was over; it may have crashed."""
         self.reached = False
         """Whether the target has answered a poll under the current epoch."""
         self.responsive = False
@@ -392,6 +420,22 @@
     def id(self) -> str:
         return self.entry.id
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether the target accepts no other run until one has survived its start."""
+        return self._isolated_run is not None
+
+    def isolate(self, run: Run) -> None:
+        """Keeps all other tasks away until :meth:`end_isolation` or the end of the run."""
+        self._isolated_run = run
+        self._update_free()
+
+    def end_isolation(self, run: Run) -> None:
+        """Accepts other tasks again if the target is isolated for this run."""
+        if self._isolated_run is run:
+            self._isolated_run = None
+            self._update_free()
+
     def update_entry(self, entry: TargetEntry) -> None:
         """Replaces the registry entry by a newer one of the same incarnation.
 
@@ -424,6 +468,7 @@
     def remove(self, run: Run) -> None:
         if self.runs.pop(run.key, None) is not None:
             self._use(run.allocation, -1)
+        self.end_isolation(run)
 
     def hold(self, allocation: Resources) -> None:
         """Keeps capacity free for one task until :meth:`release_holds`."""
@@ -439,7 +484,10 @@
         self._update_free()
 
     def _update_free(self) -> None:
-        self.free = self.entry.capacity.plus(self.used, -1).plus(self._held, -1)
+        if self.is_isolated:
+            self.free = ZERO
+        else:
+            self.free = self.entry.capacity.plus(self.used, -1).plus(self._held, -1)
 
 
 class TeamUsage:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -5,6 +5,14 @@
 from azurecleat_base.exceptions import TargetError
 
 from azurecleat_cluster._internal import eventlog
+from azurecleat_cluster._internal.owner.crashes import (
+    Suspicion,
+    crash_under,
+    describe_tasks,
+    is_crash_loop,
+    runs_being_started,
+    suspect_runs,
+)
 from azurecleat_cluster._internal.owner.model import (
     JobInfo,
     Run,
@@ -312,6 +320,56 @@
                 if step.spec.long_running:
                     step.not_before = max(step.not_before, now)
 
+    def note_crash(self, target: TargetInfo, reason: str) -> None:
+        """Holds the crash of a target against the runs that may have caused it."""
+        suspicion = suspect_runs((*target.runs.values(), *target.lapsed_runs))
+        starting = runs_being_started(suspicion.runs)
+        suspects = "none" if not starting else "one" if suspicion.only else "several"
+        self._metrics.target_crashes.labels(suspects).inc()
+        self._events.write(
+            eventlog.TARGET_CRASHED,
+            target=target.id,
+            address=target.entry.address,
+            reason=reason,
+            runs=len(target.runs) + len(target.lapsed_runs),
+            starting=len(starting),
+            tasks=describe_tasks(starting),
+        )
+        for run in suspicion.runs:
+            if run.step.job.is_open and run.task.index not in run.step.done:
+                self._charge(run, suspicion)
+
+    def _charge(self, run: Run, suspicion: Suspicion) -> None:
+        """Holds a crash against a task, and gives the task up if it is in a crash loop."""
+        step, index, job = run.step, run.task.index, run.step.job
+        crashes = step.crashes.setdefault(index, set())
+        crashes.add(crash_under(run))
+        if not run.has_survived_start:
+            step.suspects.add(index)
+        if is_crash_loop(crashes, run is suspicion.only):
+            self._events.write(
+                eventlog.JOB_GIVEN_UP, job=job.id, task=run.task, crashes=len(crashes)
+            )
+            self._metrics.jobs_given_up.inc()
+            self._finish(job, JobState.FAILED)
+        if len(crashes) == 1:
+            self.record(job)
+            return
+        # Not started again before the log has the crashes: the next owner must not begin to count
+        # anew. One crash that it does not know of is within what a task may cause.
+        step.unrecorded.add(index)
+        self.record(job, lambda: self._on_crashes_recorded(step, index))
+
+    def _on_crashes_recorded(self, step: StepInfo, index: int) -> None:
+        with self.lock:
+            step.unrecorded.discard(index)
+        self.wake()
+
+    def _forget_crashes(self, step: StepInfo, index: int) -> None:
+        step.suspects.discard(index)
+        step.unrecorded.discard(index)
+        step.crashes.pop(index, None)
+
     def _step_of(self, task: TaskId) -> StepInfo | None:
         job = self.jobs.get(task.job)
         if job is None:
@@ -329,6 +387,7 @@
             step.done.add(each)
             step.pending.discard(each)
             step.checkpoints.pop(each, None)
+            self._forget_crashes(step, each)
             others = step.backup_runs.pop(each, set())
             if each in step.active:
                 others.add(step.active.pop(each))
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
@@ -144,9 +144,9 @@
             self.changed.notify_all()
         self._on_lost(reason)
 
-    def record(self, job: JobInfo) -> None:
+    def record(self, job: JobInfo, on_committed: Callable[[], None] | None = None) -> None:
         """Queues a job's progress to be written to the log."""
-        self._writer.put(r.JOB + job.id, lambda: self._encode(job))
+        self._writer.put(r.JOB + job.id, lambda: self._encode(job), on_committed)
 
     def _encode(self, job: JobInfo) -> bytes:
         with self.lock:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from azurecleat_cluster._internal import eventlog
-from azurecleat_cluster._internal.owner.crashes import describe_tasks, runs_being_started
 from azurecleat_cluster._internal.owner.model import Run, RunState, TargetInfo
 from azurecleat_cluster._internal.owner.runs import RunTransitions
 from azurecleat_cluster._internal.owner.state import Session
@@ -155,7 +154,7 @@
         if self.sessions.get(target.id) is not session:
             return
         if not may_be_unreachable and target.entry.state is not TargetState.DRAINING:
-            self._note_crash(target, reason)
+            self.note_crash(target, reason)
         del self.sessions[target.id]
         unconfirmed = target.unconfirmed_runs(self._clock.monotonic())
         if unconfirmed:
@@ -173,21 +172,6 @@
         self._writer.put(r.TARGET + target.id, lambda: None)
         session.stop()
 
-    def _note_crash(self, target: TargetInfo, reason: str) -> None:
-        """Notes that a target ended without having announced that it leaves."""
-        starting = runs_being_started(target)
-        suspects = "none" if not starting else "one" if len(starting) == 1 else "several"
-        self._metrics.target_crashes.labels(suspects).inc()
-        self._events.write(
-            eventlog.TARGET_CRASHED,
-            target=target.id,
-            address=target.entry.address,
-            reason=reason,
-            runs=len(target.runs),
-            starting=len(starting),
-            tasks=describe_tasks(starting),
-        )
-
     def _release_lost_runs(self, target: TargetInfo, reason: str) -> None:
         for run in list(target.runs.values()):
             self._events.write(
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
@@ -26,6 +26,9 @@
 """How long a target delays its answer to a poll while no run ends: a run that stalls is noticed
 within two polls."""
 
+ISOLATION_POLL_WAIT_S = 0.1
+"""The same while one run keeps all others away until a report shows that it survived its start."""
+
 IDLE_POLL_WAIT_S = 2.0
 """The same for a target without runs; the longest that targets allow."""
 
@@ -281,6 +284,8 @@
         self._wait_for_commit()
 
     def _wait_s(self) -> float:
+        if self.target.is_isolated:
+            return ISOLATION_POLL_WAIT_S
         if self._losses.has_recent:
             return LOSSY_POLL_WAIT_S
         return POLL_WAIT_S if self.target.runs else IDLE_POLL_WAIT_S
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -13,7 +13,7 @@
 
 from azurecleat_cluster._internal import eventlog
 from azurecleat_cluster._internal.owner.authority import Takeover
-from azurecleat_cluster._internal.owner.crashes import has_survived
+from azurecleat_cluster._internal.owner.crashes import STABLE_S, has_survived
 from azurecleat_cluster._internal.owner.model import (
     UNKNOWN_THROTTLE_PERCENT,
     JobInfo,
@@ -232,6 +232,7 @@
                 running = {(status.task, status.run) for status in report.running}
                 self._drop_missing(target, running | ended, sent_at)
             target.reached = target.responsive = True
+            target.lapsed_runs = ()
             if report.ended:
                 number = session.processed
                 self._writer.call_after_commit(lambda: session.acknowledge(number))
@@ -258,7 +259,11 @@
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
             run.confirmed_at = run.confirmed_at or now
-        run.has_survived_start = run.has_survived_start or has_survived(run, now)
+        if has_survived(run, now):
+            run.has_survived_start = True
+            target.end_isolation(run)
+            if run.step.spec.long_running and now - run.began_at >= STABLE_S:
+                self._forget_crashes(run.step, run.task.index)
         run.update_progress(status.percent, now)
         run.load = status.load
         if status.checkpoint:
@@ -355,6 +360,7 @@
                         session, "no entry, and its lease is over", may_be_unreachable=True
                     )
                 else:
+                    target.lapsed_runs += tuple(target.runs.values())
                     self._release_lost_runs(target, "its lease is over")
                     if self.takeover is not None and target.reached:
                         self.takeover.mark_reached(target.id, self._clock.monotonic())
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
@@ -69,6 +69,19 @@
     horizon: int
 
 
+class Crash(NamedTuple):
+    """A crash of a target that is held against a task.
+
+    :param run: Number of the task's run there.
+    :param address: Address of the target; its incarnations share it.
+    :param has_begun: Whether the run is known to have begun.
+    """
+
+    run: int
+    address: str
+    has_begun: bool
+
+
 class TaskProgress(NamedTuple):
     """Progress of one step that the next owner needs.
 
@@ -77,12 +90,14 @@
         several owners counts once.
     :param checkpoints: Newest checkpoint of each task.
     :param last_run: Highest run number used in this step.
+    :param crashes: Crashes of targets that are held against each task.
     """
 
     done: tuple[int, ...]
     failures: dict[int, tuple[str, ...]]
     checkpoints: dict[int, str]
     last_run: int = 0
+    crashes: dict[int, tuple[Crash, ...]] = {}
 
 
 class Progress(NamedTuple):
@@ -195,7 +210,14 @@
         ]
         for (occurrence, step), task in progress.steps.items()
     }
-    return dump({"begun": progress.begun, "outcome": progress.outcome, "steps": steps})
+    data = {"begun": progress.begun, "outcome": progress.outcome, "steps": steps}
+    # A field of its own: instances of earlier versions expect four values for each step.
+    crashes = {
+        f"{occurrence}.{step}": task.crashes
+        for (occurrence, step), task in progress.steps.items()
+        if task.crashes
+    }
+    return dump({**data, "crashes": crashes} if crashes else data)
 
 
 def decode_progress(value: bytes) -> Progress:
@@ -206,6 +228,7 @@
     try:
         data = json.loads(value)
         steps = {}
+        crashes = data.get("crashes", {})
         for name, (done, failures, checkpoints, last_run) in data["steps"].items():
             occurrence, step = name.split(".")
             steps[int(occurrence), int(step)] = TaskProgress(
@@ -213,6 +236,10 @@
                 {int(index): tuple(runs) for index, runs in failures.items()},
                 {int(index): text for index, text in checkpoints.items()},
                 last_run,
+                {
+                    int(index): tuple(Crash(*each) for each in rows)
+                    for index, rows in crashes.get(name, {}).items()
+                },
             )
         return Progress(data["begun"], data["outcome"], steps)
     except (KeyError, TypeError) as error:
