Bound how far a speculative task runs ahead of the outcome of its starts

Cause: a poll without an answer made each run of a speculative task a backup run at once. A deadly task crashes its target within 10 ms, so that its next run began before any crash was known. Change: one run of unknown outcome at a time may be a backup run, and none of a task under which a target has crashed; runs that have survived their start are backed up as before.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -289,6 +289,15 @@
         """
         return index in self.suspects and not self.spec.gang
 
+    def may_run_ahead(self, index: int) -> bool:
+        """Whether a speculative task may start again while the outcome of its start is unknown.
+
+        The start may have crashed its target. A task that did so before waits for the outcome, and
+        so does one that runs ahead already.
+        """
+        backups = self.backup_runs.get(index, ())
+        return index not in self.crashes and all(run.has_survived_start for run in backups)
+
     def task(self, index: int) -> TaskId:
         return TaskId(self.job.id, self.occurrence, self.index, index)
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -111,6 +111,8 @@
         step, index = run.step, run.task.index
         if not step.spec.speculative or step.active.get(index) is not run:
             return False
+        if not run.has_survived_start and not step.may_run_ahead(index):
+            return False
         del step.active[index]
         step.pending.add(index)
         step.backup_runs.setdefault(index, set()).add(run)
--- a/tests/lib/cluster_simulation.py
+++ b/tests/lib/cluster_simulation.py
@@ -246,6 +246,7 @@
                 self._term.on_fenced(self, error.epoch)
                 return
             self._failures += 1
+            self._term.on_poll_failed(self)
             if self._failures >= 2:
                 self._term.on_unresponsive(self, error)
 
@@ -470,10 +471,11 @@
         for target in self.targets:
             target.duration = lambda task: seconds
 
-    def submit(self, name: str, tasks: int = 0) -> None:
+    def submit(self, name: str, tasks: int = 0, speculative: bool = False) -> None:
         """Submits a job.
 
         :param tasks: Number of tasks of its only step; 0 for one to three steps of random sizes.
+        :param speculative: Whether tasks may have several runs; only for random sizes.
         """
         if tasks:
             self._submit_steps(name, [Step(count=tasks, need=Resources(1000, 1000, 0))])
@@ -485,6 +487,7 @@
                     count=self.rng.randint(1, 5),
                     need=Resources(self.rng.choice((1000, 2000, 4000)), 1000, 0),
                     depends_on=(number - 1,) if number else (),
+                    speculative=speculative,
                 )
             )
         self._submit_steps(name, steps)
--- a/tests/unit/cluster/test_crash_loops.py
+++ b/tests/unit/cluster/test_crash_loops.py
@@ -20,9 +20,15 @@
 """Last digit of the names of jobs in the simulation."""
 
 
-def simulate(seed: int, answer_loss_rate: float = 0.0, changes_owner: bool = False) -> Simulation:
+def simulate(
+    seed: int,
+    answer_loss_rate: float = 0.0,
+    changes_owner: bool = False,
+    speculative: bool = False,
+) -> Simulation:
     """Simulates 30 jobs, of which each sixth has a task that crashes its targets.
 
+    :param speculative: Whether all tasks may have several runs.
     :param changes_owner: Two seconds apart, three other instances become the owner.
     """
     simulation = Simulation(seed, targets=8, max_task_s=0.8)
@@ -35,7 +41,7 @@
         name = f"{number:015x}{DEADLY if is_deadly else HARMLESS}"
         if is_deadly:
             simulation.deadly_tasks.add(TaskId(name, 0, 0, 0))
-        simulation.submit(name)
+        simulation.submit(name, speculative=speculative)
         simulation.run(0.3)
         if changes_owner and number in (7, 14, 21):
             simulation.nodes[number // 7 % len(simulation.nodes)].take_over()
@@ -84,6 +90,25 @@
         self.assertLessEqual(starts, MAX_STARTS)
         self.assertIs(replica.state(task(0).job), JobState.FAILED)
 
+    # Each poll without an answer started one more run of a speculative task.
+    def test_speculative_task_does_not_run_ahead_of_the_verdict_on_its_starts(self) -> None:
+        clock, replica = ManualClock(), JobReplica()
+        submit(replica, JobSpec("payload", (STEP._replace(speculative=True),)))
+        harness = TermHarness(clock, replica)
+        for number in range(2 * MAX_STARTS):
+            harness.term.on_target_entry(make_entry(f"t{number}"))
+            harness.writer.commit()
+            harness.report(f"t{number}")
+        starts = 0
+        while harness.dispatch() == [task(0)] and starts < 2 * MAX_STARTS:
+            starts += 1
+            session = next(each for each in harness.sessions if each.started)
+            harness.answer_start(session)
+            session.started.clear()
+            clock.advance(0.02)
+            harness.term.on_poll_failed(session)
+        self.assertLessEqual(starts, MAX_CRASHES)
+
 
 class CrashLoopSimulationTest(unittest.TestCase):
     """Owners, targets and a directory; each sixth job has a task that crashes its targets."""
@@ -107,6 +132,11 @@
             with self.subTest(seed=seed):
                 self.check(simulate(seed, answer_loss_rate=0.2))
 
+    def test_speculative_deadly_tasks_are_given_up(self) -> None:
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                self.check(simulate(seed, speculative=True))
+
     # The crashes that a previous owner saw must not be forgotten.
     def test_deadly_tasks_are_given_up_across_owners(self) -> None:
         for seed in range(8):
