Hold a suspected task back until the log has its crash

Cause: the first crash did not hold the task back until it was recorded. Change: a task that was being started on a crashed target waits for the record of that crash, as for every further one. Tasks that only ran there are not held back, so that an outage of the log stops little. Test: the suspected task waits for the commit, red before.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -354,11 +354,11 @@
             )
             self._metrics.jobs_given_up.inc()
             self._finish(job, JobState.FAILED)
-        if len(crashes) == 1:
+        if index not in step.suspects and len(crashes) == 1:
             self.record(job)
             return
-        # Not started again before the log has the crashes: the next owner must not begin to count
-        # anew. One crash that it does not know of is within what a task may cause.
+        # Not started again before the log has the crashes, so that the next owner goes on counting.
+        # A task that only ran beside others is not held back by an outage of the log.
         step.unrecorded.add(index)
         self.record(job, lambda: self._on_crashes_recorded(step, index))
 
--- a/tests/unit/cluster/test_crash_loops.py
+++ b/tests/unit/cluster/test_crash_loops.py
@@ -90,6 +90,23 @@
         self.assertLessEqual(starts, MAX_STARTS)
         self.assertIs(replica.state(task(0).job), JobState.FAILED)
 
+    # Two crashes during an outage of the log were forgotten with the owner that had seen them.
+    def test_suspected_task_waits_until_the_log_has_its_crash(self) -> None:
+        clock, replica = ManualClock(), JobReplica()
+        submit(replica, JobSpec("payload", (STEP,)))
+        harness = TermHarness(clock, replica)
+        for number in range(3):
+            harness.term.on_target_entry(make_entry(f"t{number}"))
+            harness.writer.commit()
+            harness.report(f"t{number}")
+        self.assertEqual(harness.dispatch(), [task(0)])
+        session = next(each for each in harness.sessions if each.started)
+        harness.answer_start(session)
+        harness.term.on_incarnations_ended(frozenset((session.target.id,)))
+        self.assertEqual(harness.dispatch(), [])
+        harness.writer.commit()
+        self.assertEqual(harness.dispatch(), [task(0)])
+
     # Each poll without an answer started one more run of a speculative task.
     def test_speculative_task_does_not_run_ahead_of_the_verdict_on_its_starts(self) -> None:
         clock, replica = ManualClock(), JobReplica()
