Embedded daemon: fail tasks whose starts lose their worker again and again

Change: five attempts in a row that were lost before any report showed them end the task as failed; a report clears the count. As with failed attempts, the count is of one owner. Attempts that no longer can be reported because a zone is cut off are rarely five in a row, and a task at work is never charged. Test: worker after worker lost under one task, red before (never final); reported tasks retry as before.

--- a/libs/policy/src/azurecleat_policy/_internal/jobs.py
+++ b/libs/policy/src/azurecleat_policy/_internal/jobs.py
@@ -30,7 +30,16 @@
     larger of ``size`` and the reported usage.
     """
 
-    __slots__ = ("job", "index", "worker", "size", "held", "started_at", "reclaimed_at")
+    __slots__ = (
+        "job",
+        "index",
+        "worker",
+        "size",
+        "held",
+        "started_at",
+        "reclaimed_at",
+        "is_reported",
+    )
 
     def __init__(self, job: PolicyJob, index: int, worker: int, now: float) -> None:
         self.job = job
@@ -40,6 +49,8 @@
         self.held = job.shape.size
         self.started_at = now
         self.reclaimed_at: float | None = None
+        self.is_reported = False
+        """Whether its worker has reported the attempt as running."""
 
     @property
     def expected_end(self) -> float:
@@ -59,6 +70,7 @@
         "waiting",
         "running",
         "attempts",
+        "lost_starts",
         "live",
         "lane",
         "virtual_time",
@@ -74,6 +86,8 @@
         self.waiting = waiting
         self.running: dict[int, RunningTask] = {}
         self.attempts: dict[int, int] = {}
+        self.lost_starts: dict[int, int] = {}
+        """Consecutive attempts of each task that were lost before any report showed them."""
         self.live = True
         self.lane: Lane | None = None
         self.virtual_time = 0.0
--- a/libs/policy/src/azurecleat_policy/_internal/scheduling_state.py
+++ b/libs/policy/src/azurecleat_policy/_internal/scheduling_state.py
@@ -43,6 +43,10 @@
 MAX_ATTEMPTS = 3
 """Failed attempts after which a task fails; failures on workers on probation do not count."""
 
+MAX_LOST_STARTS = 5
+"""Consecutive attempts that were lost before a report showed them, after which a task fails: it may
+crash the workers that start it. Workers that were only out of reach lose fewer in a row."""
+
 RETRY_AFTER_FULL_QUEUE_S = 5.0
 
 
@@ -255,7 +259,7 @@
         self._workers.sync(worker)
         team = self._teams[job.job.team]
         team.remove_usage(task_quota(task.size), task.held, self._workers.total)
-        final = self._final_result(job, index, result, worker)
+        final = self._final_result(job, task, result, worker)
         if final is None and job.live:
             self._requeue(job, index)
         self._capacity_freed(worker)
@@ -271,6 +275,8 @@
         task = job.running.get(index) if job else None
         if job is None or task is None:
             return
+        task.is_reported = True
+        job.lost_starts.pop(index, None)
         held = task.size.at_least(used)
         if held == task.held:
             return
@@ -476,8 +482,9 @@
         return Shape(job.spec.urgent, job.spec.kind, size, gang_size, self._estimator.run_s(job))
 
     def _final_result(
-        self, job: PolicyJob, index: int, result: TaskResult, worker: Worker
+        self, job: PolicyJob, task: RunningTask, result: TaskResult, worker: Worker
     ) -> TaskResult | None:
+        index = task.index
         if result is TaskResult.DONE:
             return result
         if result is TaskResult.NOT_STARTED:
@@ -487,6 +494,9 @@
         if result is TaskResult.FAILED and not worker.probation.is_active:
             attempts = job.attempts[index] = job.attempts.get(index, 0) + 1
             return TaskResult.FAILED if attempts >= MAX_ATTEMPTS else None
+        if result is TaskResult.LOST and not task.is_reported:
+            losses = job.lost_starts[index] = job.lost_starts.get(index, 0) + 1
+            return TaskResult.FAILED if losses >= MAX_LOST_STARTS else None
         return None
 
     def _record_outcome(
--- a/tests/unit/policy/test_rules.py
+++ b/tests/unit/policy/test_rules.py
@@ -15,6 +15,7 @@
     TeamPolicy,
     WorkerPolicy,
 )
+from azurecleat_policy._internal.scheduling_state import MAX_LOST_STARTS
 
 
 class PolicyTest(unittest.TestCase):
@@ -77,6 +78,35 @@
         self.assertNotIn("rich", {start.worker for start in self.started(1.0)})
 
 
+class LostWorkerTest(PolicyTest):
+    """Workers that are lost while tasks run there."""
+
+    def lose_worker(self, start: Start, number: int) -> list:
+        """Replaces the worker of a start by a new one."""
+        ended = self.scheduler.remove_worker(start.worker, float(number))
+        self.scheduler.add_worker(WorkerPolicy(f"n{number}", "r0", Resources(4000, 4000, 0)))
+        return ended
+
+    # A task that crashed each worker that started it was started again for ever.
+    def test_task_whose_starts_lose_their_worker_fails(self) -> None:
+        self.submit()
+        finals = []
+        for number in range(1, 2 * MAX_LOST_STARTS):
+            starts = self.started(float(number))
+            if not starts:
+                break
+            finals.extend(end.final for end in self.lose_worker(starts[0], number))
+        self.assertEqual(finals, [None] * (MAX_LOST_STARTS - 1) + [TaskResult.FAILED])
+
+    # A task that was at work when its worker was lost did not crash it by its start.
+    def test_task_that_was_reported_is_retried(self) -> None:
+        job = self.submit()
+        for number in range(1, 2 * MAX_LOST_STARTS):
+            start = self.started(float(number))[0]
+            self.scheduler.report(job, 0, Resources(1000, 1000, 0))
+            self.assertEqual([end.final for end in self.lose_worker(start, number)], [None])
+
+
 class OrderTest(PolicyTest):
     """Order of waiting jobs."""
 
