Keep to the capacity that the directory lists if it is lower than the entry's

Test: lower capacity in the directory, red before (no such call); a malformed or missing one is ignored.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/directory.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/directory.py
@@ -48,7 +48,8 @@
             self._note_success()
             # Incarnations must be known before the call: one that starts during the call may be
             # missing from the answer although it exists.
-            self._term.on_incarnations_ended(known - live_incarnations)
+            self._term.on_incarnations_ended(known.difference(live_incarnations))
+            self._term.on_capacities(live_incarnations)
 
     def _note_failure(self, error: TargetError) -> None:
         self._metrics.retries.labels("directory").inc()
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -405,6 +405,8 @@
         self.free = entry.capacity
         """Capacity for further runs: neither used nor held, and nothing while it is isolated."""
         self._held = ZERO
+        self._listed_capacity: Resources | None = None
+        """Capacity that the directory lists; None if it lists none."""
         self._isolated_run: Run | None = None
         self.lapsed_runs: tuple[Run, ...] = ()
         """Runs that were released because the target's lease was over; it may have crashed."""
@@ -453,6 +455,12 @@
         self.entry = entry._replace(started_at_ms=entry.started_at_ms or self.entry.started_at_ms)
         self._update_free()
 
+    def set_listed_capacity(self, capacity: Resources | None) -> None:
+        """Notes the capacity that the directory lists for this incarnation."""
+        if capacity != self._listed_capacity:
+            self._listed_capacity = capacity
+            self._update_free()
+
     def note_released(self, run: Run, now: float) -> None:
         """Remembers a released run of which a start may still be on its way."""
         if run.is_start_uncertain:
@@ -493,10 +501,10 @@
         self._update_free()
 
     def _update_free(self) -> None:
-        if self.is_isolated:
-            self.free = ZERO
-        else:
-            self.free = self.entry.capacity.plus(self.used, -1).plus(self._held, -1)
+        capacity = ZERO if self.is_isolated else self.entry.capacity
+        if self._listed_capacity is not None:
+            capacity = Resources(*map(min, capacity, self._listed_capacity))
+        self.free = capacity.plus(self.used, -1).plus(self._held, -1)
 
 
 class TeamUsage:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
+from azurecleat_base import Resources
+
 from azurecleat_cluster._internal import eventlog
 from azurecleat_cluster._internal.owner.model import Run, RunState, TargetInfo
 from azurecleat_cluster._internal.owner.runs import RunTransitions
@@ -190,6 +194,16 @@
             reached = {name for name, session in self.sessions.items() if session.target.reached}
             return unreached | reached
 
+    def on_capacities(self, capacities: Mapping[str, Resources | None]) -> None:
+        """Takes over the targets' capacities from the directory.
+
+        A target's entry may be out of date while the log is out of reach. The lower one holds.
+        """
+        with self.lock:
+            for name, capacity in capacities.items():
+                if name in self.sessions:
+                    self.sessions[name].target.set_listed_capacity(capacity)
+
     def on_incarnations_ended(self, targets: frozenset[str]) -> None:
         """Drops target incarnations that are no longer in the directory."""
         if not targets:
--- a/libs/cluster/src/azurecleat_cluster/_internal/ports.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/ports.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple, Protocol
 
+from azurecleat_base import Resources
+
 from azurecleat_cluster._internal.values import (
     Configuration,
     TargetEntry,
@@ -180,8 +182,10 @@
 class Directory(Protocol):
     """Directory of the target incarnations that exist."""
 
-    def live_incarnations(self) -> frozenset[str]:
+    def live_incarnations(self) -> Mapping[str, Resources | None]:
         """Returns the ids of all existing incarnations. Any other incarnation has ended.
 
+        :returns: For each id the capacity that the directory knows, None if it knows none.
+
         :raises TargetError: The directory did not return the complete list.
         """
