--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/crashes.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/crashes.py
@@ -33,6 +33,9 @@
 MAX_ISOLATED_SHARE = 0.5
 """Share of the targets that may be isolated at one time; the others accept all tasks."""
 
+MAX_CLEAR_WAIT_S = 1.0
+"""How long a suspected task waits for a target on which nothing else is being started."""
+
 MAX_LISTED_TASKS = 5
 """Most tasks named in the log line of a crash."""
 
@@ -100,18 +103,18 @@
     """Chooses a target of its own for each suspected task of a step.
 
     The targets with the fewest runs come first, as a crash would end these runs, and those that
-    have crashed under the task come last.
+    have crashed under the task come last. Where nothing else is being started, a crash has one
+    suspect; if no such target comes free, any other is better than waiting.
 
     :param max_count: Number of targets that may still be isolated.
     :returns: Pairs of a task index and its target.
     """
-    free = [
-        target
-        for target in targets
-        if may_run_on(step, target, now)
-        and capacity_for(step, target)
-        and not runs_being_started(target.runs.values())
+    usable = [
+        target for target in targets if may_run_on(step, target, now) and capacity_for(step, target)
     ]
+    free = [target for target in usable if not runs_being_started(target.runs.values())]
+    if not free and now - step.crashed_at >= MAX_CLEAR_WAIT_S:
+        free = usable
     chosen: list[tuple[int, TargetInfo]] = []
     for index in indices[: max(0, max_count)]:
         if not free:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -214,6 +214,8 @@
         self.checkpoints: dict[int, str] = {}
         self.crashes: dict[int, set[Crash]] = {}
         """Crashes of targets that are held against each task."""
+        self.crashed_at = float("-inf")
+        """When a crash was last held against a task."""
         self.suspects: set[int] = set()
         """Tasks that were being started on a target that crashed."""
         self.unrecorded: set[int] = set()
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -346,6 +346,7 @@
         step, index, job = run.step, run.task.index, run.step.job
         crashes = step.crashes.setdefault(index, set())
         crashes.add(crash_under(run))
+        step.crashed_at = self._clock.monotonic()
         if not run.has_survived_start:
             step.suspects.add(index)
         if is_crash_loop(crashes, run is suspicion.only):
--- a/tests/unit/cluster/test_crash_loops.py
+++ b/tests/unit/cluster/test_crash_loops.py
@@ -5,12 +5,22 @@
 import unittest
 
 from azurecleat_base import ManualClock, Resources
+from azurecleat_base.exceptions import OutcomeUnknownError
+from azurecleat_cluster._internal.owner.crashes import MAX_CLEAR_WAIT_S, MIN_SURVIVAL_S
 from azurecleat_cluster._internal.replica.jobs import JobReplica
-from azurecleat_cluster.values import JobSpec, JobState, Step, TaskId
+from azurecleat_cluster.values import JobSpec, JobState, Step, TargetState, TaskId
 
 from tests.lib.cluster_simulation import QUEUE, Simulation
 from tests.lib.simulated_targets import MAX_CRASHES, MAX_STARTS_AFTER_CRASHES
-from tests.lib.term_harness import TermHarness, make_entry, submit, task
+from tests.lib.term_harness import (
+    JOB,
+    StandInSession,
+    TermHarness,
+    make_entry,
+    running,
+    submit,
+    task,
+)
 
 MAX_STARTS = MAX_CRASHES + MAX_STARTS_AFTER_CRASHES - 1
 """Most starts of a task that crashes each of its targets."""
@@ -65,68 +75,184 @@
     return any(each.job == job and count >= QUEUE.attempts for each, count in ends.items())
 
 
+def serve(spec: JobSpec, targets: int) -> TermHarness:
+    """Returns an owner of one job and of some targets that it has reached."""
+    clock, replica = ManualClock(), JobReplica()
+    submit(replica, spec)
+    harness = TermHarness(clock, replica)
+    for number in range(targets):
+        harness.term.on_target_entry(make_entry(f"t{number}"))
+        harness.writer.commit()
+        harness.report(f"t{number}")
+    return harness
+
+
+def answer_starts(harness: TermHarness) -> list[StandInSession]:
+    """Answers all starts that were sent, and returns the sessions that sent them."""
+    sessions = [each for each in harness.sessions if each.started]
+    for session in sessions:
+        while session.started:
+            harness.answer_start(session)
+            session.started.pop(0)
+    return sessions
+
+
+def crash(harness: TermHarness, *sessions: StandInSession) -> None:
+    """Lets targets vanish from the directory, and the log take the records."""
+    harness.clock.advance(0.4)
+    harness.authority.add_log_proof(harness.clock.monotonic())
+    harness.term.on_incarnations_ended(frozenset(each.target.id for each in sessions))
+    harness.writer.commit()
+
+
+def report_all(harness: TermHarness) -> None:
+    """Lets every target report its runs, some time after their start."""
+    harness.clock.advance(2 * MIN_SURVIVAL_S)
+    for name, session in list(harness.term.sessions.items()):
+        runs = session.target.runs.values()
+        harness.report(name, running=[running(run.task, run.number) for run in runs])
+
+
 class RepeatedCrashTest(unittest.TestCase):
-    """One task that crashes each target that starts it, without a network."""
+    """Tasks that crash each target that starts them, without a network."""
 
     # A task that crashed its targets was started again for ever: only reported ends were counted.
     def test_task_that_crashes_its_targets_is_given_up(self) -> None:
-        clock, replica = ManualClock(), JobReplica()
-        submit(replica, JobSpec("payload", (STEP,)))
-        harness = TermHarness(clock, replica)
-        for number in range(3 * MAX_STARTS):
-            harness.term.on_target_entry(make_entry(f"t{number}"))
-            harness.writer.commit()
-            harness.report(f"t{number}")
+        for is_lasting in (False, True):
+            with self.subTest(long_running=is_lasting):
+                step = STEP._replace(long_running=is_lasting)
+                harness = serve(JobSpec("payload", (step,)), 3 * MAX_STARTS)
+                starts = 0
+                while harness.dispatch() == [task(0)] and starts < 2 * MAX_STARTS:
+                    starts += 1
+                    crash(harness, *answer_starts(harness))
+                self.assertLessEqual(starts, MAX_STARTS)
+                self.assertIs(harness.replica.state(JOB), JobState.FAILED)
+
+    # All tasks of a gang start at the same time, so that a crash has many suspects.
+    def test_gang_with_a_deadly_task_is_given_up(self) -> None:
+        harness = serve(JobSpec("payload", (STEP._replace(count=3, gang=True),)), 3 * MAX_STARTS)
         starts = 0
-        while harness.dispatch() == [task(0)] and starts < 2 * MAX_STARTS:
+        while len(harness.dispatch()) == 3 and starts < 2 * MAX_STARTS:
             starts += 1
-            session = next(each for each in harness.sessions if each.started)
-            harness.answer_start(session)
-            clock.advance(0.4)
-            harness.authority.add_log_proof(clock.monotonic())
-            harness.term.on_incarnations_ended(frozenset((session.target.id,)))
-            session.started.clear()
-            harness.writer.commit()
+            crash(harness, *answer_starts(harness))
         self.assertLessEqual(starts, MAX_STARTS)
-        self.assertIs(replica.state(task(0).job), JobState.FAILED)
+        self.assertIs(harness.replica.state(JOB), JobState.FAILED)
 
     # Two crashes during an outage of the log were forgotten with the owner that had seen them.
     def test_suspected_task_waits_until_the_log_has_its_crash(self) -> None:
-        clock, replica = ManualClock(), JobReplica()
-        submit(replica, JobSpec("payload", (STEP,)))
-        harness = TermHarness(clock, replica)
-        for number in range(3):
-            harness.term.on_target_entry(make_entry(f"t{number}"))
-            harness.writer.commit()
-            harness.report(f"t{number}")
+        harness = serve(JobSpec("payload", (STEP,)), 3)
         self.assertEqual(harness.dispatch(), [task(0)])
-        session = next(each for each in harness.sessions if each.started)
-        harness.answer_start(session)
+        (session,) = answer_starts(harness)
         harness.term.on_incarnations_ended(frozenset((session.target.id,)))
         self.assertEqual(harness.dispatch(), [])
         harness.writer.commit()
         self.assertEqual(harness.dispatch(), [task(0)])
 
+    # The next owner counts the crashes that the log holds.
+    def test_next_owner_goes_on_counting(self) -> None:
+        harness = serve(JobSpec("payload", (STEP,)), 2)
+        harness.dispatch()
+        crash(harness, *answer_starts(harness))
+        (left,) = harness.term.sessions
+        harness = TermHarness(harness.clock, harness.replica, 2)
+        harness.term.on_target_entry(make_entry(left))
+        harness.writer.commit()
+        harness.report(left)
+        self.assertEqual(harness.dispatch(), [task(0)])
+        crash(harness, *answer_starts(harness))
+        self.assertIs(harness.replica.state(JOB), JobState.FAILED)
+
     # Each poll without an answer started one more run of a speculative task.
     def test_speculative_task_does_not_run_ahead_of_the_verdict_on_its_starts(self) -> None:
-        clock, replica = ManualClock(), JobReplica()
-        submit(replica, JobSpec("payload", (STEP._replace(speculative=True),)))
-        harness = TermHarness(clock, replica)
-        for number in range(2 * MAX_STARTS):
-            harness.term.on_target_entry(make_entry(f"t{number}"))
-            harness.writer.commit()
-            harness.report(f"t{number}")
+        harness = serve(JobSpec("payload", (STEP._replace(speculative=True),)), 2 * MAX_STARTS)
         starts = 0
         while harness.dispatch() == [task(0)] and starts < 2 * MAX_STARTS:
             starts += 1
-            session = next(each for each in harness.sessions if each.started)
-            harness.answer_start(session)
-            session.started.clear()
-            clock.advance(0.02)
+            (session,) = answer_starts(harness)
+            harness.clock.advance(0.02)
             harness.term.on_poll_failed(session)
         self.assertLessEqual(starts, MAX_CRASHES)
 
 
+class BystanderTest(unittest.TestCase):
+    """Tasks that run on a target that crashes, without having caused it."""
+
+    # A job that could be done was given up because its tasks ran beside a deadly one.
+    def test_tasks_that_have_survived_their_start_are_not_suspected(self) -> None:
+        harness = serve(JobSpec("payload", (STEP,)), 3 * MAX_STARTS)
+        for _ in range(2 * MAX_STARTS):
+            self.assertEqual(harness.dispatch(), [task(0)])
+            (session,) = answer_starts(harness)
+            report_all(harness)
+            submit(harness.replica, JobSpec("payload", (STEP,)), "f" * 16)
+            harness.term.on_job_record("s/" + "f" * 16)
+            self.place_beside(harness, session)
+            crash(harness, session)
+            self.drop_job(harness, "f" * 16)
+        self.assertNotEqual(harness.replica.state(JOB), JobState.FAILED)
+
+    def place_beside(self, harness: TermHarness, session: StandInSession) -> None:
+        """Starts the newest job's task on a session's target."""
+        step = harness.term.jobs["f" * 16].steps[0, 0]
+        run = harness.term.allocate_run(step, 0, session.target, step.last_run + 1)
+        harness.term.send_start(run)
+        answer_starts(harness)
+
+    def drop_job(self, harness: TermHarness, job: str) -> None:
+        harness.term.jobs.pop(job)
+        harness.term.open_jobs.pop(job, None)
+
+    # A target that left as announced, or was only out of reach, counted as crashed.
+    def test_leaving_and_silent_targets_are_held_against_nobody(self) -> None:
+        harness = serve(JobSpec("payload", (STEP,)), 3 * MAX_STARTS)
+        for number in range(2 * MAX_STARTS):
+            self.assertEqual(harness.dispatch(), [task(0)])
+            (session,) = answer_starts(harness)
+            if number % 3 == 0:
+                draining = session.target.entry._replace(state=TargetState.DRAINING)
+                harness.term.on_target_entry(draining)
+                crash(harness, session)
+            else:
+                if number % 3 == 1:
+                    harness.term.on_entry_removed(session.target.id)
+                harness.clock.advance(20.0)
+                harness.authority.add_log_proof(harness.clock.monotonic())
+                error = OutcomeUnknownError("silent", step="hold")
+                harness.term.on_unresponsive(session, error)
+                harness.writer.commit()
+        self.assertEqual(harness.term.jobs[JOB].steps[0, 0].crashes, {})
+
+    # Suspected tasks and their neighbours waited for each other on full targets.
+    def test_isolated_target_accepts_others_once_the_task_has_survived(self) -> None:
+        harness = serve(JobSpec("payload", (STEP._replace(count=4),)), 2)
+        self.assertEqual(len(harness.dispatch()), 4)
+        crash(harness, *answer_starts(harness))
+        self.assertEqual(harness.dispatch(), [task(0)])
+        submit(harness.replica, JobSpec("payload", (STEP,)), "e" * 16)
+        harness.term.on_job_record("s/" + "e" * 16)
+        self.assertEqual(harness.dispatch(), [])
+        harness.term.on_job_record("c/" + "e" * 16)
+        for index in (1, 2, 3):
+            answer_starts(harness)
+            report_all(harness)
+            self.assertEqual(harness.dispatch(), [task(index)])
+
+    def test_suspected_task_does_not_wait_for_a_quiet_target_for_ever(self) -> None:
+        harness = serve(JobSpec("payload", (STEP._replace(count=2),)), 2)
+        self.assertEqual(len(harness.dispatch()), 2)
+        crash(harness, *answer_starts(harness))
+        submit(harness.replica, JobSpec("payload", (STEP,)), "e" * 16)
+        harness.term.on_job_record("s/" + "e" * 16)
+        step = harness.term.jobs["e" * 16].steps[0, 0]
+        (session,) = harness.term.sessions.values()
+        harness.term.allocate_run(step, 0, session.target, 1)
+        self.assertEqual(harness.dispatch(), [])
+        harness.clock.advance(MAX_CLEAR_WAIT_S)
+        harness.authority.add_log_proof(harness.clock.monotonic())
+        self.assertEqual(harness.dispatch(), [task(0)])
+
+
 class CrashLoopSimulationTest(unittest.TestCase):
     """Owners, targets and a directory; each sixth job has a task that crashes its targets."""
 
