Doubt a crash that coincides with one that no start explains

Cause: two crashes with one suspect each were taken as proof, also where other targets crashed without any. Of targets that vanish together those without a suspect are judged first. Test: two such crashes, red before, then a third that stands alone.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/crashes.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/crashes.py
@@ -33,6 +33,10 @@
 MAX_ISOLATED_SHARE = 0.5
 """Share of the targets that may be isolated at one time; the others accept all tasks."""
 
+COINCIDENCE_S = 1.0
+"""Time within which a crash without a suspect casts doubt on those of other targets: a rack or a
+network may have failed, whatever was being started there."""
+
 MAX_CLEAR_WAIT_S = 1.0
 """How long a suspected task waits for a target on which nothing else is being started."""
 
@@ -78,16 +82,17 @@
     return Crash(run.number, run.target.entry.address, bool(run.began_at))
 
 
-def is_crash_loop(crashes: Iterable[Crash], was_only_suspect: bool) -> bool:
+def is_crash_loop(crashes: Iterable[Crash], is_clear: bool) -> bool:
     """Whether a task is to be given up after these crashes.
 
-    :param was_only_suspect: Whether the task was the only suspect of the last one.
+    :param is_clear: Whether the task was the only suspect of the last one, and no target crashed
+        without a suspect at that time.
     """
     crashes = list(crashes)
     confirmed = [crash for crash in crashes if crash.has_begun]
     addresses = {crash.address for crash in confirmed}
     return (
-        (was_only_suspect and len(addresses) >= MIN_CONFIRMED_CRASHES)
+        (is_clear and len(addresses) >= MIN_CONFIRMED_CRASHES)
         or (len(crashes) >= MAX_CRASHES and len(confirmed) >= MIN_CONFIRMED_CRASHES)
         or len(crashes) >= MAX_UNCONFIRMED_CRASHES
     )
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -6,6 +6,7 @@
 
 from azurecleat_cluster._internal import eventlog
 from azurecleat_cluster._internal.owner.crashes import (
+    COINCIDENCE_S,
     Suspicion,
     crash_under,
     describe_tasks,
@@ -326,6 +327,8 @@
         """Holds the crash of a target against the runs that may have caused it."""
         suspicion = suspect_runs((*target.runs.values(), *target.lapsed_runs))
         starting = runs_being_started(suspicion.runs)
+        if not starting:
+            self._unexplained_crash_at = self._clock.monotonic()
         suspects = "none" if not starting else "one" if suspicion.only else "several"
         self._metrics.target_crashes.labels(suspects).inc()
         self._events.write(
@@ -346,10 +349,11 @@
         step, index, job = run.step, run.task.index, run.step.job
         crashes = step.crashes.setdefault(index, set())
         crashes.add(crash_under(run))
-        step.crashed_at = self._clock.monotonic()
+        now = step.crashed_at = self._clock.monotonic()
         if not run.has_survived_start:
             step.suspects.add(index)
-        if is_crash_loop(crashes, run is suspicion.only):
+        is_alone = now - self._unexplained_crash_at >= COINCIDENCE_S
+        if is_crash_loop(crashes, is_alone and run is suspicion.only):
             self._events.write(
                 eventlog.JOB_GIVEN_UP, job=job.id, task=run.task, crashes=len(crashes)
             )
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
@@ -121,6 +121,8 @@
         self._events = events
         self._metrics = metrics
         self._on_lost = on_lost
+        self._unexplained_crash_at = float("-inf")
+        """When a target last crashed on which nothing was being started."""
         self._share_limiter = TeamShareLimiter()
         self._stopping = False
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
@@ -7,6 +7,7 @@
 from azurecleat_base import Resources
 
 from azurecleat_cluster._internal import eventlog
+from azurecleat_cluster._internal.owner.crashes import runs_being_started
 from azurecleat_cluster._internal.owner.model import Run, RunState, TargetInfo
 from azurecleat_cluster._internal.owner.runs import RunTransitions
 from azurecleat_cluster._internal.owner.state import Session
@@ -209,13 +210,18 @@
         if not targets:
             return
         with self.lock:
-            for name in targets:
+            for name in sorted(targets, key=self._is_starting_something):
                 if name in self.sessions:
                     self._drop_target(self.sessions[name], "no longer in the directory")
                 elif self.takeover is not None:
                     self.takeover.mark_ended(name, self._clock.monotonic())
         self.wake()
 
+    def _is_starting_something(self, target: str) -> bool:
+        """Whether a target is known to which a run was just sent: it may have crashed for it."""
+        session = self.sessions.get(target)
+        return session is not None and bool(runs_being_started(session.target.runs.values()))
+
 
 def encode_target(entry: TargetEntry) -> bytes:
     """Encodes the log record of a target in use."""
--- a/tests/unit/cluster/test_crash_loops.py
+++ b/tests/unit/cluster/test_crash_loops.py
@@ -6,7 +6,11 @@
 
 from azurecleat_base import ManualClock, Resources
 from azurecleat_base.exceptions import OutcomeUnknownError
-from azurecleat_cluster._internal.owner.crashes import MAX_CLEAR_WAIT_S, MIN_SURVIVAL_S
+from azurecleat_cluster._internal.owner.crashes import (
+    COINCIDENCE_S,
+    MAX_CLEAR_WAIT_S,
+    MIN_SURVIVAL_S,
+)
 from azurecleat_cluster._internal.replica.jobs import JobReplica
 from azurecleat_cluster.values import JobSpec, JobState, Step, TargetState, TaskId
 
@@ -223,6 +227,19 @@
                 harness.writer.commit()
         self.assertEqual(harness.term.jobs[JOB].steps[0, 0].crashes, {})
 
+    # Many targets that failed at the same time made a task look deadly that had just been started.
+    def test_crashes_at_the_same_time_as_unexplained_ones_need_more_evidence(self) -> None:
+        harness = serve(JobSpec("payload", (STEP,)), 5)
+        for _ in range(2):
+            self.assertEqual(harness.dispatch(), [task(0)])
+            (session,) = answer_starts(harness)
+            idle = next(s for s in harness.term.sessions.values() if not s.target.runs)
+            crash(harness, session, idle)
+        self.assertEqual(harness.dispatch(), [task(0)])
+        harness.clock.advance(COINCIDENCE_S)
+        crash(harness, *answer_starts(harness))
+        self.assertIs(harness.replica.state(JOB), JobState.FAILED)
+
     # Suspected tasks and their neighbours waited for each other on full targets.
     def test_isolated_target_accepts_others_once_the_task_has_survived(self) -> None:
         harness = serve(JobSpec("payload", (STEP._replace(count=4),)), 2)
