--- a/libs/cli/src/azurecleat_cli/_internal/operations/explain.py
+++ b/libs/cli/src/azurecleat_cli/_internal/operations/explain.py
@@ -230,6 +230,10 @@
 
 
 def _describe_failures(job_lines: list[LogLine]) -> str:
+    given_up = _first_named(job_lines, "job.given_up")
+    if given_up is not None:
+        task, crashes = given_up.fields.get("task"), given_up.fields.get("crashes")
+        return f"{task} was given up after {crashes} targets had crashed when they started it"
     failed: dict[str, list[str]] = defaultdict(list)
     for line in job_lines:
         if line.name == "run.ended" and line.fields.get("kind") == "failed":
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -270,7 +270,7 @@
         if step.spec.gang:
             return self._place_gang(step, targets, now)
         startable = step.startable(self._is_takeover_complete)
-        suspects = {index for index in startable if step.is_suspect(index)}
+        suspects = step.suspects_among(startable)
         started = self._place_isolated(step, sorted(suspects), pool, targets, now)
         others = startable - suspects
         indices = sorted(others)[: self._count_within_limit(step, len(others))]
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -284,12 +284,12 @@
             return set()
         return self.pending - waiting
 
-    def is_suspect(self, index: int) -> bool:
-        """Whether a task is started isolated, as a target crashed when it was last started.
+    def suspects_among(self, indices: set[int]) -> set[int]:
+        """Returns the tasks to start isolated, as a target crashed when they were last started.
 
         The tasks of a gang can only start together.
         """
-        return index in self.suspects and not self.spec.gang
+        return set() if self.spec.gang else indices & self.suspects
 
     def may_run_ahead(self, index: int) -> bool:
         """Whether a speculative task may start again while the outcome of its start is unknown.
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -262,6 +262,7 @@
         if has_survived(run, now):
             run.has_survived_start = True
             target.end_isolation(run)
+            run.step.suspects.discard(run.task.index)
             if run.step.spec.long_running and now - run.began_at >= STABLE_S:
                 self._forget_crashes(run.step, run.task.index)
         run.update_progress(status.percent, now)
--- a/tests/unit/cluster/test_crash_loops.py
+++ b/tests/unit/cluster/test_crash_loops.py
@@ -255,6 +255,18 @@
             report_all(harness)
             self.assertEqual(harness.dispatch(), [task(index)])
 
+    # A task stayed suspected after it had shown that its start crashes nothing.
+    def test_task_that_survives_its_start_is_not_suspected_any_more(self) -> None:
+        harness = serve(JobSpec("payload", (STEP._replace(count=2),)), 2)
+        self.assertEqual(len(harness.dispatch()), 2)
+        crash(harness, *answer_starts(harness))
+        step = harness.term.jobs[JOB].steps[0, 0]
+        self.assertEqual(step.suspects, {0, 1})
+        self.assertEqual(harness.dispatch(), [task(0)])
+        answer_starts(harness)
+        report_all(harness)
+        self.assertEqual(step.suspects, {1})
+
     def test_suspected_task_does_not_wait_for_a_quiet_target_for_ever(self) -> None:
         harness = serve(JobSpec("payload", (STEP._replace(count=2),)), 2)
         self.assertEqual(len(harness.dispatch()), 2)
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -48,6 +48,18 @@
             "on i-dbe2f29bd3, i-3340f0029f",
         )
 
+    def test_job_that_was_given_up_names_the_task_that_crashed_its_targets(self) -> None:
+        self.texts = [
+            '{"at":1.0,"name":"job.seen","instance":"n","job":"j"}',
+            '{"at":2.0,"name":"job.given_up","instance":"n","job":"j","task":"j.0.0.1","crashes":2}',
+            '{"at":2.0,"name":"job.ended","instance":"n","job":"j","outcome":"failed","age_s":1.0}',
+        ]
+        self.assertEqual(
+            self.cause("j"),
+            "j failed after 1.00 s: j.0.0.1 was given up after 2 targets had crashed when they "
+            "started it",
+        )
+
     def test_job_that_was_cancelled(self) -> None:
         self.assertIn("was cancelled", self.cause(CANCELLED))
 
