Count every crash under a task, so that one that crashes its targets late is bounded

It is no fault of the load: a task that runs out of memory crashes its target late as well. Cause: what had survived its start was never counted while something else could be suspected. Change: each crash is counted for all tasks there. From the third on a task stays isolated until its run ends, so that a crash at any time has one suspect; after five it is given up. 10 s at work clear the record, now of any task and not only of lasting ones. Tests: a late crash behind runs that are being started, red before; the record after 10 s; the soak has jobs with a deadly task, and a checker that allows jobs to be given up after two crashes under a task.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/crashes.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/crashes.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
 from azurecleat_cluster._internal.owner.model import Run, StepInfo, TargetInfo
@@ -18,17 +18,21 @@
 """Age of a run from which a report that shows it proves that its start did not crash the target."""
 
 STABLE_S = 10.0
-"""Age of a long-running run from which the earlier crashes of its task no longer count."""
+"""Age of a run from which the earlier crashes under its task no longer count."""
 
 MIN_CONFIRMED_CRASHES = 2
-"""Crashes of different targets under runs that are known to have begun, before a task is given up:
-one alone may be a coincidence."""
+"""Crashes of different targets that a task was suspected of, with runs that are known to have
+begun, before it is given up: one alone may be a coincidence."""
 
 MAX_CRASHES = 4
-"""Crashes after which a task is given up even if other runs were suspected as well each time."""
+"""Crashes that a task was suspected of after which it is given up even if others were as well."""
 
-MAX_UNCONFIRMED_CRASHES = 5
-"""The same if some of the runs may not have begun, as their starts got no answer."""
+MAX_EXPOSURES = 5
+"""Crashes under a task after which it is given up, suspected or not. It may crash its targets so
+late that each time others were suspected, or its starts may get no answer."""
+
+STRICT_EXPOSURES = 3
+"""Crashes under a task from which it stays isolated until its run ends."""
 
 MAX_ISOLATED_SHARE = 0.5
 """Share of the targets that may be isolated at one time; the others accept all tasks."""
@@ -47,11 +51,11 @@
 class Suspicion(NamedTuple):
     """The runs that may have caused a crash.
 
-    :param runs: Runs to hold the crash against; empty if nothing ran on the target.
+    :param runs: Runs that are suspected; empty if nothing ran on the target.
     :param only: The only run that had just been started there; None if there were several or none.
     """
 
-    runs: tuple[Run, ...]
+    runs: frozenset[Run]
     only: Run | None
 
 
@@ -65,36 +69,42 @@
     return [run for run in runs if not run.has_survived_start]
 
 
-def suspect_runs(runs: Iterable[Run]) -> Suspicion:
+def suspect_runs(runs: Iterable[Run], isolated: Run | None) -> Suspicion:
     """Chooses the suspects among the runs that were on a target when it crashed.
 
     Without a run that was being started, all of them are: one may crash its target later.
+
+    :param isolated: The run for which the target was isolated, if it still was.
     """
     runs = tuple(runs)
+    if isolated is not None and isolated in runs:
+        return Suspicion(frozenset((isolated,)), isolated)
     starting = runs_being_started(runs)
     begun = [run for run in starting if run.began_at]
     single = begun or starting
-    return Suspicion(tuple(starting) or runs, single[0] if len(single) == 1 else None)
+    return Suspicion(frozenset(starting or runs), single[0] if len(single) == 1 else None)
 
 
-def crash_under(run: Run) -> Crash:
-    """Returns the record of a crash of a run's target."""
-    return Crash(run.number, run.target.entry.address, bool(run.began_at))
+def needs_strict_isolation(crashes: Collection[Crash]) -> bool:
+    """Whether a task stays isolated although it has survived its start."""
+    return len(crashes) >= STRICT_EXPOSURES
 
 
-def is_crash_loop(crashes: Iterable[Crash], is_clear: bool) -> bool:
+def is_crash_loop(crashes: Collection[Crash], is_clear: bool) -> bool:
     """Whether a task is to be given up after these crashes.
 
     :param is_clear: Whether the task was the only suspect of the last one, and no target crashed
         without a suspect at that time.
     """
-    crashes = list(crashes)
-    confirmed = [crash for crash in crashes if crash.has_begun]
+    suspected = [crash for crash in crashes if crash.is_suspected]
+    confirmed = [crash for crash in suspected if crash.has_begun]
+    if is_clear and needs_strict_isolation(crashes):
+        confirmed = [crash for crash in crashes if crash.has_begun]
     addresses = {crash.address for crash in confirmed}
     return (
         (is_clear and len(addresses) >= MIN_CONFIRMED_CRASHES)
-        or (len(crashes) >= MAX_CRASHES and len(confirmed) >= MIN_CONFIRMED_CRASHES)
-        or len(crashes) >= MAX_UNCONFIRMED_CRASHES
+        or (len(suspected) >= MAX_CRASHES and len(confirmed) >= MIN_CONFIRMED_CRASHES)
+        or len(crashes) >= MAX_EXPOSURES
     )
 
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -213,9 +213,9 @@
         """Failed runs of each task; a gang's failures are all under its first task."""
         self.checkpoints: dict[int, str] = {}
         self.crashes: dict[int, set[Crash]] = {}
-        """Crashes of targets that are held against each task."""
+        """Crashes of targets under each task."""
         self.crashed_at = float("-inf")
-        """When a crash was last held against a task."""
+        """When a target last crashed under a task."""
         self.suspects: set[int] = set()
         """Tasks that were being started on a target that crashed."""
         self.unrecorded: set[int] = set()
@@ -310,7 +310,11 @@
         self.failures = {index: set(runs) for index, runs in progress.failures.items()}
         self.checkpoints = dict(progress.checkpoints)
         self.crashes = {index: set(crashes) for index, crashes in progress.crashes.items()}
-        self.suspects = set(self.crashes)
+        self.suspects = {
+            index
+            for index, crashes in self.crashes.items()
+            if any(crash.is_suspected for crash in crashes)
+        }
         self.last_run = progress.last_run
 
     def progress(self) -> TaskProgress:
@@ -433,9 +437,13 @@
     def id(self) -> str:
         return self.entry.id
 
+    @property
+    def isolated_run(self) -> Run | None:
+        """The run beside which the target starts no other; None if there is none."""
+        return self._isolated_run
+
     @property
     def is_isolated(self) -> bool:
-        """Whether the target accepts no other run until one has survived its start."""
         return self._isolated_run is not None
 
     def isolate(self, run: Run) -> None:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -7,10 +7,9 @@
 from azurecleat_cluster._internal import eventlog
 from azurecleat_cluster._internal.owner.crashes import (
     COINCIDENCE_S,
-    Suspicion,
-    crash_under,
     describe_tasks,
     is_crash_loop,
+    needs_strict_isolation,
     runs_being_started,
     suspect_runs,
 )
@@ -24,6 +23,7 @@
 from azurecleat_cluster._internal.owner.start_attempts import StartOutcome
 from azurecleat_cluster._internal.owner.state import TermState
 from azurecleat_cluster._internal.owner.throttling import throttle_target
+from azurecleat_cluster._internal.replica.records import Crash
 from azurecleat_cluster._internal.values import (
     EndKind,
     JobState,
@@ -324,11 +324,13 @@
                     step.not_before = max(step.not_before, now)
 
     def note_crash(self, target: TargetInfo, reason: str) -> None:
-        """Holds the crash of a target against the runs that may have caused it."""
-        suspicion = suspect_runs((*target.runs.values(), *target.lapsed_runs))
-        starting = runs_being_started(suspicion.runs)
-        if not starting:
-            self._unexplained_crash_at = self._clock.monotonic()
+        """Counts the crash of a target for the tasks there, and suspects those that may be why."""
+        runs = (*target.runs.values(), *target.lapsed_runs)
+        starting = runs_being_started(runs)
+        suspicion = suspect_runs(runs, target.isolated_run)
+        now = self._clock.monotonic()
+        if not starting and suspicion.only is None:
+            self._unexplained_crash_at = now
         suspects = "none" if not starting else "one" if suspicion.only else "several"
         self._metrics.target_crashes.labels(suspects).inc()
         self._events.write(
@@ -336,30 +338,31 @@
             target=target.id,
             address=target.entry.address,
             reason=reason,
-            runs=len(target.runs) + len(target.lapsed_runs),
+            runs=len(runs),
             starting=len(starting),
             tasks=describe_tasks(starting),
         )
-        for run in suspicion.runs:
+        is_alone = now - self._unexplained_crash_at >= COINCIDENCE_S
+        for run in runs:
             if run.step.job.is_open and run.task.index not in run.step.done:
-                self._charge(run, suspicion)
+                is_clear = is_alone and run is suspicion.only
+                self._count_crash(run, run in suspicion.runs, is_clear)
 
-    def _charge(self, run: Run, suspicion: Suspicion) -> None:
-        """Holds a crash against a task, and gives the task up if it is in a crash loop."""
+    def _count_crash(self, run: Run, is_suspected: bool, is_clear: bool) -> None:
+        """Counts a crash under a run's task, and gives the task up if it is in a crash loop."""
         step, index, job = run.step, run.task.index, run.step.job
         crashes = step.crashes.setdefault(index, set())
-        crashes.add(crash_under(run))
-        now = step.crashed_at = self._clock.monotonic()
-        if not run.has_survived_start:
+        crashes.add(Crash(run.number, run.target.entry.address, bool(run.began_at), is_suspected))
+        step.crashed_at = self._clock.monotonic()
+        if (is_suspected and not run.has_survived_start) or needs_strict_isolation(crashes):
             step.suspects.add(index)
-        is_alone = now - self._unexplained_crash_at >= COINCIDENCE_S
-        if is_crash_loop(crashes, is_alone and run is suspicion.only):
+        if is_crash_loop(crashes, is_clear):
             self._events.write(
                 eventlog.JOB_GIVEN_UP, job=job.id, task=run.task, crashes=len(crashes)
             )
             self._metrics.jobs_given_up.inc()
             self._finish(job, JobState.FAILED)
-        if index not in step.suspects and len(crashes) == 1:
+        if index not in step.suspects:
             self.record(job)
             return
         # Not started again before the log has the crashes, so that the next owner goes on counting.
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
@@ -70,16 +70,18 @@
 
 
 class Crash(NamedTuple):
-    """A crash of a target that is held against a task.
+    """A crash of a target under a run of a task.
 
-    :param run: Number of the task's run there.
+    :param run: Number of the run.
     :param address: Address of the target; its incarnations share it.
     :param has_begun: Whether the run is known to have begun.
+    :param is_suspected: Whether the run may have caused the crash.
     """
 
     run: int
     address: str
     has_begun: bool
+    is_suspected: bool
 
 
 class TaskProgress(NamedTuple):
@@ -90,7 +92,7 @@
         several owners counts once.
     :param checkpoints: Newest checkpoint of each task.
     :param last_run: Highest run number used in this step.
-    :param crashes: Crashes of targets that are held against each task.
+    :param crashes: Crashes of targets under each task.
     """
 
     done: tuple[int, ...]
--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -170,6 +170,12 @@
         return value
 
 
+DEADLY_SPEC = "deadly"
+"""Spec of a job whose first task crashes each target that starts it."""
+
+CRASH_DELAY_S = 0.01
+
+
 class FakePlatform:
     """The platform with a few targets of one pool.
 
@@ -189,6 +195,9 @@
         self._unannounced: list[tuple[str, bytes | None]] = []
         self.lose_answers = 0
         """Number of the next appends by instances that take effect but get no answer."""
+        self._deadly_tasks: set[TaskId] = set()
+        self._due_crashes: list[tuple[float, SimTarget]] = []
+        """Targets that started a deadly task, and when they crash."""
         self._losses: dict[str, random.Random] = {}
         """Draws the lost calls, by the address of a target that leaves calls unanswered."""
         self._servers = [Server(self._serve_store), Server(self._machines), Server(self._advise)]
@@ -271,6 +280,8 @@
 
     def expect_job(self, job: str, body: dict[str, Any]) -> None:
         """Registers a job with the checker before the job is submitted."""
+        if body["spec"] == DEADLY_SPEC:
+            self._deadly_tasks.add(TaskId(job, 0, 0, 0))
         for number, step in enumerate(body["steps"]):
             spec = Step(
                 count=step["count"],
@@ -301,11 +312,26 @@
     def advance(self) -> None:
         """Ends runs that are over, and announces targets once the store is back."""
         with self.lock:
+            self._crash_due_targets()
             for target in self._slots:
                 target.advance(time.monotonic())
             if self._unannounced and not self.log.down:
                 self._announce(*self._unannounced.pop())
 
+    def _on_started(self, target: SimTarget, task: TaskId) -> None:
+        if task in self._deadly_tasks:
+            now = time.monotonic()
+            self.checker.on_deadly_start(target, task, now)
+            self._due_crashes.append((now + CRASH_DELAY_S, target))
+
+    def _crash_due_targets(self) -> None:
+        now = time.monotonic()
+        due = [target for at, target in self._due_crashes if at <= now]
+        self._due_crashes = [each for each in self._due_crashes if each[0] > now]
+        for target in due:
+            if target in self._slots:
+                self.replace_target(self._slots.index(target))
+
     def add_store_server(self, rewriter: AddressRewriter) -> str:
         """Starts a server of the store that rewrites addresses for one instance.
 
@@ -328,6 +354,7 @@
         )
         rng = random.Random(self._incarnations)
         target = SimTarget(entry, self.checker, rng, 1.0, self.completed_tasks, self._duration)
+        target.on_started = partial(self._on_started, target)
         self.targets[name] = target
         server.restart(partial(self._serve_target, target))
         value = {"service": "pool", "address": address, "zone": "z", "version": "v1"}
