--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -14,7 +14,7 @@
 from azurecleat_cluster.ports import StartCommand
 from azurecleat_cluster.values import TaskId
 
-from tests.lib.fake_platform import FakePlatform
+from tests.lib.fake_platform import CRASH_DELAY_S, DEADLY_SPEC, FakePlatform
 from tests.lib.instance_process import PORTS, free_ports
 from tests.soak.faults import FAULT_KINDS, LOSS_KIND, generate_faults
 from tests.soak.guarantees import (
@@ -161,6 +161,26 @@
         self.guarantee_checker.check_end()
         self.assertEqual(self.violated_rules(), ["LOST"])
 
+    def test_job_failed_after_two_crashes_under_a_task(self) -> None:
+        self.guarantee_checker.on_submit_response(self.job, 200)
+        self.guarantee_checker.on_state_response(self.job, time.monotonic(), 200, "failed")
+        self.platform.checker.crashes[TaskId(JOB, 0, 0, 0)] = 2
+        self.guarantee_checker.check_end()
+        self.assertEqual(self.violated_rules(), [])
+
+    def test_deadly_task_that_is_started_without_a_bound(self) -> None:
+        self.platform.expect_job(JOB, {**BODY, "spec": DEADLY_SPEC})
+        for run in range(1, 7):
+            (target,) = self.platform.targets.values()
+            now = time.monotonic()
+            until_ms = int(target.clock_ms(now)) + 5000
+            target.start(StartCommand(TaskId(JOB, 0, 0, 0), run, "x", until_ms, 1), now)
+            time.sleep(2 * CRASH_DELAY_S)
+            self.platform.advance()
+            violations = len(self.platform.checker.violations)
+            self.assertEqual(violations, int(run == 6))
+        self.assertIn("BUDGET crashes", self.platform.checker.violations[0])
+
     def test_rejected_job_that_has_run(self) -> None:
         self.guarantee_checker.on_submit_response(self.job, 503)
         self.platform.checker.started_at[TaskId(self.job.name, 0, 0, 0)] = time.monotonic()
--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -280,7 +280,7 @@
 
     def expect_job(self, job: str, body: dict[str, Any]) -> None:
         """Registers a job with the checker before the job is submitted."""
-        if body["spec"] == DEADLY_SPEC:
+        if body.get("spec") == DEADLY_SPEC:
             self._deadly_tasks.add(TaskId(job, 0, 0, 0))
         for number, step in enumerate(body["steps"]):
             spec = Step(
