Count no crash of a target that this owner has never reached

Cause: after a takeover the registry still names targets that ended before. Dropping them counted as crashes that no start explains, each of which cast doubt on the crashes of the next second, so that only the limits of four and five decided. Change: only a target that has answered under the owner's epoch can crash for it. Test: such an entry beside two crashes, red before.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
@@ -158,7 +158,8 @@
         target = session.target
         if self.sessions.get(target.id) is not session:
             return
-        if not may_be_unreachable and target.entry.state is not TargetState.DRAINING:
+        is_draining = target.entry.state is TargetState.DRAINING
+        if target.reached and not is_draining and not may_be_unreachable:
             self.note_crash(target, reason)
         del self.sessions[target.id]
         unconfirmed = target.unconfirmed_runs(self._clock.monotonic())
--- a/tests/unit/cluster/test_crash_loops.py
+++ b/tests/unit/cluster/test_crash_loops.py
@@ -277,6 +277,18 @@
         crash(harness, *answer_starts(harness))
         self.assertIs(harness.replica.state(JOB), JobState.FAILED)
 
+    # After a takeover, entries of targets that had ended before cast doubt on each crash.
+    def test_target_that_was_never_reached_counts_as_no_crash(self) -> None:
+        harness = serve(JobSpec("payload", (STEP,)), 3)
+        harness.term.on_target_entry(make_entry("ended"))
+        for _ in range(2):
+            self.assertEqual(harness.dispatch(), [task(0)])
+            (session,) = answer_starts(harness)
+            ended = harness.term.sessions.get("ended")
+            crash(harness, session, *([ended] if ended else []))
+            harness.term.on_target_entry(make_entry("ended"))
+        self.assertIs(harness.replica.state(JOB), JobState.FAILED)
+
     # Suspected tasks and their neighbours waited for each other on full targets.
     def test_isolated_target_accepts_others_once_the_task_has_survived(self) -> None:
         harness = serve(JobSpec("payload", (STEP._replace(count=4),)), 2)
