Refuse jobs that no owner can bear, and numbers that no arithmetic can

Found by reading for it; nobody reported it. Seen in tests: first_ms of 400 digits raises OverflowError at each takeover; repeats of a billion with all occurrences due opens them until the memory is used up; NaN as an estimate makes the order of all waiting steps arbitrary; a body of 100,000 brackets raises RecursionError in the front. Change: the front refuses (400, at once) more than 2,000 steps or 50,000 tasks over all occurrences; numbers must be finite, not negative and at most 2^53. Tests: AdmissionTest and test_jobs_with_impossible_numbers, red before.

--- a/libs/cluster/src/azurecleat_cluster/_internal/front/request_handler.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/request_handler.py
@@ -25,6 +25,7 @@
     Unauthorized,
     Undecided,
 )
+from azurecleat_cluster._internal.front.job_limits import find_excess
 from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.replica import records
 from azurecleat_cluster._internal.replica.appender import GroupAppender
@@ -214,8 +215,11 @@
         """Accepts a job once it is in the log. Repeating a submission has no further effect."""
         started_at = self._clock.monotonic()
         config, age_s = self._configuration.version, self._config_follower.age()
+        excess = find_excess(spec)
         if self._jobs.knows(job):
             answer: Answer = Accepted()
+        elif excess:
+            answer = Invalid(excess)
         else:
             team = admitted.team.name if admitted.team else ""
             value = records.encode_submission(records.Submission(job, team, admitted.queue, spec))
