Serve the other jobs if one cannot be handled, and outlive malformed records and machine lists

Cause: an exception for one job ended the takeover of each owner in turn; one for a record ended the thread that follows the stream; an entry of the machine list that is not an object ended the thread that watches it, so that crashes were no longer noticed. Dependent steps are found in one pass over the job, no longer by recursion along each path (30 steps with two predecessors each took 3 s, a chain of 1,000 raised RecursionError).

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/directory.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/directory.py
@@ -45,6 +45,9 @@
             except TargetError as error:
                 self._note_failure(error)
                 continue
+            except Exception as error:  # An unexpected answer must not end the watching.
+                self._note_failure(TargetError(repr(error), step="directory"))
+                continue
             self._note_success()
             # Incarnations must be known before the call: one that starts during the call may be
             # missing from the answer although it exists.
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -263,14 +263,6 @@
         steps = self.job.steps
         return all(steps[self.occurrence, index].is_done for index in self.spec.depends_on)
 
-    def depends_on(self, index: int) -> bool:
-        """Whether the step depends on another one of its occurrence, directly or not."""
-        steps = self.job.steps
-        return any(
-            each == index or steps[self.occurrence, each].depends_on(index)
-            for each in self.spec.depends_on
-        )
-
     def startable(self, is_takeover_complete: bool) -> set[int]:
         """Returns the pending tasks that no previous owner can have running, and whose crashes are
         recorded.
@@ -340,6 +332,8 @@
         """Highest offset in the jobs stream that the first submission may have."""
         self.submission = submission
         self.seen_at = seen_at
+        self.total_estimate_s = sum(step.estimate_ms for step in submission.spec.steps) / 1000.0
+        """Sum of the steps' estimates."""
         self.before_claim = before_claim
         """Whether a previous owner may have started tasks of the job."""
         self.steps: dict[tuple[int, int], StepInfo] = {}
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -119,14 +119,21 @@
         self.wake()
 
     def _add_job(self, name: str, before_claim: bool) -> None:
-        if name in self.jobs or not self._replica.knows(name):
-            return
+        """Adds a job of the log. One that can't be added is logged, and the others are served."""
         try:
-            submission = self._replica.submission(name)
-            progress = self._replica.progress(name)
-        except ValueError as error:
-            self._events.write(eventlog.RECORD_UNREADABLE, stream="jobs", key=name, error=error)
+            self._try_to_add_job(name, before_claim)
+        except Exception as error:
+            self.jobs.pop(name, None)
+            self.open_jobs.pop(name, None)
+            self._events.write(
+                eventlog.RECORD_UNREADABLE, stream="jobs", key=name, error=repr(error)
+            )
+
+    def _try_to_add_job(self, name: str, before_claim: bool) -> None:
+        if name in self.jobs or not self._replica.knows(name):
             return
+        submission = self._replica.submission(name)
+        progress = self._replica.progress(name)
         now = self._clock.monotonic()
         job = JobInfo(submission, now, before_claim, self._replica.last_offset(name))
         if not submission.spec.repeats:
@@ -424,12 +431,12 @@
     The previous owner has seen no end of it, so that it has neither started the task elsewhere nor
     any step that depends on it. A speculative task may have several runs.
     """
-    if step.spec.speculative or not step.job.before_claim:
+    job = step.job
+    if step.spec.speculative or not job.before_claim:
         return
     step.uncertain.discard(index)
-    for (occurrence, _), other in step.job.steps.items():
-        if occurrence == step.occurrence and other.uncertain and other.depends_on(step.index):
-            other.uncertain.clear()
+    for each in job.submission.spec.dependents_of(step.index):
+        job.steps[step.occurrence, each].uncertain.clear()
 
 
 def _due_in_s(spec: JobSpec, occurrence: int) -> float:
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
@@ -174,8 +174,8 @@
                 self._keys.add(record.key)
             try:
                 self._apply(record)
-            except (ValueError, KeyError, TypeError, AttributeError) as error:
-                # A malformed record must not keep later records from being applied.
+            except Exception as error:
+                # A record that can't be applied must not keep later ones from being applied.
                 self._events.write(
                     eventlog.RECORD_UNREADABLE,
                     stream=self._stream,
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
@@ -12,6 +12,9 @@
 
 from azurecleat_cluster._internal.values import AdviceTerms, JobSpec, Queue, Step
 
+DECODE_ERRORS = (KeyError, IndexError, TypeError, AttributeError, RecursionError)
+"""Exceptions, apart from ValueError, that decoding a malformed record may raise."""
+
 SUBMISSION = "s/"
 CANCELLATION = "c/"
 INSTANCE = "i/"
@@ -152,7 +155,7 @@
         steps = tuple(_step(step) for step in data["steps"])
         spec = JobSpec(data["payload"], steps, *data["times"])
         return Submission(job, data["team"], Queue(**queue), spec)
-    except (KeyError, TypeError) as error:
+    except DECODE_ERRORS as error:
         raise ValueError(f"submission of {job}: {error!r}") from error
 
 
@@ -244,7 +247,7 @@
                 },
             )
         return Progress(data["begun"], data["outcome"], steps)
-    except (KeyError, TypeError) as error:
+    except DECODE_ERRORS as error:
         raise ValueError(f"progress: {error!r}") from error
 
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/values.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/values.py
@@ -59,6 +59,14 @@
     def occurrences(self) -> int:
         return max(1, self.repeats)
 
+    def dependents_of(self, index: int) -> list[int]:
+        """Returns the steps that depend on a step, directly or not."""
+        affected = {index}
+        for number in range(index + 1, len(self.steps)):
+            if not affected.isdisjoint(self.steps[number].depends_on):
+                affected.add(number)
+        return sorted(affected - {index})
+
 
 class AdviceTerms(NamedTuple):
     """Cost of a request for advice, and how long the answer is valid."""
--- a/tests/unit/adapter/test_machines.py
+++ b/tests/unit/adapter/test_machines.py
@@ -8,6 +8,7 @@
 
 from adapter.machines import MachineDirectory
 from azurecleat_base import HttpClient, HttpResponse, Resources
+from azurecleat_base.exceptions import TargetError
 
 MACHINE = {"machine": "m-1", "pool": "p", "state": "up", "id": "i-1"}
 CAPACITY = {"cpu": 2000, "mem_mb": 4000, "gpu": 1}
@@ -34,6 +35,12 @@
             with self.subTest(capacity=capacity):
                 self.assertEqual(list_targets({**MACHINE, "capacity": capacity}), {"i-1": None})
 
+    # The target of such an entry counted as ended, or the thread that reads the list ended.
+    def test_list_with_a_malformed_machine_is_not_complete(self) -> None:
+        for machine in ([], "m-1", None, 7):
+            with self.subTest(machine=machine), self.assertRaises(TargetError):
+                list_targets(MACHINE, machine)
+
     def test_machine_that_is_down_runs_no_target(self) -> None:
         self.assertEqual(list_targets({**MACHINE, "state": "down"}), {})
 
