--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/crashes.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/crashes.py
@@ -52,7 +52,8 @@
     """The runs that may have caused a crash.
 
     :param runs: Runs that are suspected; empty if nothing ran on the target.
-    :param only: The only run that had just been started there; None if there were several or none.
+    :param only: The run for which the target was isolated, else the only one that had just been
+        started there; None if there were several or none.
     """
 
     runs: frozenset[Run]
@@ -128,13 +129,13 @@
         target for target in targets if may_run_on(step, target, now) and capacity_for(step, target)
     ]
     free = [target for target in usable if not runs_being_started(target.runs.values())]
-    if not free and now - step.crashed_at >= MAX_CLEAR_WAIT_S:
+    if not free and now - step.crash_history.last_at >= MAX_CLEAR_WAIT_S:
         free = usable
     chosen: list[tuple[int, TargetInfo]] = []
     for index in indices[: max(0, max_count)]:
         if not free:
             break
-        crashed = {crash.address for crash in step.crashes.get(index, ())}
+        crashed = {crash.address for crash in step.crash_history.of(index)}
         best = min(free, key=lambda each: (each.entry.address in crashed, len(each.runs), each.id))
         free.remove(best)
         chosen.append((index, best))
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -10,12 +10,8 @@
 
 from azurecleat_base import ZERO, Resources
 
-from azurecleat_cluster._internal.replica.records import (
-    Crash,
-    Progress,
-    Submission,
-    TaskProgress,
-)
+from azurecleat_cluster._internal.owner.crash_history import CrashHistory
+from azurecleat_cluster._internal.replica.records import Progress, Submission, TaskProgress
 from azurecleat_cluster._internal.values import Queue, Step, TargetEntry, TaskId
 
 
@@ -212,14 +208,7 @@
         self.failures: dict[int, set[str]] = {}
         """Failed runs of each task; a gang's failures are all under its first task."""
         self.checkpoints: dict[int, str] = {}
-        self.crashes: dict[int, set[Crash]] = {}
-        """Crashes of targets under each task."""
-        self.crashed_at = float("-inf")
-        """When a target last crashed under a task."""
-        self.suspects: set[int] = set()
-        """Tasks that were being started on a target that crashed."""
-        self.unrecorded: set[int] = set()
-        """Tasks that wait until their crashes are in the log."""
+        self.crash_history = CrashHistory()
         self.last_run = 0
         self.avoided: dict[int, set[str]] = {}
         self.backup_runs: dict[int, set[Run]] = {}
@@ -269,7 +258,9 @@
 
         :param is_takeover_complete: Whether every run of the previous owner is known or over.
         """
-        waiting = self.unrecorded if is_takeover_complete else self.uncertain | self.unrecorded
+        waiting = self.crash_history.unrecorded
+        if not is_takeover_complete:
+            waiting = waiting | self.uncertain
         if not waiting:
             return self.pending
         if self.spec.gang:
@@ -281,7 +272,7 @@
 
         The tasks of a gang can only start together.
         """
-        return set() if self.spec.gang else indices & self.suspects
+        return set() if self.spec.gang else indices & self.crash_history.suspects
 
     def may_run_ahead(self, index: int) -> bool:
         """Whether a speculative task may start again while the outcome of its start is unknown.
@@ -290,7 +281,8 @@
         so does one that runs ahead already.
         """
         backups = self.backup_runs.get(index, ())
-        return index not in self.crashes and all(run.has_survived_start for run in backups)
+        has_crashed = index in self.crash_history.tasks
+        return not has_crashed and all(run.has_survived_start for run in backups)
 
     def task(self, index: int) -> TaskId:
         return TaskId(self.job.id, self.occurrence, self.index, index)
@@ -301,21 +293,27 @@
         self.pending -= self.done
         self.failures = {index: set(runs) for index, runs in progress.failures.items()}
         self.checkpoints = dict(progress.checkpoints)
-        self.crashes = {index: set(crashes) for index, crashes in progress.crashes.items()}
-        self.suspects = {
-            index
-            for index, crashes in self.crashes.items()
-            if any(crash.is_suspected for crash in crashes)
-        }
+        self.crash_history.restore(progress.crashes)
         self.last_run = progress.last_run
 
     def progress(self) -> TaskProgress:
         failures = {index: tuple(sorted(runs)) for index, runs in self.failures.items()}
-        crashes = {index: tuple(sorted(each)) for index, each in self.crashes.items()}
+        crashes = self.crash_history.progress()
         return TaskProgress(
             tuple(self.done), failures, dict(self.checkpoints), self.last_run, crashes
         )
 
+    @property
+    def has_progress(self) -> bool:
+        """Whether there is anything that the next owner has to know."""
+        return bool(
+            self.done
+            or self.failures
+            or self.checkpoints
+            or self.last_run
+            or self.crash_history.tasks
+        )
+
 
 class JobInfo:
     """One accepted job."""
@@ -383,11 +381,7 @@
             self.steps[occurrence, index].restore(task)
 
     def progress(self) -> Progress:
-        steps = {
-            key: step.progress()
-            for key, step in self.steps.items()
-            if step.done or step.failures or step.checkpoints or step.last_run or step.crashes
-        }
+        steps = {key: step.progress() for key, step in self.steps.items() if step.has_progress}
         return Progress(self.begun, self.outcome, steps)
 
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -5,14 +5,6 @@
 from azurecleat_base.exceptions import TargetError
 
 from azurecleat_cluster._internal import eventlog
-from azurecleat_cluster._internal.owner.crashes import (
-    COINCIDENCE_S,
-    describe_tasks,
-    is_crash_loop,
-    needs_strict_isolation,
-    runs_being_started,
-    suspect_runs,
-)
 from azurecleat_cluster._internal.owner.model import (
     JobInfo,
     Run,
@@ -23,7 +15,6 @@
 from azurecleat_cluster._internal.owner.start_attempts import StartOutcome
 from azurecleat_cluster._internal.owner.state import TermState
 from azurecleat_cluster._internal.owner.throttling import throttle_target
-from azurecleat_cluster._internal.replica.records import Crash
 from azurecleat_cluster._internal.values import (
     EndKind,
     JobState,
@@ -323,63 +314,6 @@
                 if step.spec.long_running:
                     step.not_before = max(step.not_before, now)
 
-    def note_crash(self, target: TargetInfo, reason: str) -> None:
-        """Counts the crash of a target for the tasks there, and suspects those that may be why."""
-        runs = (*target.runs.values(), *target.lapsed_runs)
-        starting = runs_being_started(runs)
-        suspicion = suspect_runs(runs, target.isolated_run)
-        now = self._clock.monotonic()
-        if not starting and suspicion.only is None:
-            self._unexplained_crash_at = now
-        suspects = "none" if not starting else "one" if suspicion.only else "several"
-        self._metrics.target_crashes.labels(suspects).inc()
-        self._events.write(
-            eventlog.TARGET_CRASHED,
-            target=target.id,
-            address=target.entry.address,
-            reason=reason,
-            runs=len(runs),
-            starting=len(starting),
-            tasks=describe_tasks(starting),
-        )
-        is_alone = now - self._unexplained_crash_at >= COINCIDENCE_S
-        for run in runs:
-            if run.step.job.is_open and run.task.index not in run.step.done:
-                is_clear = is_alone and run is suspicion.only
-                self._count_crash(run, run in suspicion.runs, is_clear)
-
-    def _count_crash(self, run: Run, is_suspected: bool, is_clear: bool) -> None:
-        """Counts a crash under a run's task, and gives the task up if it is in a crash loop."""
-        step, index, job = run.step, run.task.index, run.step.job
-        crashes = step.crashes.setdefault(index, set())
-        crashes.add(Crash(run.number, run.target.entry.address, bool(run.began_at), is_suspected))
-        step.crashed_at = self._clock.monotonic()
-        if (is_suspected and not run.has_survived_start) or needs_strict_isolation(crashes):
-            step.suspects.add(index)
-        if is_crash_loop(crashes, is_clear):
-            self._events.write(
-                eventlog.JOB_GIVEN_UP, job=job.id, task=run.task, crashes=len(crashes)
-            )
-            self._metrics.jobs_given_up.inc()
-            self._finish(job, JobState.FAILED)
-        if index not in step.suspects:
-            self.record(job)
-            return
-        # Not started again before the log has the crashes, so that the next owner goes on counting.
-        # A task that only ran beside others is not held back by an outage of the log.
-        step.unrecorded.add(index)
-        self.record(job, lambda: self._on_crashes_recorded(step, index))
-
-    def _on_crashes_recorded(self, step: StepInfo, index: int) -> None:
-        with self.lock:
-            step.unrecorded.discard(index)
-        self.wake()
-
-    def _forget_crashes(self, step: StepInfo, index: int) -> None:
-        step.suspects.discard(index)
-        step.unrecorded.discard(index)
-        step.crashes.pop(index, None)
-
     def _step_of(self, task: TaskId) -> StepInfo | None:
         job = self.jobs.get(task.job)
         if job is None:
@@ -397,7 +331,7 @@
             step.done.add(each)
             step.pending.discard(each)
             step.checkpoints.pop(each, None)
-            self._forget_crashes(step, each)
+            step.crash_history.forget(each)
             others = step.backup_runs.pop(each, set())
             if each in step.active:
                 others.add(step.active.pop(each))
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
@@ -7,15 +7,15 @@
 from azurecleat_base import Resources
 
 from azurecleat_cluster._internal import eventlog
+from azurecleat_cluster._internal.owner.crash_tracking import CrashTracking
 from azurecleat_cluster._internal.owner.crashes import runs_being_started
 from azurecleat_cluster._internal.owner.model import Run, RunState, TargetInfo
-from azurecleat_cluster._internal.owner.runs import RunTransitions
 from azurecleat_cluster._internal.owner.state import Session
 from azurecleat_cluster._internal.replica import records as r
 from azurecleat_cluster._internal.values import TargetEntry, TargetState
 
 
-class TargetLifecycle(RunTransitions):
+class TargetLifecycle(CrashTracking):
     """The part of a term that follows which incarnations of targets exist."""
 
     def on_target_entry(self, entry: TargetEntry) -> None:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -13,11 +13,7 @@
 
 from azurecleat_cluster._internal import eventlog
 from azurecleat_cluster._internal.owner.authority import Takeover
-from azurecleat_cluster._internal.owner.crashes import (
-    STABLE_S,
-    has_survived,
-    needs_strict_isolation,
-)
+from azurecleat_cluster._internal.owner.crashes import has_survived
 from azurecleat_cluster._internal.owner.model import (
     UNKNOWN_THROTTLE_PERCENT,
     JobInfo,
@@ -271,22 +267,12 @@
             run.state = RunState.RUNNING
             run.confirmed_at = run.confirmed_at or now
         if has_survived(run, now):
-            self._note_survived(target, run, now)
+            self.note_survived(target, run, now)
         run.update_progress(status.percent, now)
         run.load = status.load
         if status.checkpoint:
             run.checkpoint = status.checkpoint
 
-    def _note_survived(self, target: TargetInfo, run: Run, now: float) -> None:
-        """Notes that a run has survived its start, and ends its isolation if that is enough."""
-        step, index = run.step, run.task.index
-        run.has_survived_start = True
-        if now - run.began_at >= STABLE_S:
-            self._forget_crashes(step, index)
-        if not needs_strict_isolation(step.crashes.get(index, ())):
-            step.suspects.discard(index)
-            target.end_isolation(run)
-
     def _adopt(self, target: TargetInfo, status: RunStatus) -> Run | None:
         """Adds a run that is not known here, and stops it if its task does not need it.
 
--- a/tests/unit/cluster/test_crash_loops.py
+++ b/tests/unit/cluster/test_crash_loops.py
@@ -12,8 +12,13 @@
     MIN_SURVIVAL_S,
     STABLE_S,
     STRICT_EXPOSURES,
+    Suspicion,
+    is_crash_loop,
+    suspect_runs,
 )
+from azurecleat_cluster._internal.owner.model import Run
 from azurecleat_cluster._internal.replica.jobs import JobReplica
+from azurecleat_cluster._internal.replica.records import Crash
 from azurecleat_cluster.values import JobSpec, JobState, Step, TargetState, TaskId
 
 from tests.lib.cluster_simulation import QUEUE, Simulation
@@ -215,7 +220,7 @@
             submit(harness.replica, JobSpec("payload", (STEP,)), "f" * 16)
             harness.term.on_job_record("s/" + "f" * 16)
             self.place_beside(harness, session)
-            self.assertEqual(harness.term.jobs[JOB].steps[0, 0].suspects, set())
+            self.assertEqual(harness.term.jobs[JOB].steps[0, 0].crash_history.suspects, set())
             crash(harness, session)
             self.drop_job(harness, "f" * 16)
         self.assertNotEqual(harness.replica.state(JOB), JobState.FAILED)
@@ -231,7 +236,7 @@
         harness.clock.advance(STABLE_S)
         harness.authority.add_log_proof(harness.clock.monotonic())
         report_all(harness)
-        self.assertEqual(set(harness.term.jobs[JOB].steps[0, 0].crashes), {1})
+        self.assertEqual(set(harness.term.jobs[JOB].steps[0, 0].crash_history.tasks), {1})
 
     def place_beside(self, harness: TermHarness, session: StandInSession) -> None:
         """Starts the newest job's task on a session's target."""
@@ -262,7 +267,7 @@
                 error = OutcomeUnknownError("silent", step="hold")
                 harness.term.on_unresponsive(session, error)
                 harness.writer.commit()
-        self.assertEqual(harness.term.jobs[JOB].steps[0, 0].crashes, {})
+        self.assertEqual(harness.term.jobs[JOB].steps[0, 0].crash_history.progress(), {})
 
     # Many targets that failed at the same time made a task look deadly that had just been started.
     def test_crashes_at_the_same_time_as_unexplained_ones_need_more_evidence(self) -> None:
@@ -310,11 +315,11 @@
         self.assertEqual(len(harness.dispatch()), 2)
         crash(harness, *answer_starts(harness))
         step = harness.term.jobs[JOB].steps[0, 0]
-        self.assertEqual(step.suspects, {0, 1})
+        self.assertEqual(step.crash_history.suspects, {0, 1})
         self.assertEqual(harness.dispatch(), [task(0)])
         answer_starts(harness)
         report_all(harness)
-        self.assertEqual(step.suspects, {1})
+        self.assertEqual(step.crash_history.suspects, {1})
 
     def test_suspected_task_does_not_wait_for_a_quiet_target_for_ever(self) -> None:
         harness = serve(JobSpec("payload", (STEP._replace(count=2),)), 2)
@@ -330,6 +335,132 @@
         harness.authority.add_log_proof(harness.clock.monotonic())
         self.assertEqual(harness.dispatch(), [task(0)])
 
+    # Targets of which one has a suspect were judged in any order, so that it depended on chance
+    # whether the others cast doubt on that crash.
+    def test_crashes_without_a_suspect_are_judged_first(self) -> None:
+        harness = serve(JobSpec("payload", (STEP,)), 4)
+        harness.dispatch()
+        crash(harness, *answer_starts(harness))
+        harness.dispatch()
+        (session,) = answer_starts(harness)
+        idle = next(s for s in harness.term.sessions.values() if not s.target.runs)
+        crash(harness, session, idle)
+        self.assertIsNot(harness.replica.state(JOB), JobState.FAILED)
+
+    # A target was taken as silent until its lease was over; only its next incarnation shows that it
+    # had crashed.
+    def test_crash_that_shows_after_the_lease_is_counted(self) -> None:
+        harness = serve(JobSpec("payload", (STEP,)), 1)
+        harness.dispatch()
+        (session,) = answer_starts(harness)
+        harness.clock.advance(20.0)
+        harness.authority.add_log_proof(harness.clock.monotonic())
+        harness.term.on_unresponsive(session, OutcomeUnknownError("silent", step="hold"))
+        history = harness.term.jobs[JOB].steps[0, 0].crash_history
+        self.assertEqual(history.progress(), {})
+        harness.term.on_target_entry(make_entry("t9", 2, session.target.entry.address))
+        self.assertEqual(len(history.of(0)), 1)
+
+    # What was released while a target was out of reach had ended long before it crashed.
+    def test_target_that_answers_again_has_not_crashed_under_its_lapsed_runs(self) -> None:
+        harness = serve(JobSpec("payload", (STEP,)), 1)
+        harness.dispatch()
+        (session,) = answer_starts(harness)
+        harness.clock.advance(20.0)
+        harness.authority.add_log_proof(harness.clock.monotonic())
+        harness.term.on_unresponsive(session, OutcomeUnknownError("silent", step="hold"))
+        harness.report("t0")
+        crash(harness, session)
+        self.assertEqual(harness.term.jobs[JOB].steps[0, 0].crash_history.progress(), {})
+
+    # A suspected task went to the machine that it had crashed, as nothing ran there.
+    def test_machine_that_crashed_under_a_task_is_its_last_choice(self) -> None:
+        harness = serve(JobSpec("payload", (STEP,)), 2)
+        harness.dispatch()
+        (session,) = answer_starts(harness)
+        crash(harness, session)
+        (other,) = harness.term.sessions.values()
+        submit(harness.replica, JobSpec("payload", (STEP,)), "f" * 16)
+        harness.term.on_job_record("s/" + "f" * 16)
+        self.place_beside(harness, other)
+        report_all(harness)
+        entry = make_entry("t9", 2, session.target.entry.address)
+        harness.term.on_target_entry(entry)
+        harness.writer.commit()
+        harness.report("t9", started_at_ms=2)
+        self.assertEqual(harness.dispatch(), [task(0)])
+        self.assertEqual(harness.term.jobs[JOB].steps[0, 0].active[0].target, other.target)
+
+    # A task that crashes its targets late was let among others once a report had shown it.
+    def test_task_stays_isolated_after_several_crashes(self) -> None:
+        harness = serve(JobSpec("payload", (STEP,)), 3 * MAX_STARTS)
+        history = harness.term.jobs[JOB].steps[0, 0].crash_history
+        for number in range(STRICT_EXPOSURES):
+            history.add(0, Crash(number, "a", True, False), harness.clock.monotonic())
+        history.suspects.add(0)
+        harness.dispatch()
+        (session,) = answer_starts(harness)
+        report_all(harness)
+        self.assertTrue(session.target.is_isolated)
+        self.assertEqual(history.suspects, {0})
+
+
+class EvidenceTest(unittest.TestCase):
+    """What counts as evidence against a run, and how much of it is enough."""
+
+    def make_runs(self) -> tuple[Run, Run, Run]:
+        """Returns a run that has survived its start, one that has begun, one without an answer."""
+        harness = serve(JobSpec("payload", (STEP._replace(count=3),)), 1)
+        harness.dispatch()
+        (session,) = harness.term.sessions.values()
+        survived, begun, unanswered = session.target.runs.values()
+        survived.began_at = begun.began_at = 1.0
+        survived.has_survived_start = True
+        return survived, begun, unanswered
+
+    def test_only_runs_being_started_are_suspected(self) -> None:
+        survived, begun, unanswered = self.make_runs()
+        suspicion = suspect_runs((survived, begun, unanswered), None)
+        self.assertEqual(suspicion, Suspicion(frozenset((begun, unanswered)), begun))
+        self.assertIsNone(suspect_runs((survived,), None).only)
+        self.assertEqual(suspect_runs((survived,), None).runs, {survived})
+        self.assertIs(suspect_runs((survived, unanswered), None).only, unanswered)
+
+    def test_run_for_which_the_target_is_isolated_is_the_only_suspect(self) -> None:
+        survived, begun, unanswered = self.make_runs()
+        suspicion = suspect_runs((survived, begun, unanswered), survived)
+        self.assertEqual(suspicion, Suspicion(frozenset((survived,)), survived))
+
+    def check(self, expected: bool, *crashes: tuple, is_clear: bool = False) -> None:
+        found = {Crash(number, *crash) for number, crash in enumerate(crashes)}
+        self.assertIs(is_crash_loop(found, is_clear), expected, crashes)
+
+    def test_two_clear_crashes_of_different_machines_are_enough(self) -> None:
+        first, same, second = ("a", True, True), ("a", True, True), ("b", True, True)
+        self.check(True, first, second, is_clear=True)
+        self.check(False, first, second)
+        self.check(False, first, same, is_clear=True)
+        self.check(False, first, ("b", False, True), is_clear=True)
+        self.check(False, first, ("b", True, False), is_clear=True)
+
+    def test_four_suspected_crashes_are_enough_if_two_runs_have_begun(self) -> None:
+        begun, unanswered = ("a", True, True), ("a", False, True)
+        self.check(True, begun, begun, unanswered, unanswered)
+        self.check(False, begun, unanswered, unanswered, unanswered)
+        self.check(False, begun, begun, begun)
+
+    def test_five_crashes_are_enough_whatever_the_evidence(self) -> None:
+        beside = ("a", True, False)
+        self.check(False, *[beside] * 4)
+        self.check(True, *[beside] * 5)
+        self.check(True, *[("a", False, False)] * 5)
+
+    def test_strict_isolation_makes_earlier_crashes_count(self) -> None:
+        beside = ("a", True, False)
+        self.check(True, beside, beside, ("b", True, True), is_clear=True)
+        self.check(False, beside, ("b", True, True), is_clear=True)
+        self.check(False, beside, beside, ("b", True, True))
+
 
 class CrashLoopSimulationTest(unittest.TestCase):
     """Owners, targets and a directory; each sixth job has a task that crashes its targets."""
