Evacuate zones on the operator's request

Change: the configuration view keeps the evacuated zones, the dispatcher leaves their targets out, and a start is checked once more before it is sent.

--- a/libs/bench/src/azurecleat_bench/_internal/owner_fakes.py
+++ b/libs/bench/src/azurecleat_bench/_internal/owner_fakes.py
@@ -128,6 +128,9 @@
         team = Team("team", frozenset(("key",)), 1e6, NO_LIMIT)
         return Configuration(1, (URGENT, PATIENT), {"pool": Pool("pool")}, {"team": team})
 
+    def evacuated_zone(self, record: LogRecord) -> None:
+        return None
+
     def target(self, record: LogRecord) -> TargetEntry:
         raise NotImplementedError("the benchmark adds targets without the log")
 
--- a/libs/cluster/src/azurecleat_cluster/__init__.py
+++ b/libs/cluster/src/azurecleat_cluster/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from azurecleat_cluster._internal.eventlog import EventLog
+from azurecleat_cluster._internal.features import Features
 from azurecleat_cluster._internal.front.request_handler import (
     Admitted,
     Caller,
@@ -19,6 +20,7 @@
     "Admitted",
     "Caller",
     "EventLog",
+    "Features",
     "RequestHandler",
     "FrontLimits",
     "Instance",
--- a/libs/cluster/src/azurecleat_cluster/_internal/configuration.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/configuration.py
@@ -30,6 +30,7 @@
         self._events = events
         self._view: _IndexedConfiguration | None = None
         self._changed = threading.Condition()
+        self._evacuated_zones: frozenset[str] = frozenset()
 
     @property
     def current(self) -> Configuration | None:
@@ -41,8 +42,17 @@
         view = self._view
         return 0 if view is None else view.configuration.version
 
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """The zones on whose targets no task may be started."""
+        return self._evacuated_zones
+
     def apply(self, record: LogRecord) -> None:
         """Applies a record of the configuration stream; ignores a version that is not newer."""
+        zone = self._decoder.evacuated_zone(record)
+        if zone is not None:
+            self._apply_evacuation(zone, is_requested=record.value is not None)
+            return
         if record.value is None:
             return
         try:
@@ -65,6 +75,14 @@
             teams=len(configuration.teams),
         )
 
+    def _apply_evacuation(self, zone: str, is_requested: bool) -> None:
+        """Adds a zone to the evacuated ones, or removes it."""
+        if is_requested == (zone in self._evacuated_zones):
+            return
+        self._evacuated_zones ^= {zone}
+        event = eventlog.ZONE_EVACUATED if is_requested else eventlog.ZONE_RESTORED
+        self._events.write(event, zone=zone)
+
     def queue_for(self, host: str, path: str) -> Queue | None:
         """Returns the host's queue whose prefix is the longest that matches the path."""
         view = self._view
--- a/libs/cluster/src/azurecleat_cluster/_internal/instance.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/instance.py
@@ -12,6 +12,7 @@
 from azurecleat_cluster._internal import eventlog
 from azurecleat_cluster._internal.configuration import ConfigurationView
 from azurecleat_cluster._internal.eventlog import EventLog
+from azurecleat_cluster._internal.features import NO_FEATURES, Features
 from azurecleat_cluster._internal.front.request_handler import FrontLimits, RequestHandler
 from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.owner.service import OwnerService
@@ -50,6 +51,7 @@
 
     :param peer_address: Address at which other instances reach this one.
     :param cores: Processor capacity of this instance, in cores of standard speed.
+    :param features: The optional features that are on.
     """
 
     node: str
@@ -58,6 +60,7 @@
     front: FrontLimits
     owner: OwnerSettings
     cores: float = 1.0
+    features: Features = NO_FEATURES
 
 
 class InstancePorts(NamedTuple):
--- a/libs/cluster/src/azurecleat_cluster/_internal/metrics.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/metrics.py
@@ -42,5 +42,7 @@
         self.record_s = histogram("record_seconds", "Time until progress is in the log")
         self.epoch = gauge("epoch", "Epoch of the claim in force")
         self.owning = gauge("owning", "1 while this instance owns the jobs")
+        self.evacuated_targets = gauge("evacuated_targets", "Targets that get no tasks: evacuation")
+        self.evacuated_runs = gauge("evacuated_runs", "Runs still at work in evacuated zones")
         self.active_runs = gauge("active_runs", "Runs at work or being started")
         self.waiting_tasks = gauge("waiting_tasks", "Tasks that could run but have no place")
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -135,6 +135,7 @@
             self._evaluated_at = now
             term.move_slow_runs(now)
             term.throttle_filling_runs(now)
+        term.apply_evacuations()
         self._release_holds()
         self._stalls.begin_round()
         pools = UsablePools([session.target for session in term.sessions.values()], now)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -412,6 +412,8 @@
         self.suspect_until = 0.0
         self.on_probation = False
         """Whether the target gets one run at a time until one is done."""
+        self.is_evacuated = False
+        """Whether the operator has requested that the target's zone gets no tasks."""
         self.throttle_percent = UNTHROTTLED_PERCENT
         """Throttle percent of the target's filling tasks."""
         self.throttled_at = float("-inf")
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/placement.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/placement.py
@@ -64,6 +64,7 @@
         target.responsive
         and target.reached
         and target.entry.state is TargetState.READY
+        and not target.is_evacuated
         and target.suspect_until <= now
         and not (target.on_probation and target.runs)
         and (target.registered or now - target.unregistered_at < UNREGISTERED_GRACE_S)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -143,7 +143,14 @@
     def may_start(self, run: Run) -> bool:
         """Whether the start of a run is still wanted; it may have waited behind other commands."""
         with self.lock:
-            return run.key in run.target.runs and run.state is RunState.STARTING
+            if run.key not in run.target.runs or run.state is not RunState.STARTING:
+                return False
+            # The command may have waited behind others for longer than an evacuation allows.
+            if run.target.entry.zone in self.configuration.evacuated_zones:
+                self.stop_run(run, "its zone is evacuated")
+                self._stop_gang(run, "another task of the gang was not started")
+                return False
+            return True
 
     def on_start_unanswered(self, run: Run, attempt: int, error: TargetError) -> None:
         """Records that an attempt to start a run got no answer; it may still be executed."""
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
@@ -10,8 +10,10 @@
 
 from azurecleat_cluster._internal.configuration import ConfigurationView
 from azurecleat_cluster._internal.eventlog import EventLog
+from azurecleat_cluster._internal.features import NO_FEATURES, Features
 from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.owner.authority import Authority, Takeover
+from azurecleat_cluster._internal.owner.evacuation import EvacuationTracker
 from azurecleat_cluster._internal.owner.model import (
     JobInfo,
     Run,
@@ -91,7 +93,9 @@
         events: EventLog,
         metrics: Metrics,
         on_lost: Callable[[str], None],
+        features: Features = NO_FEATURES,
     ) -> None:
+        self.features = features
         self.lock = threading.RLock()
         self.changed = threading.Condition(self.lock)
         self.ending = threading.Event()
@@ -104,6 +108,7 @@
         self.sessions: dict[str, Session] = {}
         self.usage = TeamUsage()
         self.health = HealthMonitor(events, preferences)
+        self.evacuations = EvacuationTracker()
         self.takeover: Takeover | None = None
         self.dirty = True
         self.start_horizon = start_horizon
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
@@ -63,6 +63,22 @@
             )
             self.evacuate(target)
 
+    def apply_evacuations(self) -> None:
+        """Excludes the targets of evacuated zones, and uses those that are taken back."""
+        targets = [session.target for session in self.sessions.values()]
+        state = self.evacuations.update(self.configuration.evacuated_zones, targets)
+        if state.has_changed:
+            self._events.write(
+                eventlog.EVACUATION_APPLIED,
+                zones=sorted(state.zones),
+                targets=state.targets,
+                runs=state.runs,
+                epoch=self.authority.epoch,
+            )
+        if state.zones or state.has_changed:
+            self._metrics.evacuated_targets.set(state.targets)
+            self._metrics.evacuated_runs.set(state.runs)
+
     def evacuate(self, target: TargetInfo) -> None:
         """Stops the long-running and checkpointing runs of a draining target.
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term_runner.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term_runner.py
@@ -14,6 +14,7 @@
 from azurecleat_cluster._internal import eventlog
 from azurecleat_cluster._internal.configuration import ConfigurationView
 from azurecleat_cluster._internal.eventlog import EventLog
+from azurecleat_cluster._internal.features import NO_FEATURES, Features
 from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.owner.advice import AdviceClient
 from azurecleat_cluster._internal.owner.authority import Authority
@@ -69,12 +70,14 @@
     :param lease_s: Length of the leases given to targets.
     :param max_lease_s: Longest lease that a target grants.
     :param retention_s: How long ended jobs are kept.
+    :param features: The optional features that are on.
     """
 
     lease_s: float
     max_lease_s: float
     retention_s: float
     preferences: Preferences
+    features: Features = NO_FEATURES
 
 
 class OwnerPorts(NamedTuple):
@@ -178,6 +181,7 @@
             dependencies.events,
             dependencies.metrics,
             lambda reason: self._end_requested.set(),
+            dependencies.settings.features,
         )
         self._advice = AdviceClient(
             dependencies.clock,
--- a/libs/cluster/src/azurecleat_cluster/_internal/ports.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/ports.py
@@ -100,6 +100,12 @@
         :raises DocumentError: The configuration is malformed.
         """
 
+    def evacuated_zone(self, record: LogRecord) -> str | None:
+        """Returns the zone that a record of the configuration stream evacuates while it exists.
+
+        None if the record has another purpose. A record without a value ends the evacuation.
+        """
+
     def target(self, record: LogRecord) -> TargetEntry:
         """Returns a target's entry.
 
--- a/tests/lib/cluster_simulation.py
+++ b/tests/lib/cluster_simulation.py
@@ -466,6 +466,9 @@
         team = Team("team", frozenset(("key",)), 10.0, TEAM_LIMIT)
         return Configuration(1, (QUEUE,), {"pool": Pool("pool")}, {"team": team})
 
+    def evacuated_zone(self, record: LogRecord) -> str | None:
+        return record.key.removeprefix("evacuate/") if "/" in record.key else None
+
     def set_durations(self, seconds: float) -> None:
         """Makes all tasks of the present targets take equally long."""
         for target in self.targets:
--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -254,6 +254,8 @@
 cpu_share = 1.0
 cores = 1
 memory_mb = 300
+[fault_tolerance]
+machines = 2
 [bounds]
 max_hold_ms = 10000
 config_ms = 2000
--- a/tests/lib/instance_process.py
+++ b/tests/lib/instance_process.py
@@ -14,6 +14,8 @@
 from pathlib import Path
 from typing import Any
 
+from azurecleat_cluster import Features
+
 from tests.lib.fake_platform import FakePlatform
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -80,7 +82,11 @@
         with self._log_path.open("wb") as output:
             self.process = subprocess.Popen(
                 [sys.executable, str(ROOT / "platform" / "instance.py")],
-                env={**os.environ, "AZURECLEAT_SETTINGS": str(path)},
+                env={
+                    **os.environ,
+                    "AZURECLEAT_SETTINGS": str(path),
+                    "AZURECLEAT_FEATURES": ",".join(Features._fields),
+                },
                 stdout=output,
                 stderr=subprocess.STDOUT,
             )
--- a/tests/lib/term_harness.py
+++ b/tests/lib/term_harness.py
@@ -9,6 +9,7 @@
 from azurecleat_base import ManualClock, Resources
 from azurecleat_cluster import EventLog, Preferences
 from azurecleat_cluster._internal.configuration import ConfigurationView
+from azurecleat_cluster._internal.features import NO_FEATURES, Features
 from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.owner.advice import AdviceClient
 from azurecleat_cluster._internal.owner.authority import Authority
@@ -48,6 +49,9 @@
         team = Team("team", frozenset(("key",)), 10.0)
         return Configuration(1, (QUEUE,), {"pool": Pool("pool")}, {"team": team})
 
+    def evacuated_zone(self, record: LogRecord) -> str | None:
+        return record.key.removeprefix("evacuate/") if "/" in record.key else None
+
 
 class StandInSession:
     """Session that records the commands of the term and sends nothing."""
@@ -141,6 +145,7 @@
     :param targets: Entries of the targets that the previous owner used.
     :param horizon: Offset in the jobs stream up to which jobs may be started.
     :param advice: Stand-in for the client of the advice service; by default one without workers.
+    :param features: The optional features of the term; by default none.
     """
 
     def __init__(
@@ -151,9 +156,10 @@
         targets: Iterable[TargetEntry] = (),
         advice: AdviceRequests | None = None,
         horizon: int = UNLIMITED_HORIZON,
+        features: Features = NO_FEATURES,
     ) -> None:
         events = EventLog("test", io.StringIO())
-        configuration = ConfigurationView(OneConfiguration(), events)
+        self.configuration = configuration = ConfigurationView(OneConfiguration(), events)
         configuration.apply(LogRecord("config", b"x", 0))
         metrics, preferences = Metrics(), Preferences()
         self.clock, self.replica = clock, replica
@@ -178,6 +184,7 @@
             events,
             metrics,
             lambda reason: None,
+            features,
         )
         self.term.take_over(replica.targets_in_use, previous_owner_gone=False)
         if advice is None:
