Send callers out of a zone that is cut off

Change: an instance whose reads have failed for longer than the balancer takes, and that no peer of another zone answers, gives hint 0 and closes the connection. In an outage of the log peers of other zones answer, and the hint stays.

--- a/libs/cluster/src/azurecleat_cluster/_internal/front/relay.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/relay.py
@@ -6,6 +6,7 @@
 import threading
 from collections.abc import Mapping, Sequence
 from concurrent.futures import Executor, ThreadPoolExecutor
+from itertools import repeat
 from typing import Any, NamedTuple, Protocol
 
 from azurecleat_base import Clock
@@ -113,6 +114,15 @@
         """Whether only this instance is cut off: it reaches neither the log nor any peer."""
         return False
 
+    @property
+    def is_left(self) -> bool:
+        """Whether the balancer sends new connections elsewhere, as the instance's zone is cut off.
+
+        An instance that cannot reach the log is not ready. In an outage of the log itself no other
+        instance serves either, so the callers of such an instance are not sent away.
+        """
+        return False
+
     @property
     def replaces_log(self) -> bool:
         """Whether callers should not wait for this instance's own reads of the log."""
@@ -148,7 +158,11 @@
 
 
 class PeerRelay(Relay):
-    """Keeps the configuration fresh through peers, and forwards requests to one of them."""
+    """Keeps the configuration fresh through peers, and forwards requests to one of them.
+
+    :param balancer_removal_s: Time after which the balancer sends no new connections to an instance
+        that is not ready.
+    """
 
     def __init__(
         self,
@@ -159,6 +173,7 @@
         clock: Clock,
         events: EventLog,
         metrics: Metrics,
+        balancer_removal_s: float = math.inf,
     ) -> None:
         super().__init__(follower)
         self._view = view
@@ -166,7 +181,11 @@
         self._clock = clock
         self._events = events
         self._metrics = metrics
+        self._zone = zone
         self._rotation = PeerRotation(zone)
+        self._balancer_removal_s = balancer_removal_s
+        self._began_at = NEVER
+        self._is_zone_cut_off = False
         self._state: RelayState | None = None
         """None while the reads of this instance work."""
         self._lock = threading.Lock()
@@ -179,6 +198,12 @@
     def is_isolated(self) -> bool:
         return self._is_isolated and self._follower.is_failing
 
+    @property
+    def is_left(self) -> bool:
+        failing_s = self._clock.monotonic() - self._began_at
+        is_left = self._is_zone_cut_off and failing_s >= self._balancer_removal_s
+        return is_left and self._follower.is_failing
+
     @property
     def replaces_log(self) -> bool:
         return self._follower.is_log_lost
@@ -259,6 +284,7 @@
         """Begins to keep the answers of peers."""
         with self._lock:
             self._state = RelayState()
+            self._began_at = self._clock.monotonic()
         self._metrics.relaying.set(1)
         self._report.begin(self._follower.age(), len(self._peers.known()))
 
@@ -266,7 +292,7 @@
         """Forgets the answers of peers: the reads of this instance work."""
         with self._lock:
             self._state = None
-            self._is_isolated = False
+            self._is_isolated = self._is_zone_cut_off = False
         self._metrics.relaying.set(0)
         self._metrics.isolated.set(0)
         self._report.end()
@@ -275,12 +301,14 @@
         """Requests the configuration from peers of this zone and, if it is stale, of others."""
         known = self._peers.known()
         usable = [peer for peer in known if not self._peers.is_backing_off(peer.address)]
-        for stage in self._rotation.choose(usable):
-            list(executor.map(self._request_configuration, stage))
+        for is_elsewhere, stage in enumerate(self._rotation.choose(usable)):
+            list(executor.map(self._request_configuration, stage, repeat(is_elsewhere)))
             if self.age() <= YOUNG_AGE_S:
                 break
+        elsewhere = sum(peer.zone != self._zone for peer in known)
         with self._lock:
             self._is_isolated = self._state.is_isolated(len(known))
+            self._is_zone_cut_off = self._state.is_zone_cut_off(elsewhere)
         self._metrics.isolated.set(int(self._is_isolated))
         self._report.round_done(self._describe(), self._view.version, self.age())
 
@@ -289,24 +317,29 @@
             return "no peer answers"
         return "fresh" if self.age() <= MAX_SOURCE_AGE_S else "peers out of date"
 
-    def _request_configuration(self, address: str) -> None:
-        """Requests the configuration from one peer and applies the answer."""
+    def _request_configuration(self, address: str, is_elsewhere: bool) -> None:
+        """Requests the configuration from one peer and applies the answer.
+
+        :param is_elsewhere: The peer is in another zone.
+        """
         # The answer's way and any pause of the peer or of this instance count into the age.
         sent_at = self._clock.monotonic()
         try:
             answer = self._peers.configuration(address, self._view.version)
-            result = self._apply(address, answer, sent_at)
+            result = self._apply(address, answer, sent_at, is_elsewhere)
         except (PeerStatusError, *DECODE_ERRORS):
             result = "refused"
             with self._lock:
-                self._state.on_other_answer(address)
+                self._state.on_other_answer(address, is_elsewhere)
         except AzurecleatError:
             result = "no answer"
             with self._lock:
-                self._state.on_silence(address)
+                self._state.on_silence(address, is_elsewhere)
         self._metrics.relay_requests.labels(result).inc()
 
-    def _apply(self, address: str, answer: RelayedConfiguration, sent_at: float) -> str:
+    def _apply(
+        self, address: str, answer: RelayedConfiguration, sent_at: float, is_elsewhere: bool
+    ) -> str:
         """Applies a peer's configuration and its age. Returns the result for the metrics."""
         if answer.record is not None:
             self._view.apply(answer.record)
@@ -314,12 +347,14 @@
         with self._lock:
             if self._view.version > answer.version:
                 # The peer has not read the version that this instance has, whatever its age.
-                self._state.on_other_answer(address)
+                self._state.on_other_answer(address, is_elsewhere)
                 return "older"
             if self._view.version < answer.version:
-                self._state.on_other_answer(address)  # This instance cannot decode the record.
+                self._state.on_other_answer(
+                    address, is_elsewhere
+                )  # This instance cannot decode the record.
                 return "unreadable"
-            self._state.on_view(address, fresh_at)
+            self._state.on_view(address, fresh_at, is_elsewhere)
             self._fresh_at = max(self._fresh_at, fresh_at)
         return "fresh" if answer.age_s <= MAX_SOURCE_AGE_S else "stale"
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/front/relay_state.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/relay_state.py
@@ -49,22 +49,34 @@
     def __init__(self) -> None:
         self._fresh_at: dict[str, float] = {}
         self._silent: set[str] = set()
+        self._silent_elsewhere: set[str] = set()
+        """Silent peers of other zones since the last answer from another zone."""
 
-    def on_view(self, address: str, fresh_at: float) -> None:
-        """Notes the time at which a peer's view was known to be complete, on this clock."""
-        self._silent.clear()
+    def on_view(self, address: str, fresh_at: float, is_elsewhere: bool = False) -> None:
+        """Notes the time at which a peer's view was known to be complete, on this clock.
+
+        :param is_elsewhere: The peer is in another zone.
+        """
+        self._note_answer(is_elsewhere)
         self._fresh_at[address] = max(fresh_at, self._fresh_at.get(address, fresh_at))
 
-    def on_other_answer(self, address: str) -> None:
+    def on_other_answer(self, address: str, is_elsewhere: bool = False) -> None:
         """Notes that a peer answered without a usable view."""
-        self._silent.clear()
+        self._note_answer(is_elsewhere)
         self._fresh_at.pop(address, None)
 
-    def on_silence(self, address: str) -> None:
+    def on_silence(self, address: str, is_elsewhere: bool = False) -> None:
         """Notes that a peer gave no answer."""
         self._silent.add(address)
+        if is_elsewhere:
+            self._silent_elsewhere.add(address)
         self._fresh_at.pop(address, None)
 
+    def _note_answer(self, is_elsewhere: bool) -> None:
+        self._silent.clear()
+        if is_elsewhere:
+            self._silent_elsewhere.clear()
+
     def is_isolated(self, peers: int) -> bool:
         """Whether no peer answers: a round's worth of peers were silent since the last answer.
 
@@ -73,6 +85,14 @@
         """
         return 0 < min(peers, PEERS_PER_ROUND) <= len(self._silent)
 
+    def is_zone_cut_off(self, peers_elsewhere: int) -> bool:
+        """Whether no peer of another zone answers, so that the whole zone may be cut off.
+
+        :param peers_elsewhere: Number of known peers in other zones.
+        """
+        wanted = min(peers_elsewhere, 2 * PEERS_PER_STAGE)
+        return 0 < wanted <= len(self._silent_elsewhere)
+
     def best_source(self, now: float, avoided: str | None = None) -> str | None:
         """Returns the peer with the youngest view, None if no view is fresh.
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/front/request_handler.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/request_handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from functools import partial
 from typing import NamedTuple
@@ -76,10 +77,13 @@
     :param max_age_to_admit_s: Maximum age at which a known key is accepted.
     :param max_age_to_deny_s: Maximum age at which an unknown key or queue is denied. With an older
         configuration the caller is asked to retry.
+    :param balancer_removal_s: Time after which the balancer sends no new connections to an instance
+        that is not ready.
     """
 
     max_age_to_admit_s: float
     max_age_to_deny_s: float
+    balancer_removal_s: float = math.inf
 
 
 class Caller(NamedTuple):
@@ -313,7 +317,7 @@
 
     def _refuse(self, reason: str) -> Refused:
         """Refuses a request, with a retry hint that depends on what has failed."""
-        if self._relay.is_isolated:
+        if self._relay.is_isolated or self._relay.is_left:
             return Refused(reason, 0.0, is_local=True)
         return Refused(reason, RETRY_AFTER_S)
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/instance.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/instance.py
@@ -171,6 +171,7 @@
             self._clock,
             self._events,
             self.metrics,
+            self._settings.front.balancer_removal_s,
         )
 
     def _make_relay_service(self) -> RelayService:
--- a/tests/unit/cluster/test_relay.py
+++ b/tests/unit/cluster/test_relay.py
@@ -48,6 +48,7 @@
 
 JOB = "0" * 16
 BODY = json.dumps({"spec": "x", "steps": [{"count": 1, "cpu": 1}]}).encode()
+BALANCER_REMOVAL_S = 2.6
 PEERS = {"b": "zone 1", "c": "zone 1", "d": "zone 2", "e": "zone 2"}
 
 
@@ -147,7 +148,14 @@
             f"{node}:1": peer for node, peer in self.peers.items()
         }
         return PeerRelay(
-            "zone 1", front.view, front.config, client, self.clock, front.events, front.metrics
+            "zone 1",
+            front.view,
+            front.config,
+            client,
+            self.clock,
+            front.events,
+            front.metrics,
+            BALANCER_REMOVAL_S,
         )
 
     def configure(self, version: int, document: dict[str, Any]) -> None:
@@ -305,6 +313,21 @@
         self.front.config._fresh_at = self.clock.monotonic()
         self.assertFalse(self.relay.is_isolated, "the log is back")
 
+    # Guards against callers who keep a connection into a cut zone and are refused all the time, and
+    # against callers who use up their retries at once in an outage of the log.
+    def test_instance_of_a_cut_zone_sends_callers_away_once_the_balancer_has_left(self) -> None:
+        for silent, wanted in (("de", ("0", True)), ("d", ("1", False)), ("", ("1", False))):
+            with self.subTest(silent=silent):
+                self.setUp()
+                self.silence(PeerAnswerLostError("timeout"), silent)
+                self.round()
+                headers, is_closed = self.respond()
+                self.assertEqual((headers["Retry-After"], is_closed), ("1", False), "still used")
+                self.clock.advance(BALANCER_REMOVAL_S)
+                self.round()
+                headers, is_closed = self.respond()
+                self.assertEqual((headers["Retry-After"], is_closed), wanted)
+
     # Guards against callers who wait for a connection to the owner before they are sent away.
     def test_isolated_instance_tries_no_other_one_for_a_caller(self) -> None:
         self.round("b")
