Stop running work that can continue later for urgent work, and keep headroom for a burst

Change: with the feature `preemption`, an urgent step that found no capacity on targets it may use has runs stopped there, least work lost per task first. Capacity that is being freed, or will be by the progress of the runs, is counted first, so most waits need no stop. For 2 s after such a wait other work leaves free what urgent work used in starts during the last second. The end of a preempted run is recorded with its checkpoint. Events 785 to 787, three counters.

--- a/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
@@ -166,3 +166,13 @@
 )
 ADVICE_GIVEN = LogEvent(770, "advice.given", "step, adviser, named, allowed, waited_s, took_s")
 ADVICE_FAILED = LogEvent(771, "advice.failed", "step, adviser, error")
+PREEMPTION_DECIDED = LogEvent(
+    785,
+    "preemption.decided",
+    "step, tasks, expected, stopped, starts, lost_core_s, stopping_milli, limit_milli, waited_s, "
+    "unlogged",
+)
+PREEMPTION_ENDED = LogEvent(
+    786, "preemption.ended", "task, run, target, outcome, timing, took_s, lost_core_s, urgent_step"
+)
+HEADROOM_CHANGED = LogEvent(787, "headroom.changed", "pool, kept, tasks, cpu_milli")
--- a/libs/cluster/src/azurecleat_cluster/_internal/metrics.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/metrics.py
@@ -29,6 +29,15 @@
         self.stalled_steps = counter(
             "stalled_steps", "Reports of waiting steps by missing condition", "missing"
         )
+        self.preemptions = counter(
+            "preemptions", "Decisions whether to stop runs for an urgent step", "outcome"
+        )
+        self.preempted_runs = counter(
+            "preempted_runs", "Ends of preempted runs, and whether in time", "outcome", "timing"
+        )
+        self.preempted_core_s = counter(
+            "preempted_core_seconds", "Work lost by preempted runs, by outcome", "outcome"
+        )
         self.ends = counter("ends", "Ended runs by kind", "kind")
         self.target_crashes = counter(
             "target_crashes", "Targets that ended unannounced, by runs being started", "starting"
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -26,6 +26,7 @@
     place,
     place_gang,
 )
+from azurecleat_cluster._internal.owner.preemptor import Preemptor
 from azurecleat_cluster._internal.owner.stalls import StallReporter
 from azurecleat_cluster._internal.owner.term import OwnerTerm
 from azurecleat_cluster._internal.owner.usable_pools import UsablePool, UsablePools
@@ -85,6 +86,7 @@
         """Targets with capacity held for gangs that wait for tickets."""
         self._allowed_shares = AllowedShareEstimator()
         self._stalls = StallReporter(events, metrics)
+        self._preemptor = Preemptor(term, events, metrics) if term.features.preemption else None
         self._thread = threading.Thread(target=self._run, name="dispatch", daemon=True)
 
     def start(self) -> None:
@@ -137,6 +139,8 @@
             term.throttle_filling_runs(now)
         term.apply_evacuations()
         self._release_holds()
+        if self._preemptor is not None:
+            self._preemptor.begin_round(now)
         self._stalls.begin_round()
         pools = UsablePools([session.target for session in term.sessions.values()], now)
         is_takeover_complete = term.takeover is None or term.takeover.is_complete()
@@ -182,14 +186,27 @@
         :param include_full: Also renews tickets for full targets.
         :returns: The number of starts.
         """
+        if self._preemptor is not None:
+            self._preemptor.before_placement(step, pool, now)
         started = self._place(step, pool, now)
         self._request_advice(step, pool, rank, now, include_full)
         self._hold_capacity(step, pool)
+        if self._preemptor is not None:
+            self._preempt(step, pool, started, now)
         if step.pending and self._stalls.is_due(step, now):
             within_limit = self._count_within_limit(step, len(step.pending))
             self._stalls.report(step, pool.targets, within_limit, now)
         return started
 
+    def _preempt(self, step: StepInfo, pool: UsablePool, started: int, now: float) -> None:
+        """Stops runs for the tasks of an urgent step that found no capacity."""
+        startable = step.startable(self._is_takeover_complete)
+        count = len(startable - step.suspects_among(startable))
+        claimed = self._preemptor.claimed_by(step.job.team)
+        within_limit = self._count_within_limit(step, count, claimed)
+        share = self._allowed_shares.of(step.job.queue.name)
+        self._preemptor.after_placement(step, pool, started, count, within_limit, share, now)
+
     def _estimate_possible_usage(self) -> dict[str, Resources]:
         """Returns what teams may use on targets that this owner has not reached yet.
 
@@ -363,12 +380,16 @@
             target.release_holds()
         self._held_targets.clear()
 
-    def _count_within_limit(self, step: StepInfo, count: int) -> int:
-        """Returns how many of ``count`` tasks the team's resource limit allows."""
+    def _count_within_limit(self, step: StepInfo, count: int, claimed: Resources = ZERO) -> int:
+        """Returns how many of ``count`` tasks the team's resource limit allows.
+
+        :param claimed: What other tasks of the team will use when capacity is freed for them.
+        """
         team = self._term.configuration.team_named(step.job.team)
         if team is None:
             return count
         used = self._term.usage.of(team.name).plus(self._possible_usage.get(team.name, ZERO))
+        used = used.plus(claimed)
         for value, need, bound in zip(used, step.spec.need, team.limit, strict=True):
             if need and bound:
                 count = min(count, (bound - value) // need)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -55,6 +55,9 @@
         "is_start_uncertain",
         "is_reported",
         "has_survived_start",
+        "stopped_at",
+        "checkpointed_at",
+        "preempted_for",
     )
 
     def __init__(self, task: TaskId, step: StepInfo, number: int, target: TargetInfo) -> None:
@@ -98,6 +101,17 @@
         self.previous_rate = 0.0
         """Share of the work done per second up to the report before the last; 0 if unknown."""
         self.current_rate = 0.0
+        self.stopped_at = 0.0
+        """When a stop was sent."""
+        self.checkpointed_at = 0.0
+        """When the newest checkpoint was first reported; 0 if none was."""
+        self.preempted_for: StepInfo | None = None
+        """The urgent step for which the run is being stopped."""
+
+    def note_checkpoint(self, checkpoint: str, now: float) -> None:
+        """Records the checkpoint that a report gives for the run."""
+        if checkpoint and checkpoint != self.checkpoint:
+            self.checkpoint, self.checkpointed_at = checkpoint, now
 
     def update_progress(self, percent: float, now: float) -> None:
         """Records the percentage that a report gives for the run."""
@@ -120,12 +134,18 @@
     def remaining_s(self, now: float) -> float:
         """Estimates the time until the run is done, from its progress if there is any, else from
         the declared duration."""
-        at_work_s = self.reported_at - self.began_at
-        progress = self.percent - self.first_percent
-        if at_work_s >= MIN_RATE_INTERVAL_S and progress > 0:
+        if self.is_rate_known:
+            at_work_s = self.reported_at - self.began_at
+            progress = self.percent - self.first_percent
             return (100.0 - self.percent) / progress * at_work_s - (now - self.reported_at)
         return self.step.spec.estimate_ms / 1000.0 - (now - self.commanded_at)
 
+    @property
+    def is_rate_known(self) -> bool:
+        """Whether the reports show how fast the run proceeds."""
+        at_work_s = self.reported_at - self.began_at
+        return at_work_s >= MIN_RATE_INTERVAL_S and self.percent > self.first_percent
+
     @property
     def key(self) -> tuple[TaskId, int]:
         return self.task, self.number
@@ -213,6 +233,8 @@
         self.avoided: dict[int, set[str]] = {}
         self.backup_runs: dict[int, set[Run]] = {}
         """Earlier runs of speculative tasks that were started again; their end still counts."""
+        self.preempted_at: dict[int, list[float]] = {}
+        """When each task was preempted under this epoch."""
         self.durations_by_target: list[tuple[str, float]] = []
         """Target and duration of each run that was done."""
         self.durations_by_kind: list[tuple[str, float]] = []
@@ -492,6 +514,11 @@
         self._held = self._held.plus(allocation)
         self._update_free()
 
+    def release_hold(self, allocation: Resources) -> None:
+        """Takes back one :meth:`hold`."""
+        self._held = self._held.plus(allocation, -1)
+        self._update_free()
+
     def release_holds(self) -> None:
         self._held = ZERO
         self._update_free()
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -12,6 +12,7 @@
     StepInfo,
     TargetInfo,
 )
+from azurecleat_cluster._internal.owner.preemption_accounts import LOST, PREEMPTION_REASON
 from azurecleat_cluster._internal.owner.start_attempts import StartOutcome
 from azurecleat_cluster._internal.owner.state import TermState
 from azurecleat_cluster._internal.owner.throttling import throttle_target
@@ -86,6 +87,7 @@
             return
         run.state = RunState.STOPPING
         run.confirmed_at = None
+        run.stopped_at = self._clock.monotonic()
         self._events.write(
             eventlog.RUN_STOP_SENT,
             task=run.task,
@@ -95,6 +97,13 @@
         )
         session.submit_stop(run)
 
+    def preempt_run(self, run: Run, step: StepInfo, now: float) -> None:
+        """Stops a run so that tasks of an urgent step can start in its place."""
+        self.stop_run(run, PREEMPTION_REASON)
+        if run.state is RunState.STOPPING:
+            run.preempted_for = step
+            run.step.preempted_at.setdefault(run.task.index, []).append(now)
+
     def demote_to_backup(self, run: Run) -> bool:
         """Makes the run of a speculative task a backup run, so that the task may start elsewhere.
 
@@ -280,6 +289,7 @@
         run.target.remove(run)
         run.target.note_released(run, self._clock.monotonic())
         self.usage.add(run, -1)
+        self._note_preempted_end(run, LOST)
         step, index = run.step, run.task.index
         step.backup_runs.get(index, set()).discard(run)
         if step.active.get(index) is run:
@@ -289,6 +299,18 @@
                 if run.checkpoint:
                     self._store_checkpoint(step, index, run.checkpoint)
 
+    def _note_preempted_end(self, run: Run, outcome: str) -> None:
+        """Counts the end of a preempted run, and records the checkpoint that its task goes on from.
+
+        The record is encoded later, with the checkpoint that comes with the end.
+        """
+        if run.preempted_for is None:
+            return
+        self.preemptions.note_end(run, outcome, self._clock.monotonic())
+        run.preempted_for = None
+        if run.step.job.is_open:
+            self.record(run.step.job)
+
     def _process_end(self, target: TargetInfo, end: RunEnd, now: float) -> None:
         run = target.runs.get((end.task, end.run))
         step = self._step_of(end.task)
@@ -303,6 +325,8 @@
         )
         if run is not None:
             self.health.note_end(target, run, end.kind, now)
+            run.note_checkpoint(end.checkpoint, now)
+            self._note_preempted_end(run, end.kind.value)
             self._release(run)
         if step is None:
             return
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -270,8 +270,7 @@
             self.note_survived(target, run, now)
         run.update_progress(status.percent, now)
         run.load = status.load
-        if status.checkpoint:
-            run.checkpoint = status.checkpoint
+        run.note_checkpoint(status.checkpoint, now)
 
     def _adopt(self, target: TargetInfo, status: RunStatus) -> Run | None:
         """Adds a run that is not known here, and stops it if its task does not need it.
--- a/tests/lib/pool_simulation.py
+++ b/tests/lib/pool_simulation.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from azurecleat_base import ManualClock
+from azurecleat_cluster._internal.features import NO_FEATURES, Features
 from azurecleat_cluster._internal.owner.advice import TICKET_MARGIN_S
 from azurecleat_cluster._internal.owner.model import Advice, JobInfo, Run, StepInfo
 from azurecleat_cluster._internal.replica.jobs import JobReplica
@@ -93,6 +94,7 @@
 
     :param allowed_share: Share of the targets that each step may use.
     :param fails: Whether a run ends as failed instead of done; the other runs of a gang break then.
+    :param features: The optional features of the owner.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         allowed_share: float,
         seed: int,
         fails: Callable[[Run], bool] = lambda run: False,
+        features: Features = NO_FEATURES,
     ) -> None:
         self.clock = ManualClock()
         self._start = self.clock.monotonic()
@@ -109,7 +112,7 @@
         self._fails = fails
         self._replica = JobReplica()
         self.advice = AdviceStandIn(self.clock, self.is_allowed)
-        self.harness = TermHarness(self.clock, self._replica, advice=self.advice)
+        self.harness = TermHarness(self.clock, self._replica, advice=self.advice, features=features)
         self._running: dict[str, dict[Run, float]] = {}
         self._ended: dict[str, list[RunEnd]] = {}
         self._counts: dict[str, int] = {}
@@ -175,16 +178,24 @@
             for run in over:
                 del runs[run]
                 self._counts[target] = self._counts.get(target, 0) + 1
-                end = RunEnd(self._counts[target], run.task, run.number, self._end_kind(run), "")
+                kind, checkpoint = self._end_kind(run), self._checkpoint(run)
+                end = RunEnd(self._counts[target], run.task, run.number, kind, checkpoint)
                 self._ended[target].append(end)
             session = self.harness.session(target)
             self._ended[target] = [
                 end for end in self._ended[target] if end.number > session.acknowledged
             ]
-            running = tuple(RunStatus(run.task, run.number, "", 50.0, 0.0) for run in runs)
+            running = tuple(self._status(run) for run in runs)
             report = TargetReport(0.0, 1, running, tuple(self._ended[target]))
             self.harness.term.on_report(session, report, now)
 
+    def _status(self, run: Run) -> RunStatus:
+        return RunStatus(run.task, run.number, "", 50.0, 0.0)
+
+    def _checkpoint(self, run: Run) -> str:
+        """Returns the checkpoint that a run's end contains."""
+        return ""
+
     def _end_kind(self, run: Run) -> EndKind:
         if (run.step.name, run.number) in self._broken:
             return EndKind.BROKEN
