--- a/libs/cli/src/azurecleat_cli/_internal/operations/explain.py
+++ b/libs/cli/src/azurecleat_cli/_internal/operations/explain.py
@@ -26,6 +26,9 @@
         "target.crashed",
     )
 )
+PREEMPTION_REASON = "preempted by urgent work"
+"""Reason of the stop of a run in whose place urgent tasks start."""
+
 HIDDEN_FIELDS = frozenset(("at", "event", "name", "instance", "job"))
 
 
@@ -213,11 +216,22 @@
             reasons = ", ".join(_end_reasons(lines)) or "unknown"
             repeated_s = starts[-1].at - starts[0].at
             yield Phase(repeated_s, f"{task} was started {len(starts)} times: {reasons}")
+        elif _is_preempted(lines):
+            waited_s = job_lines[-1].at - lines[-1].at
+            yield Phase(waited_s, f"{task} waits for capacity: {_end_reasons(lines)[-1]}")
         if done and done[-1].fields.get("took_s") is not None:
             took_s = float(done[-1].fields["took_s"])
             yield Phase(took_s, f"{task} running on {done[-1].target}")
 
 
+def _is_preempted(lines: list[LogLine]) -> bool:
+    """Whether the last that is known of a task is that its run was preempted."""
+    stops = [line for line in lines if line.fields.get("reason") == PREEMPTION_REASON]
+    later = ("run.started", "run.ended")
+    ends = [line.fields.get("kind") for line in lines if line.name in later]
+    return bool(stops) and ends[-1:] in ([None], ["stopped"])
+
+
 def _end_reasons(lines: list[LogLine]) -> list[str]:
     """Returns why runs of a task ended without success, each reason with its target."""
     reasons = []
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -191,7 +191,7 @@
         started = self._place(step, pool, now)
         self._request_advice(step, pool, rank, now, include_full)
         self._hold_capacity(step, pool)
-        if self._preemptor is not None:
+        if self._preemptor is not None and self._preemptor.is_urgent(step):
             self._preempt(step, pool, started, now)
         if step.pending and self._stalls.is_due(step, now):
             within_limit = self._count_within_limit(step, len(step.pending))
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/preemptor.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/preemptor.py
@@ -70,6 +70,11 @@
             if step.pending and step.job.is_open and now - reservation.since < KEEP_S
         }
 
+    def is_urgent(self, step: StepInfo) -> bool:
+        """Whether runs may be stopped for a step at all."""
+        is_urgent = step.job.queue.priority <= URGENT_PRIORITY
+        return is_urgent and not step.spec.gang and not step.spec.long_running
+
     def claimed_by(self, team: str) -> Resources:
         """Returns what urgent tasks of a team will use when the stopping runs have ended."""
         return self._claimed.get(team, ZERO)
@@ -146,8 +151,6 @@
         :param within_limit: How many of them the account's limit allows.
         :param allowed_share: Share of the targets in requests for advice that will be allowed.
         """
-        if step.job.queue.priority > URGENT_PRIORITY or step.spec.gang or step.spec.long_running:
-            return
         headroom = self._headrooms.setdefault(pool.targets[0].entry.pool, Headroom())
         if started:
             headroom.note_starts(step, started, now)
--- a/tests/lib/cluster_simulation.py
+++ b/tests/lib/cluster_simulation.py
@@ -21,6 +21,7 @@
 )
 from azurecleat_cluster import EventLog, Preferences
 from azurecleat_cluster._internal.configuration import ConfigurationView
+from azurecleat_cluster._internal.features import NO_FEATURES, Features
 from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.owner.advice import AdviceClient
 from azurecleat_cluster._internal.owner.authority import Authority
@@ -395,6 +396,7 @@
             self.events,
             self.metrics,
             lambda reason: None,
+            self.simulation.features,
         )
         self.term = term
         self._listener = lambda record: term.on_job_record(record.key)
@@ -428,6 +430,7 @@
     :param max_task_s: Maximum of a step's typical task duration. A single task may take up to 1.4
         times as long as is typical for its step.
     :param start_attempts: How often a start is sent while no answer comes.
+    :param features: The optional features of the owners.
     """
 
     def __init__(
@@ -437,7 +440,9 @@
         targets: int = 6,
         max_task_s: float = 1.5,
         start_attempts: int = 1,
+        features: Features = NO_FEATURES,
     ) -> None:
+        self.features = features
         self.max_task_s = max_task_s
         self.start_attempts = start_attempts
         self.rng = random.Random(seed)
@@ -474,14 +479,22 @@
         for target in self.targets:
             target.duration = lambda task: seconds
 
-    def submit(self, name: str, tasks: int = 0, speculative: bool = False) -> None:
+    def submit(
+        self,
+        name: str,
+        tasks: int = 0,
+        speculative: bool = False,
+        checkpointing: bool = False,
+        queue: Queue = QUEUE,
+    ) -> None:
         """Submits a job.
 
         :param tasks: Number of tasks of its only step; 0 for one to three steps of random sizes.
         :param speculative: Whether tasks may have several runs; only for random sizes.
+        :param checkpointing: Whether tasks save checkpoints; only for random sizes.
         """
         if tasks:
-            self._submit_steps(name, [Step(count=tasks, need=Resources(1000, 1000, 0))])
+            self._submit_steps(name, [Step(count=tasks, need=Resources(1000, 1000, 0))], queue)
             return
         steps = []
         for number in range(self.rng.randint(1, 3)):
@@ -491,15 +504,16 @@
                     need=Resources(self.rng.choice((1000, 2000, 4000)), 1000, 0),
                     depends_on=(number - 1,) if number else (),
                     speculative=speculative,
+                    checkpointing=checkpointing,
                 )
             )
-        self._submit_steps(name, steps)
+        self._submit_steps(name, steps, queue)
 
-    def _submit_steps(self, name: str, steps: list[Step]) -> None:
+    def _submit_steps(self, name: str, steps: list[Step], queue: Queue) -> None:
         spec = JobSpec("payload", tuple(steps))
         for number, step in enumerate(steps):
-            self.checker.expected_steps[name, number] = ExpectedStep(step, "team", QUEUE.attempts)
-        submission = records.Submission(name, "team", QUEUE, spec)
+            self.checker.expected_steps[name, number] = ExpectedStep(step, "team", queue.attempts)
+        submission = records.Submission(name, "team", queue, spec)
         self.log.append(
             JOBS, [(records.SUBMISSION + name, records.encode_submission(submission))], 1.0
         )
--- a/tests/unit/cluster/test_schedules.py
+++ b/tests/unit/cluster/test_schedules.py
@@ -5,11 +5,14 @@
 import unittest
 import unittest.mock
 
-from azurecleat_cluster._internal.owner import term
+from azurecleat_base import Resources
+from azurecleat_cluster._internal.features import Features
+from azurecleat_cluster._internal.owner import preemption, term
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
-from tests.lib.cluster_simulation import Simulation
+from tests.lib import cluster_simulation
+from tests.lib.cluster_simulation import QUEUE, Simulation
 from tests.lib.simulated_targets import SimTarget
 
 MAX_ENDS = 2
@@ -20,6 +23,14 @@
 """Without shrinking, which takes minutes: a schedule has few rounds anyway."""
 
 NODES, TARGETS = 3, 4
+URGENT = QUEUE._replace(name="urgent", objective_ms=10_000)
+WIDE = QUEUE._replace(name="wide", priority=2)
+WIDE_JOBS = 3
+"""Jobs of the second queue in each round: enough to fill the targets."""
+
+WIDE_LEAD_S = 0.6
+"""Time after which their runs are confirmed, as only such runs are stopped."""
+
 ACTIONS = (
     "take over",
     "take over",
@@ -72,13 +83,25 @@
             simulation.heal()
 
 
-def play(rounds: list[tuple[str, int, int, float]]) -> Simulation:
-    simulation = Simulation(1, NODES, TARGETS, max_task_s=0.5)
+def play(rounds: list[tuple[str, int, int, float]], preempts: bool = False) -> Simulation:
+    """Plays a schedule.
+
+    :param preempts: Each round also submits work that urgent work may take the place of.
+    """
+    features = Features(preemption=preempts)
+    max_task_s = 2.0 if preempts else 0.5
+    simulation = Simulation(1, NODES, TARGETS, max_task_s=max_task_s, features=features)
     simulation.nodes[0].take_over()
     for job, (action, node, target, pause_s) in enumerate(rounds):
         if not simulation.log.down:
             simulation.log.lose_answers = 0
-            simulation.submit(f"{job:016x}")
+            if preempts:
+                for number in range(WIDE_JOBS):
+                    simulation.submit(f"{number + 1:08x}{job:08x}", checkpointing=True, queue=WIDE)
+                simulation.run(WIDE_LEAD_S)
+                simulation.submit(f"{job:016x}", queue=URGENT)
+            else:
+                simulation.submit(f"{job:016x}")
         act(simulation, action, node, target)
         simulation.run(pause_s)
     simulation.heal()
@@ -101,6 +124,17 @@
             violations = play(rounds).checker.violations
         self.assertEqual([line for line in violations if "TWICE" in line], [])
 
+    # A preempted task must not start while its run may still be at work, nor after it was done.
+    @settings(max_examples=30, derandomize=True, deadline=None, database=None, phases=PHASES)
+    @given(ROUNDS)
+    def test_preempted_tasks_break_no_rule(self, rounds) -> None:  # noqa: ANN001
+        with (
+            unittest.mock.patch.object(cluster_simulation, "TEAM_LIMIT", Resources(40_000, 0, 0)),
+            unittest.mock.patch.object(preemption, "MAX_STOPPING_SHARE", 0.5),
+        ):
+            simulation = play(rounds, preempts=True)
+        self.assertEqual(simulation.checker.violations, [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -72,6 +72,24 @@
         ]
         self.assertIn("not started: its step lacked tickets (4.00 s)", self.cause("j"))
 
+    def test_job_whose_task_was_preempted_names_the_reason(self) -> None:
+        fields = '"instance":"n","task":"j.0.0.1","target":"t"'
+        self.texts = [
+            '{"at":1.0,"name":"job.seen","instance":"n","job":"j"}',
+            f'{{"at":1.1,"name":"run.started",{fields}}}',
+            f'{{"at":2.0,"name":"run.stop_sent",{fields},"reason":"preempted by urgent work"}}',
+            f'{{"at":2.3,"name":"run.ended",{fields},"kind":"stopped"}}',
+            f'{{"at":2.3,"name":"preemption.ended",{fields},"outcome":"stopped"}}',
+            '{"at":6.3,"name":"job.cancelled","instance":"n","job":"j"}',
+        ]
+        self.assertIn(
+            "j.0.0.1 waits for capacity: preempted by urgent work (t) (4.00 s)", self.cause("j")
+        )
+        self.texts.insert(5, f'{{"at":6.2,"name":"run.started",{fields}}}')
+        self.assertIn(
+            "j.0.0.1 was started 2 times: preempted by urgent work (t) (5.10 s)", self.cause("j")
+        )
+
     def test_unknown_job(self) -> None:
         self.assertEqual(self.cause("0" * 16), f"no events of job {'0' * 16} in these logs")
 
