Hold the capacity that a first stopped run frees until the others of its target have ended

Cause: if one urgent task needs the place of several runs, the task of the first one to end started there again, before the urgent task fitted. Change: the free part of an urgent task's allocation is held on a target while a run is being stopped there for it.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/preemptor.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/preemptor.py
@@ -100,13 +100,19 @@
         targets: list[TargetInfo],
         holds: list[tuple[TargetInfo, Resources]],
     ) -> None:
-        """Holds freed capacity that a step could not use because its ticket has to be renewed."""
+        """Holds freed capacity that a step cannot use yet.
+
+        Its ticket has to be renewed, or another of the runs that were stopped for it has not ended.
+        """
         left = len(step.pending)
         for target in targets:
             tasks = min(left, capacity_for(step, target))
             if tasks > 0:
                 left -= tasks
                 _hold(target, ZERO.plus(step.spec.allocation, tasks), holds)
+            elif any(run.preempted_for is step for run in target.runs.values()):
+                free = target.free.at_least(ZERO)
+                _hold(target, Resources(*map(min, free, step.spec.allocation)), holds)
 
     def _hold_headroom(
         self, pool: UsablePool, holds: list[tuple[TargetInfo, Resources]], now: float
--- a/tests/unit/cluster/test_preemption.py
+++ b/tests/unit/cluster/test_preemption.py
@@ -168,8 +168,13 @@
         self.begin(wide_step())
         self.submit(urgent_step(1, cores=6))
         self.dispatch()
-        self.assertEqual(len({run.target.id for run in self.stopped()}), 1)
-        self.assertEqual(len(self.stopped()), 2)
+        first, second = self.stopped()
+        self.assertIs(first.target, second.target)
+        # The task that was stopped first must not come back onto the capacity that it freed.
+        self.end(first)
+        self.assertEqual(self.dispatch(), [])
+        self.end(second)
+        self.assertEqual([task.job for task in self.dispatch()], [URGENT_JOB])
 
     def test_work_that_would_lose_or_miss_something_goes_on(self) -> None:
         for fields in (
