Bound what one round spends on preemption

Cause: with many urgent steps that wait, each counted the capacity being freed on every target of a queue without advice. Change: at most 40 steps of a round count it, targets where nothing ends are passed over, and targets without victims do not use up the bound of a choice.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/preemption.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/preemption.py
@@ -9,6 +9,7 @@
 
 import heapq
 from collections.abc import Iterable, Sequence
+from itertools import islice
 from typing import NamedTuple
 
 from azurecleat_base import ZERO, Resources
@@ -45,6 +46,10 @@
 MAX_CHOICES_PER_ROUND = 4
 """Most steps for which one dispatch round chooses runs to stop."""
 
+MAX_CLAIMS_PER_ROUND = 40
+"""Most steps for which one dispatch round counts what is being freed: more than arrive while the
+capacity for the first ones is being freed."""
+
 MAX_TARGETS_PER_CHOICE = 64
 """Most targets examined for one step: at ten runs each, a choice takes about a millisecond."""
 
@@ -124,6 +129,8 @@
         for target in targets:
             if claimed == count:
                 break
+            if self._expected_on(target) == ZERO:
+                continue
             starts = min(count - claimed, self.starts_after(step, target, ZERO))
             if starts:
                 self._claim(step, target, starts)
@@ -228,12 +235,13 @@
     """Chooses runs to stop so that tasks of a step can start, least loss per task first.
 
     :param count: Tasks of the step that found no capacity and that no expected capacity is for.
-    :param targets: Targets that the step may use; those beyond ``MAX_TARGETS_PER_CHOICE`` are not
-        examined.
+    :param targets: Targets that the step may use. Of those with runs that may be preempted, the
+        first ``MAX_TARGETS_PER_CHOICE`` are examined.
     :param freeing: What is being freed; the runs chosen are added.
     """
     options: list[_Option] = []
-    for target in targets[:MAX_TARGETS_PER_CHOICE]:
+    with_victims = (target for target in targets if freeing.victims_on(target))
+    for target in islice(with_victims, MAX_TARGETS_PER_CHOICE):
         option = _best_option(step, count, target, freeing, now)
         if option is not None:
             options.append(option)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/preemptor.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/preemptor.py
@@ -19,6 +19,7 @@
 from azurecleat_cluster._internal.owner.placement import capacity_for, has_label
 from azurecleat_cluster._internal.owner.preemption import (
     MAX_CHOICES_PER_ROUND,
+    MAX_CLAIMS_PER_ROUND,
     URGENT_PRIORITY,
     Choice,
     FreeingCapacity,
@@ -53,7 +54,7 @@
         """Capacity held while steps with a higher priority number are served, by pool."""
         self._freeing: dict[UsablePool, FreeingCapacity] = {}
         self._claimed: dict[str, Resources] = {}
-        self._choices_left = 0
+        self._claims_left = self._choices_left = 0
 
     def begin_round(self, now: float) -> None:
         """Begins a dispatch round."""
@@ -63,6 +64,7 @@
         self._holds.clear()
         self._freeing.clear()
         self._claimed.clear()
+        self._claims_left = MAX_CLAIMS_PER_ROUND
         self._choices_left = MAX_CHOICES_PER_ROUND
         self._reservations = {
             step: reservation
@@ -180,6 +182,9 @@
             return "account limit"
         if not can_be_on_time(step, now):
             return "too late"
+        if not self._claims_left:
+            return "left for the next round"
+        self._claims_left -= 1
         targets = _usable_targets(step, pool, now)
         if not targets:
             return "no tickets"
