Let simulated durations differ from estimates, by job and by kind of target

Cause: the pool simulation drew durations from the estimates, so that no test could compare an order by estimates with one by true durations, and it reported every run at 50%, which counts as no progress. Change: a factor for each job, a slowness for each kind of target, the features of the term, and true percentages. Figures: the tests that use the simulation (test_accelerator_gangs) pass unchanged.

--- a/tests/lib/pool_simulation.py
+++ b/tests/lib/pool_simulation.py
@@ -8,10 +8,11 @@
 
 import random
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from azurecleat_base import ManualClock
+from azurecleat_cluster._internal.features import NO_FEATURES, Features
 from azurecleat_cluster._internal.owner.advice import TICKET_MARGIN_S
 from azurecleat_cluster._internal.owner.model import Advice, JobInfo, Run, StepInfo
 from azurecleat_cluster._internal.replica.jobs import JobReplica
@@ -74,11 +75,15 @@
 
 
 class Arrival(NamedTuple):
-    """A job of the load; ``at`` in seconds from the start of the simulation."""
+    """A job of the load; ``at`` in seconds from the start of the simulation.
+
+    :param factor: Ratio of the tasks' durations to the estimates.
+    """
 
     at: float
     queue: Queue
     spec: JobSpec
+    factor: float = 1.0
 
 
 class JobResult(NamedTuple):
@@ -93,6 +98,7 @@
 
     :param allowed_share: Share of the targets that each step may use.
     :param fails: Whether a run ends as failed instead of done; the other runs of a gang break then.
+    :param slowness: How many times longer tasks take by kind of target; 1 for other kinds.
     """
 
     def __init__(
@@ -101,15 +107,20 @@
         allowed_share: float,
         seed: int,
         fails: Callable[[Run], bool] = lambda run: False,
+        features: Features = NO_FEATURES,
+        slowness: Mapping[str, float] | None = None,
     ) -> None:
         self.clock = ManualClock()
         self._start = self.clock.monotonic()
         self._rng = random.Random(seed)
         self._seed, self._allowed_share = seed, allowed_share
         self._fails = fails
+        self._slowness = slowness or {}
+        self._factors: dict[str, float] = {}
+        """Ratio of durations to estimates by job."""
         self._replica = JobReplica()
         self.advice = AdviceStandIn(self.clock, self.is_allowed)
-        self.harness = TermHarness(self.clock, self._replica, advice=self.advice)
+        self.harness = TermHarness(self.clock, self._replica, advice=self.advice, features=features)
         self._running: dict[str, dict[Run, float]] = {}
         self._ended: dict[str, list[RunEnd]] = {}
         self._counts: dict[str, int] = {}
@@ -142,6 +153,7 @@
             while waiting and waiting[0].at <= self.now:
                 arrival = waiting.pop(0)
                 names.append((f"{len(names):016x}", arrival))
+                self._factors[names[-1][0]] = arrival.factor
                 submit(self._replica, arrival.spec, names[-1][0], arrival.queue)
                 self.harness.term.on_job_record(SUBMISSION + names[-1][0])
             self._tick()
@@ -163,9 +175,13 @@
             new = session.started[self._begun_counts.get(id(session), 0) :]
             self._begun_counts[id(session)] = len(session.started)
             for run in new:
-                took_s = run.step.spec.estimate_ms / 1000.0 * self._rng.uniform(0.7, 1.3)
-                self._running[session.target.id][run] = now + took_s
-                run.start_answered_at = run.confirmed_at = now
+                self._running[session.target.id][run] = now + self._draw_duration_s(run)
+                run.start_answered_at = run.confirmed_at = run.began_at = now
+                run.has_known_start = True
+
+    def _draw_duration_s(self, run: Run) -> float:
+        factor = self._factors[run.task.job] * self._slowness.get(run.target.entry.kind, 1.0)
+        return run.step.spec.estimate_ms / 1000.0 * factor * self._rng.uniform(0.7, 1.3)
 
     def _end_runs(self, now: float) -> None:
         for target, runs in self._running.items():
@@ -181,10 +197,19 @@
             self._ended[target] = [
                 end for end in self._ended[target] if end.number > session.acknowledged
             ]
-            running = tuple(RunStatus(run.task, run.number, "", 50.0, 0.0) for run in runs)
+            running = tuple(
+                RunStatus(run.task, run.number, "", self._percent(run, ends_at), 0.0)
+                for run, ends_at in runs.items()
+            )
             report = TargetReport(0.0, 1, running, tuple(self._ended[target]))
             self.harness.term.on_report(session, report, now)
 
+    def _percent(self, run: Run, ends_at: float) -> float:
+        """Returns the whole percentage of a run's work that is done."""
+        return float(
+            int(100.0 * (self.clock.monotonic() - run.began_at) / (ends_at - run.began_at))
+        )
+
     def _end_kind(self, run: Run) -> EndKind:
         if (run.step.name, run.number) in self._broken:
             return EndKind.BROKEN
