Record the slowness of target kinds with the durations

Cause: recorded durations are relative to the average kind of target, but a new owner knew no kinds until steps with mixed kinds had ended, and so learned from its first runs and placed its first tasks as if all kinds were alike. Change: the record contains the learned slowness; an owner that has none of its own continues with it.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/duration_tracking.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/duration_tracking.py
@@ -43,6 +43,7 @@
             if value is None:
                 raise ValueError("no record")
             self.learned = LearnedDurations.decode(value)
+            self._preferences.restore(self.learned.kinds)
         except ValueError as error:
             self._events.write(eventlog.DURATIONS_EMPTY, reason=str(error), epoch=epoch)
         else:
@@ -86,6 +87,13 @@
                 run.step.work_key, at_least_s, slowness, run.step.duration_weight
             )
 
+    def encode(self) -> bytes | None:
+        """Encodes the learned durations, with the slowness of the kinds that they are based on."""
+        if self.learned is None:
+            return None
+        self.learned.kinds = self._preferences.log_durations
+        return self.learned.encode()
+
     def is_record_due(self, now: float) -> bool:
         """Whether the learned durations are to be recorded now; at most once per period."""
         learned = self.learned
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/durations.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/durations.py
@@ -258,6 +258,9 @@
         self._shares: _RecentEntries[str, _AccountShares] = _RecentEntries(
             _AccountShares, MAX_ACCOUNTS
         )
+        self.kinds: dict[str, float] = {}
+        """Logarithm of the relative duration of tasks by kind of target, at most ``MAX_KINDS``;
+        recorded with the durations, which are relative to it."""
         self._observed = 0
         self._generation = 0
         self._renewed_at = 0
@@ -378,7 +381,7 @@
         """Encodes what fits into ``MAX_RECORD_BYTES``: the queues as a whole, then what was
         observed last."""
         left = MAX_RECORD_BYTES - 100
-        parts: dict[str, list[str]] = {"shares": [], "fits": [], "keys": []}
+        parts: dict[str, list[str]] = {"kinds": [], "shares": [], "fits": [], "keys": []}
 
         def add(part: str, row: list) -> None:
             nonlocal left
@@ -387,6 +390,8 @@
                 left -= len(text) + 1
                 parts[part].append(text)
 
+        for kind, log_duration in list(self.kinds.items())[:MAX_KINDS]:
+            add("kinds", [kind, round(log_duration, 4)])
         entries = self._stats.newest_first()
         entries.sort(key=lambda each: not _is_whole_queue(each[0]))
         for queue, shares in self._shares.newest_first()[:MAX_RECORD_ACCOUNTS]:
@@ -418,6 +423,7 @@
     @classmethod
     def _from_data(cls, data: dict[str, Any]) -> LearnedDurations:
         learned = cls()
+        learned.kinds = {kind: _finite(each) for kind, each in data["kinds"][:MAX_KINDS]}
         for queue, counts in reversed(data["shares"]):
             known = {name: _weight(count) for name, count in list(counts.items())[:MAX_SHARES]}
             learned._shares.put(queue, _AccountShares(known))
@@ -467,6 +473,9 @@
 """Most accounts, and most queues, in the encoded model."""
 
 
+MAX_KINDS = 64
+"""Most kinds of targets in the encoded model."""
+
 WEIGHT_UNITS = 20
 """Parts of a run in which weights are encoded. Whole numbers take half the space of decimals."""
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/placement.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/placement.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from azurecleat_cluster._internal.owner.model import StepInfo, TargetInfo
 from azurecleat_cluster._internal.values import TargetState
@@ -28,6 +28,16 @@
         self.far_factor = far_factor
         self._log_durations: dict[str, float] = {}
 
+    @property
+    def log_durations(self) -> dict[str, float]:
+        """Logarithm of the relative duration of tasks by kind of target."""
+        return dict(self._log_durations)
+
+    def restore(self, log_durations: Mapping[str, float]) -> None:
+        """Continues with what another owner has learned, if nothing has been learned here."""
+        if not self._log_durations:
+            self._log_durations.update(log_durations)
+
     def slowness(self, kind: str) -> float:
         """Returns how many times longer tasks take on a kind of target than on the fastest kind."""
         if kind not in self._log_durations:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
@@ -168,7 +168,7 @@
         """Encodes the learned durations; an error must not end the thread that writes progress."""
         try:
             with self.lock:
-                return None if self.durations.learned is None else self.durations.learned.encode()
+                return self.durations.encode()
         except Exception as error:
             self._events.write(eventlog.COMPONENT_FAILED, component="durations", error=repr(error))
             return self._replica.durations
--- a/tests/unit/cluster/test_durations.py
+++ b/tests/unit/cluster/test_durations.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import io
 import math
 import random
 import tracemalloc
 import unittest
 
 from azurecleat_base import ManualClock, Resources
+from azurecleat_cluster._internal.eventlog import EventLog
 from azurecleat_cluster._internal.features import NO_FEATURES, Features
+from azurecleat_cluster._internal.metrics import Metrics
+from azurecleat_cluster._internal.owner.duration_tracking import DurationTracker
 from azurecleat_cluster._internal.owner.durations import (
     MAX_KEYS,
     MAX_RECORD_BYTES,
@@ -154,11 +158,12 @@
         self.assertEqual(restored.encode(), learned.encode())
 
     def test_malformed_records_are_refused(self) -> None:
-        good = '{"v":1,"shares":[],"fits":[],"keys":[[["q"],0,1,-4,[100]]]}'
+        good = '{"v":1,"kinds":[["a",0.5]],"shares":[],"fits":[],"keys":[[["q"],0,1,-4,[100]]]}'
         LearnedDurations.decode(good.encode())
         for old, new in (
             ('"v":1', '"v":2'),
             ('"fits":[],', ""),
+            ("0.5", "1e999"),
             ('["q"]', "[[]]"),
             ('["q"]', "[]"),
             ('["q"]', '["q",1.5]'),
@@ -272,6 +277,17 @@
             self.take_over(3)
             self.assertAlmostEqual(self.learned().expect(KEY, 4.0).p50_s, 4.0)
 
+    def test_next_owner_knows_the_kinds_that_the_record_is_based_on(self) -> None:
+        preferences = Preferences()
+        preferences.add_durations([("fast", 0.7), ("fast", 0.7), ("slow", 1.7)], True)
+        second = Preferences()
+        events, metrics = EventLog("test", io.StringIO()), Metrics()
+        record = DurationTracker(True, preferences, events, metrics).encode()
+        DurationTracker(True, second, events, metrics).restore(record, 2)
+        for kind in ("fast", "slow"):
+            known, restored = preferences.relative_slowness(kind), second.relative_slowness(kind)
+            self.assertAlmostEqual(known, restored, delta=0.001)
+
     def test_records_are_written_only_after_changes_and_at_most_every_5_s(self) -> None:
         self.start()
         records = []
