--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/preemption.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/preemption.py
@@ -209,19 +209,19 @@
     A queue without an objective has no time by which its jobs are late.
     """
     job = step.job
-    objective_s = job.queue.objective_ms / 1000.0 + job.queue.stretch * job.total_estimate_s
-    if objective_s <= 0:
+    if job.objective_s <= 0:
         return True
-    return now + STOP_S + SHORTEST_RUN_SHARE * _chain_s(step) <= job.seen_at + objective_s
+    return now + STOP_S + SHORTEST_RUN_SHARE * _chain_s(step) <= job.seen_at + job.objective_s
 
 
 def _chain_s(step: StepInfo) -> float:
-    """Returns the estimated time of the longest chain of steps that begins with a step."""
+    """Returns the expected time of the longest chain of steps that begins with a step."""
     steps = step.job.submission.spec.steps
     chains: dict[int, float] = {}
     for index in range(len(steps) - 1, step.index - 1, -1):
         after = [chains[later] for later in chains if index in steps[later].depends_on]
-        chains[index] = steps[index].estimate_ms / 1000.0 + max(after, default=0.0)
+        expected_s = step.job.steps[step.occurrence, index].expected_s
+        chains[index] = expected_s + max(after, default=0.0)
     return chains[step.index]
 
 
