Bound a heavy account's part of shared durations from its first runs on

Cause: the counts that weigh accounts faded over 512 observations and the histograms over 64, so that the first 64 runs of a new heavy account counted in full and moved the expectations of others by 15%. Change: counts fade as the histograms do, and accounts without recent runs do not count.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/durations.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/durations.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Hashable, Mapping
 from typing import Any, Generic, NamedTuple, TypeVar
 
-from azurecleat_cluster._internal.owner.log_histogram import MAX_LOG_S, LogHistogram
+from azurecleat_cluster._internal.owner.log_histogram import FADING_WEIGHT, MAX_LOG_S, LogHistogram
 
 MAX_KEYS = 4096
 """Most keys that are kept, at about 2 KB each. The least recently observed key is dropped first."""
@@ -47,8 +47,9 @@
 """Log deviations of the quantiles from an estimate without any history: most callers' estimates are
 off by 20 to 90%, the 90th percentile is at 2.5 times the estimate."""
 
-SHARE_FADING = 1.0 / 512.0
-"""Share by which an observation fades the earlier counts of the accounts of its queue."""
+SHARE_FADING = 1.0 / FADING_WEIGHT
+"""Share by which an observation fades the earlier counts of the accounts of its queue. That of the
+histograms: with slower counts the first runs of a new heavy account would replace all others."""
 
 CALIBRATION_FADING = 1.0 / 1000.0
 """Share by which a run fades the earlier ones in the calibration."""
@@ -210,11 +211,10 @@
     Counts grow by an increasing step instead of fading, so that an observation changes only one.
     """
 
-    __slots__ = ("_counts", "_total", "_step")
+    __slots__ = ("_counts", "_step")
 
     def __init__(self, counts: Mapping[str, float] | None = None) -> None:
         self._counts: dict[str, float] = dict(counts or {})
-        self._total = sum(self._counts.values())
         self._step = 1.0
 
     @property
@@ -231,13 +231,12 @@
         self._step /= 1.0 - SHARE_FADING
         if self._step > MAX_SHARE_STEP:
             self._counts, self._step = self.counts, 1.0
-            self._total = sum(self._counts.values())
         counts = self._counts
         own = counts[account] = counts.get(account, 0.0) + self._step
-        self._total += self._step
         if len(counts) > MAX_SHARES:
-            self._total -= counts.pop(min(counts, key=counts.__getitem__))
-        return min(1.0, self._total / len(counts) / own)
+            del counts[min(counts, key=counts.__getitem__)]
+        active = [count for count in counts.values() if count >= self._step]
+        return min(1.0, sum(active) / len(active) / own)
 
 
 MAX_SHARE_STEP = 1e9
