Rank waiting steps in a module of their own

Cause: the order under scarcity needs state of its own, and the dispatcher is long. Change: Dispatcher.rank becomes ranking.rank_of, unchanged.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -26,6 +26,7 @@
     place,
     place_gang,
 )
+from azurecleat_cluster._internal.owner.ranking import rank_of
 from azurecleat_cluster._internal.owner.stalls import StallReporter
 from azurecleat_cluster._internal.owner.term import OwnerTerm
 from azurecleat_cluster._internal.owner.usable_pools import UsablePool, UsablePools
@@ -56,9 +57,6 @@
 FAILED_STEP_PAUSE_S = 5.0
 """How long a step waits after an error in its dispatch."""
 
-MAX_LATE_OBJECTIVES = 3.0
-"""A job older than this many objectives has lost its value, so the other jobs go first."""
-
 
 class Dispatcher:
     """Thread that places the tasks of a term on targets."""
@@ -221,11 +219,11 @@
             if step.ready_at is None:
                 step.ready_at = now
             if now >= step.not_before:
-                waiting.append((self.rank(step, now), step))
+                waiting.append((rank_of(step, now), step))
         elif self._is_nearly_ready(step, now):
             pool = pools.of(self._pool_of(step.job))
             if pool is not None:
-                self._request_advice(step, pool, self.rank(step, now), now)
+                self._request_advice(step, pool, rank_of(step, now), now)
 
     def _is_nearly_ready(self, step: StepInfo, now: float) -> bool:
         """Whether advice must be requested now to arrive before the steps depended on end."""
@@ -260,25 +258,6 @@
             for targets in split_into_requests(step, names):
                 self._advice.submit(step, targets, rank)
 
-    def rank(self, step: StepInfo, now: float) -> tuple:
-        """Returns the rank of a step; the lowest rank goes first.
-
-        Jobs over their team's share come last. Before them come jobs that are too late to be worth
-        anything. The other jobs are ordered by their queue's priority, then by the time by which
-        they should be done.
-        """
-        job = step.job
-        objective_s = job.queue.objective_ms / 1000.0 + job.queue.stretch * job.total_estimate_s
-        age_s = now - job.seen_at
-        too_late = not step.spec.long_running and age_s > MAX_LATE_OBJECTIVES * objective_s
-        return (
-            job.is_over_share,
-            too_late,
-            job.queue.priority,
-            job.seen_at + objective_s,
-            step.name,
-        )
-
     def _pool_of(self, job: JobInfo) -> str:
         """Returns the pool of a job's queue.
 
