Order waiting work by what can still be done in time (feature admission)

Cause: by due time alone an overloaded pool spends its capacity on work that is late already. Change: behind share, value and priority, work that can be on time goes before work that will be late, then accounts by levels of their dominant share while the pool is over 0.9 full, then due time. A step that has begun is not set back. Each fifth start goes to the oldest job that is older than its objective. Without the feature the rank is the earlier one.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -26,7 +26,7 @@
     place,
     place_gang,
 )
-from azurecleat_cluster._internal.owner.ranking import rank_of
+from azurecleat_cluster._internal.owner.ranking import Ranking
 from azurecleat_cluster._internal.owner.stalls import StallReporter
 from azurecleat_cluster._internal.owner.term import OwnerTerm
 from azurecleat_cluster._internal.owner.usable_pools import UsablePool, UsablePools
@@ -83,6 +83,7 @@
         """Targets with capacity held for gangs that wait for tickets."""
         self._allowed_shares = AllowedShareEstimator()
         self._stalls = StallReporter(events, metrics)
+        self._ranking = Ranking(term.features.admission)
         self._thread = threading.Thread(target=self._run, name="dispatch", daemon=True)
 
     def start(self) -> None:
@@ -137,6 +138,7 @@
         self._release_holds()
         self._stalls.begin_round()
         pools = UsablePools([session.target for session in term.sessions.values()], now)
+        self._ranking.begin_round(pools, term.usage, term.configuration.current, now)
         is_takeover_complete = term.takeover is None or term.takeover.is_complete()
         self._is_takeover_complete = is_takeover_complete
         self._possible_usage = {} if is_takeover_complete else self._estimate_possible_usage()
@@ -148,7 +150,7 @@
                 if step.pending and step.startable(is_takeover_complete):
                     with self._postpone_on_error(step, now):
                         self._consider(step, waiting, pools, now)
-        waiting.sort(key=lambda pair: pair[0])
+        self._ranking.sort(waiting, now)
         started = 0
         # The first waiting steps, one per general worker, also renew tickets for full targets.
         renewals_left = self._advice.general_worker_count
@@ -181,6 +183,7 @@
         :returns: The number of starts.
         """
         started = self._place(step, pool, now)
+        self._ranking.note_started(step, started, now)
         self._request_advice(step, pool, rank, now, include_full)
         self._hold_capacity(step, pool)
         if step.pending and self._stalls.is_due(step, now):
@@ -219,11 +222,11 @@
             if step.ready_at is None:
                 step.ready_at = now
             if now >= step.not_before:
-                waiting.append((rank_of(step, now), step))
+                waiting.append((self._rank(step, now), step))
         elif self._is_nearly_ready(step, now):
             pool = pools.of(self._pool_of(step.job))
             if pool is not None:
-                self._request_advice(step, pool, rank_of(step, now), now)
+                self._request_advice(step, pool, self._rank(step, now), now)
 
     def _is_nearly_ready(self, step: StepInfo, now: float) -> bool:
         """Whether advice must be requested now to arrive before the steps depended on end."""
@@ -258,6 +261,9 @@
             for targets in split_into_requests(step, names):
                 self._advice.submit(step, targets, rank)
 
+    def _rank(self, step: StepInfo, now: float) -> tuple:
+        return self._ranking.rank(step, self._pool_of(step.job), now)
+
     def _pool_of(self, job: JobInfo) -> str:
         """Returns the pool of a job's queue.
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/usable_pools.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/usable_pools.py
@@ -8,6 +8,7 @@
 
 from azurecleat_cluster._internal.owner.model import TargetInfo
 from azurecleat_cluster._internal.owner.placement import is_usable
+from azurecleat_cluster._internal.owner.pool_load import PoolLoad, measure
 
 
 class UsablePool:
@@ -46,9 +47,16 @@
 
     def of(self, name: str) -> UsablePool | None:
         """Returns a pool, None if it has no usable target."""
+        return self._all().get(name)
+
+    def loads(self) -> dict[str, PoolLoad]:
+        """Returns the load of each pool that has a usable target."""
+        return {name: measure(pool.targets) for name, pool in self._all().items()}
+
+    def _all(self) -> dict[str, UsablePool]:
         if self._pools is None:
             self._pools = {}
             for target in self._targets:
                 if is_usable(target, self._now):
                     self._pools.setdefault(target.entry.pool, UsablePool()).add(target)
-        return self._pools.get(name)
+        return self._pools
--- a/tests/lib/pool_simulation.py
+++ b/tests/lib/pool_simulation.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from azurecleat_base import ManualClock
+from azurecleat_cluster._internal.features import NO_FEATURES, Features
 from azurecleat_cluster._internal.owner.advice import TICKET_MARGIN_S
 from azurecleat_cluster._internal.owner.model import Advice, JobInfo, Run, StepInfo
 from azurecleat_cluster._internal.replica.jobs import JobReplica
@@ -24,9 +25,10 @@
     RunStatus,
     TargetEntry,
     TargetReport,
+    Team,
 )
 
-from tests.lib.term_harness import TermHarness, submit
+from tests.lib.term_harness import QUEUE, TEAM, TermHarness, submit
 
 TICK_S = 0.025
 """Time between two dispatch rounds: that of an owner under load."""
@@ -79,6 +81,7 @@
     at: float
     queue: Queue
     spec: JobSpec
+    team: str = "team"
 
 
 class JobResult(NamedTuple):
@@ -93,6 +96,9 @@
 
     :param allowed_share: Share of the targets that each step may use.
     :param fails: Whether a run ends as failed instead of done; the other runs of a gang break then.
+    :param features: The optional features of the owner; by default none.
+    :param teams: Accounts of the configuration.
+    :param queues: Queues of the configuration.
     """
 
     def __init__(
@@ -101,15 +107,25 @@
         allowed_share: float,
         seed: int,
         fails: Callable[[Run], bool] = lambda run: False,
+        features: Features = NO_FEATURES,
+        teams: Iterable[Team] = (TEAM,),
+        queues: Iterable[Queue] = (QUEUE,),
     ) -> None:
         self.clock = ManualClock()
         self._start = self.clock.monotonic()
         self._rng = random.Random(seed)
         self._seed, self._allowed_share = seed, allowed_share
         self._fails = fails
-        self._replica = JobReplica()
+        self._replica = JobReplica(self.clock.monotonic)
         self.advice = AdviceStandIn(self.clock, self.is_allowed)
-        self.harness = TermHarness(self.clock, self._replica, advice=self.advice)
+        self.harness = TermHarness(
+            self.clock,
+            self._replica,
+            advice=self.advice,
+            features=features,
+            teams=teams,
+            queues=queues,
+        )
         self._running: dict[str, dict[Run, float]] = {}
         self._ended: dict[str, list[RunEnd]] = {}
         self._counts: dict[str, int] = {}
@@ -142,11 +158,15 @@
             while waiting and waiting[0].at <= self.now:
                 arrival = waiting.pop(0)
                 names.append((f"{len(names):016x}", arrival))
-                submit(self._replica, arrival.spec, names[-1][0], arrival.queue)
-                self.harness.term.on_job_record(SUBMISSION + names[-1][0])
+                self.submit(*names[-1])
             self._tick()
         return [self._result(name, arrival) for name, arrival in names]
 
+    def submit(self, name: str, arrival: Arrival) -> None:
+        """Puts a job into the log."""
+        submit(self._replica, arrival.spec, name, arrival.queue, team=arrival.team)
+        self.harness.term.on_job_record(SUBMISSION + name)
+
     def _tick(self) -> None:
         harness, now = self.harness, self.clock.monotonic()
         harness.authority.add_log_proof(now)
--- a/tests/lib/term_harness.py
+++ b/tests/lib/term_harness.py
@@ -38,6 +38,7 @@
 
 JOB = "0" * 16
 QUEUE = Queue("q", "host", "/q/", "pool", attempts=3)
+TEAM = Team("team", frozenset(("key",)), 10.0)
 LEASE_S = 3.0
 UNLIMITED_HORIZON = 1 << 40
 
@@ -45,9 +46,11 @@
 class OneConfiguration:
     """Decoder of the only configuration."""
 
+    def __init__(self, teams: Iterable[Team] = (TEAM,), queues: Iterable[Queue] = (QUEUE,)) -> None:
+        self._teams, self._queues = {team.name: team for team in teams}, tuple(queues)
+
     def configuration(self, record: LogRecord) -> Configuration:
-        team = Team("team", frozenset(("key",)), 10.0)
-        return Configuration(1, (QUEUE,), {"pool": Pool("pool")}, {"team": team})
+        return Configuration(1, self._queues, {"pool": Pool("pool")}, self._teams)
 
     def evacuated_zone(self, record: LogRecord) -> str | None:
         return record.key.removeprefix("evacuate/") if "/" in record.key else None
@@ -146,6 +149,8 @@
     :param horizon: Offset in the jobs stream up to which jobs may be started.
     :param advice: Stand-in for the client of the advice service; by default one without workers.
     :param features: The optional features of the term; by default none.
+    :param teams: Accounts of the configuration.
+    :param queues: Queues of the configuration.
     """
 
     def __init__(
@@ -157,9 +162,13 @@
         advice: AdviceRequests | None = None,
         horizon: int = UNLIMITED_HORIZON,
         features: Features = NO_FEATURES,
+        teams: Iterable[Team] = (TEAM,),
+        queues: Iterable[Queue] = (QUEUE,),
     ) -> None:
         events = EventLog("test", io.StringIO())
-        self.configuration = configuration = ConfigurationView(OneConfiguration(), events)
+        self.configuration = configuration = ConfigurationView(
+            OneConfiguration(teams, queues), events
+        )
         configuration.apply(LogRecord("config", b"x", 0))
         metrics, preferences = Metrics(), Preferences()
         self.clock, self.replica = clock, replica
@@ -225,10 +234,15 @@
 
 
 def submit(
-    replica: JobReplica, spec: JobSpec, job: str = JOB, queue: Queue = QUEUE, offset: int = 0
+    replica: JobReplica,
+    spec: JobSpec,
+    job: str = JOB,
+    queue: Queue = QUEUE,
+    offset: int = 0,
+    team: str = "team",
 ) -> None:
     """Puts a job's submission into a replica."""
-    value = records.encode_submission(records.Submission(job, "team", queue, spec))
+    value = records.encode_submission(records.Submission(job, team, queue, spec))
     replica.apply_job(LogRecord(records.SUBMISSION + job, value, offset))
 
 
