Keep the dispatcher's method that ranks a step

Cause: its move to ranking.py removed the method that test_error_in_the_rank_of_a_step makes fail, so that the test ended in an error. The test is unchanged. Change: Dispatcher.rank calls the ranking.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -226,11 +226,11 @@
             if step.ready_at is None:
                 step.ready_at = now
             if now >= step.not_before:
-                waiting.append((self._rank(step, now), step))
+                waiting.append((self.rank(step, now), step))
         elif self._is_nearly_ready(step, now):
             pool = pools.of(self._pool_of(step.job))
             if pool is not None:
-                self._request_advice(step, pool, self._rank(step, now), now)
+                self._request_advice(step, pool, self.rank(step, now), now)
 
     def _is_nearly_ready(self, step: StepInfo, now: float) -> bool:
         """Whether advice must be requested now to arrive before the steps depended on end."""
@@ -265,7 +265,8 @@
             for targets in split_into_requests(step, names):
                 self._advice.submit(step, targets, rank)
 
-    def _rank(self, step: StepInfo, now: float) -> tuple:
+    def rank(self, step: StepInfo, now: float) -> tuple:
+        """Returns the rank of a step; the lowest rank goes first."""
         return self._ranking.rank(step, self._pool_of(step.job), now)
 
     def _pool_of(self, job: JobInfo) -> str:
