Merge load reports, admission and the order under scarcity

The order under scarcity takes its chains and objectives from the learned durations. Tests pass the job's account before its factor, and the features of a front by name, as two parts had given the same positions to different arguments.

--- a/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
@@ -184,3 +184,10 @@
     786, "preemption.ended", "task, run, target, outcome, timing, took_s, lost_core_s, urgent_step"
 )
 HEADROOM_CHANGED = LogEvent(787, "headroom.changed", "pool, kept, tasks, cpu_milli")
+ADMISSION_REFUSED = LogEvent(
+    790,
+    "admission.refused",
+    "job, queue, account, reason, wait_s, report_age_s, objective_s, retry_after_s",
+)
+ADMISSION_RESUMED = LogEvent(791, "admission.resumed", "queue, account, wait_s")
+LOAD_REPORTED = LogEvent(792, "load.reported", "epoch, queues, over_share, accounts")
--- a/libs/cluster/src/azurecleat_cluster/_internal/metrics.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/metrics.py
@@ -75,3 +75,14 @@
         self.evacuated_runs = gauge("evacuated_runs", "Runs still at work in evacuated zones")
         self.active_runs = gauge("active_runs", "Runs at work or being started")
         self.waiting_tasks = gauge("waiting_tasks", "Tasks that could run but have no place")
+        self.expected_wait_s = gauge(
+            "expected_wait_seconds",
+            "Wait of a queue's next job, within or over share, at the owner",
+            "queue",
+            "share",
+        )
+        self.dominant_share = gauge(
+            "dominant_share",
+            "Dominant share of a pool over the entitled part, at the owner",
+            "account",
+        )
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -19,15 +19,16 @@
     split_into_requests,
 )
 from azurecleat_cluster._internal.owner.crashes import MAX_ISOLATED_SHARE, place_isolated
+from azurecleat_cluster._internal.owner.load_publisher import LoadPublisher
 from azurecleat_cluster._internal.owner.model import Advice, JobInfo, StepInfo, TargetInfo
 from azurecleat_cluster._internal.owner.placement import (
     IGNORE_EXPIRY,
-    MAX_LATE_OBJECTIVES,
     Preferences,
     place,
     place_gang,
 )
 from azurecleat_cluster._internal.owner.preemptor import Preemptor
+from azurecleat_cluster._internal.owner.ranking import Ranking
 from azurecleat_cluster._internal.owner.stalls import StallReporter
 from azurecleat_cluster._internal.owner.term import OwnerTerm
 from azurecleat_cluster._internal.owner.usable_pools import UsablePool, UsablePools
@@ -85,6 +86,8 @@
         self._allowed_shares = AllowedShareEstimator()
         self._stalls = StallReporter(events, metrics)
         self._preemptor = Preemptor(term, events, metrics) if term.features.preemption else None
+        self._ranking = Ranking(term.features.admission)
+        self._load = LoadPublisher(term, self._ranking.shares, events, metrics)
         self._thread = threading.Thread(target=self._run, name="dispatch", daemon=True)
 
     def start(self) -> None:
@@ -142,6 +145,7 @@
             self._preemptor.begin_round(now)
         self._stalls.begin_round()
         pools = UsablePools([session.target for session in term.sessions.values()], now)
+        self._ranking.begin_round(pools, term.usage, term.configuration.current, now)
         is_takeover_complete = term.takeover is None or term.takeover.is_complete()
         self._is_takeover_complete = is_takeover_complete
         self._possible_usage = {} if is_takeover_complete else self._estimate_possible_usage()
@@ -153,7 +157,7 @@
                 if step.pending and step.startable(is_takeover_complete):
                     with self._postpone_on_error(step, now):
                         self._consider(step, waiting, pools, now)
-        waiting.sort(key=lambda pair: pair[0])
+        self._ranking.sort(waiting, now)
         started = 0
         # The first waiting steps, one per general worker, also renew tickets for full targets.
         renewals_left = self._advice.general_worker_count
@@ -164,6 +168,7 @@
                     started += self._serve(step, pool, rank, now, include_full=renewals_left > 0)
                 renewals_left -= bool(step.pending and step.job.queue.advice)
         self._metrics.waiting_tasks.set(sum(len(step.pending) for _, step in waiting))
+        self._load.update(waiting, pools, now)
         return started
 
     @contextmanager
@@ -188,6 +193,8 @@
         if self._preemptor is not None:
             self._preemptor.before_placement(step, pool, now)
         started = self._place(step, pool, now)
+        self._ranking.note_started(step, started, now)
+        self._load.note_started(step, started, now)
         self._request_advice(step, pool, rank, now, include_full)
         self._hold_capacity(step, pool)
         if self._preemptor is not None and self._preemptor.is_urgent(step):
@@ -279,23 +286,8 @@
                 self._advice.submit(step, targets, rank)
 
     def rank(self, step: StepInfo, now: float) -> tuple:
-        """Returns the rank of a step; the lowest rank goes first.
-
-        Jobs over their team's share come last. Before them come jobs that are too late to be worth
-        anything. The other jobs are ordered by their queue's priority, then by the time by which
-        they should be done.
-        """
-        job = step.job
-        objective_s = job.queue.objective_ms / 1000.0 + job.queue.stretch * job.expected_total_s
-        age_s = now - job.seen_at
-        too_late = not step.spec.long_running and age_s > MAX_LATE_OBJECTIVES * objective_s
-        return (
-            job.is_over_share,
-            too_late,
-            job.queue.priority,
-            job.seen_at + objective_s,
-            step.name,
-        )
+        """Returns the rank of a step; the lowest rank goes first."""
+        return self._ranking.rank(step, self._pool_of(step.job), now)
 
     def _pool_of(self, job: JobInfo) -> str:
         """Returns the pool of a job's queue.
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -11,6 +11,7 @@
 
 from azurecleat_base import ZERO, Resources
 
+from azurecleat_cluster._internal.objectives import objective_of
 from azurecleat_cluster._internal.owner.crash_history import CrashHistory
 from azurecleat_cluster._internal.owner.durations import Expectation, LearnedDurations, WorkKey
 from azurecleat_cluster._internal.replica.records import Progress, Submission, TaskProgress
@@ -498,7 +499,7 @@
     @property
     def objective_s(self) -> float:
         """Time after its submission by which the job should be done."""
-        return self.queue.objective_ms / 1000.0 + self.queue.stretch * self.expected_total_s
+        return objective_of(self.queue, self.expected_total_s)
 
     def note_changed_expectation(self) -> None:
         """Notes that a run of the job has ended, so that it may be expected to take longer or
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/placement.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/placement.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 
+from azurecleat_cluster._internal.objectives import MAX_LATE_OBJECTIVES
 from azurecleat_cluster._internal.owner.model import StepInfo, TargetInfo
 from azurecleat_cluster._internal.values import TargetState
 
@@ -98,9 +99,6 @@
 urgent jobs were on time with it, and 0.734 with 1.0.
 """
 
-MAX_LATE_OBJECTIVES = 3.0
-"""A job older than this many objectives has lost its value."""
-
 
 def is_usable(target: TargetInfo, now: float) -> bool:
     """Whether a target may be given tasks at all."""
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
@@ -175,6 +175,18 @@
             self._events.write(eventlog.COMPONENT_FAILED, component="durations", error=repr(error))
             return self._replica.durations
 
+    def publish_load(self, value: bytes) -> None:
+        """Queues a load report to be written to the log."""
+        self._writer.put(r.LOAD, lambda: value)
+
+    def accounts_over_share(self, now: float) -> list[str]:
+        """Returns the accounts that submit jobs over their share at present."""
+        return [
+            team.name
+            for team in self.configuration.current.teams.values()
+            if self._share_limiter.is_over_share(team.name, team.weight, now)
+        ]
+
     def _encode(self, job: JobInfo) -> bytes:
         with self.lock:
             return r.encode_progress(job.progress())
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
@@ -32,6 +32,7 @@
 HEARTBEAT = "heartbeat"
 DURATIONS = "durations"
 """What the owner has learned about durations. Earlier versions leave out keys they don't know."""
+LOAD = "load"
 
 
 class Submission(NamedTuple):
--- a/tests/lib/front_harness.py
+++ b/tests/lib/front_harness.py
@@ -9,6 +9,7 @@
 from azurecleat_base import Clock, SystemClock
 from azurecleat_cluster import EventLog, FrontLimits, RequestHandler
 from azurecleat_cluster._internal.configuration import ConfigurationView
+from azurecleat_cluster._internal.features import NO_FEATURES, Features
 from azurecleat_cluster._internal.front.relay import Relay
 from azurecleat_cluster._internal.front.request_handler import OwnerClient
 from azurecleat_cluster._internal.metrics import Metrics
@@ -23,6 +24,7 @@
 
     :param owner: Client of the other instances.
     :param make_relay: Makes the relay of this front; by default the feature is off.
+    :param features: The optional features of the instance; by default none.
     """
 
     def __init__(
@@ -31,6 +33,7 @@
         owner: OwnerClient,
         clock: Clock | None = None,
         make_relay: Callable[[FrontHarness], Relay] | None = None,
+        features: Features = NO_FEATURES,
     ) -> None:
         self.clock, events = clock or SystemClock(), EventLog("test", io.StringIO())
         self.events, self.metrics = events, Metrics()
@@ -53,6 +56,7 @@
             events,
             self.metrics,
             self.relay,
+            features,
         )
 
     def stop(self) -> None:
--- a/tests/lib/pool_simulation.py
+++ b/tests/lib/pool_simulation.py
@@ -25,9 +25,10 @@
     RunStatus,
     TargetEntry,
     TargetReport,
+    Team,
 )
 
-from tests.lib.term_harness import TermHarness, submit
+from tests.lib.term_harness import QUEUE, TEAM, TermHarness, submit
 
 TICK_S = 0.025
 """Time between two dispatch rounds: that of an owner under load."""
@@ -83,6 +84,7 @@
     at: float
     queue: Queue
     spec: JobSpec
+    team: str = "team"
     factor: float = 1.0
 
 
@@ -100,6 +102,8 @@
     :param fails: Whether a run ends as failed instead of done; the other runs of a gang break then.
     :param features: The optional features of the owner.
     :param slowness: How many times longer tasks take by kind of target; 1 for other kinds.
+    :param teams: Accounts of the configuration.
+    :param queues: Queues of the configuration.
     """
 
     def __init__(
@@ -110,6 +114,8 @@
         fails: Callable[[Run], bool] = lambda run: False,
         features: Features = NO_FEATURES,
         slowness: Mapping[str, float] | None = None,
+        teams: Iterable[Team] = (TEAM,),
+        queues: Iterable[Queue] = (QUEUE,),
     ) -> None:
         self.clock = ManualClock()
         self._start = self.clock.monotonic()
@@ -119,9 +125,16 @@
         self._slowness = slowness or {}
         self._factors: dict[str, float] = {}
         """Ratio of durations to estimates by job."""
-        self._replica = JobReplica()
+        self._replica = JobReplica(self.clock.monotonic)
         self.advice = AdviceStandIn(self.clock, self.is_allowed)
-        self.harness = TermHarness(self.clock, self._replica, advice=self.advice, features=features)
+        self.harness = TermHarness(
+            self.clock,
+            self._replica,
+            advice=self.advice,
+            features=features,
+            teams=teams,
+            queues=queues,
+        )
         self._running: dict[str, dict[Run, float]] = {}
         self._ended: dict[str, list[RunEnd]] = {}
         self._counts: dict[str, int] = {}
@@ -155,11 +168,16 @@
                 arrival = waiting.pop(0)
                 names.append((f"{len(names):016x}", arrival))
                 self._factors[names[-1][0]] = arrival.factor
-                submit(self._replica, arrival.spec, names[-1][0], arrival.queue)
-                self.harness.term.on_job_record(SUBMISSION + names[-1][0])
+                self.submit(*names[-1])
             self._tick()
         return [self._result(name, arrival) for name, arrival in names]
 
+    def submit(self, name: str, arrival: Arrival) -> None:
+        """Puts a job into the log."""
+        self._factors[name] = arrival.factor
+        submit(self._replica, arrival.spec, name, arrival.queue, team=arrival.team)
+        self.harness.term.on_job_record(SUBMISSION + name)
+
     def _tick(self) -> None:
         harness, now = self.harness, self.clock.monotonic()
         harness.authority.add_log_proof(now)
--- a/tests/unit/cluster/test_durations.py
+++ b/tests/unit/cluster/test_durations.py
@@ -416,7 +416,7 @@
 def make_job(queue: Queue, at: float, width: int, took_s: float, factor: float) -> Arrival:
     """Returns a job whose tasks take ``factor`` times as long as estimated."""
     step = Step(width, Resources(8000, 8000, 0), 1000 * took_s / factor, image=f"{took_s:.0f}")
-    return Arrival(at, queue, JobSpec("", (step,)), factor)
+    return Arrival(at, queue, JobSpec("", (step,)), factor=factor)
 
 
 def share_on_time(results: list[JobResult], queue: Queue) -> float:
