Bound what one caller's estimates do to the reported waits

Cause: found by reading: a job with an absurd estimate within its account's share lengthened the wait of all others, and an infinite weight ended each dispatch round with an error. Change: a task counts for 60 s at most; the bound by accounts' limits is iterated until it is steady; weights that are not finite have no level.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/load_report.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/load_report.py
@@ -34,8 +34,15 @@
 MAX_STATED_ACCOUNTS = 32
 """Most accounts with a wait of their own in a report, the longest waits first."""
 
-LIMIT_STEPS = 8
-"""Iterations of the bound by the accounts' limits; each only shortens the wait."""
+MAX_LIMIT_STEPS = 32
+"""Most iterations of the bound by the accounts' limits; each only shortens the wait. With limits of
+half the pool it is exact to a millisecond, however much work waits."""
+
+LIMIT_PRECISION = 0.99
+
+MAX_COUNTED_S = 60.0
+"""Longest time for which a task counts. Callers estimate it, and the estimate of one caller must not
+keep the jobs of the others out."""
 
 Work = tuple[float, float, float]
 """Resources times seconds."""
@@ -190,12 +197,14 @@
         if not per_s or placed >= total[index]:
             continue
         left_s = (total[index] - placed) / per_s
-        for _ in range(LIMIT_STEPS):
+        for _ in range(MAX_LIMIT_STEPS):
             counted = sum(
                 min(work[index], _limit(teams, name, index) * left_s)
                 for name, work in works.items()
             )
-            left_s = max(0.0, min(left_s, (counted - placed) / per_s))
+            previous_s, left_s = left_s, max(0.0, min(left_s, (counted - placed) / per_s))
+            if left_s >= LIMIT_PRECISION * previous_s:
+                break
         seconds = max(seconds, left_s)
     return seconds
 
@@ -254,4 +263,5 @@
 
 
 def work_of(need: Resources, count: int, seconds: float) -> Work:
-    return _scaled(need, count * seconds)
+    """Returns the work of some tasks, from their need and expected seconds."""
+    return _scaled(need, count * min(seconds, MAX_COUNTED_S))
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/ranking.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/ranking.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from math import inf
 from typing import NamedTuple
 
 from azurecleat_cluster._internal.objectives import MAX_LATE_OBJECTIVES, objective_of
@@ -106,15 +107,15 @@
     def update(
         self, loads: Mapping[str, PoolLoad], usage: TeamUsage, teams: Mapping[str, Team]
     ) -> None:
-        weights = sum(team.weight for team in teams.values())
+        weighted = [team for team in teams.values() if 0 < team.weight < inf]
+        weights = sum(team.weight for team in weighted)
         self._full_pools = {name for name, load in loads.items() if load.fullness > FULL_SHARE}
         self.ratios = {
             (pool, team.name): dominant_share(usage.of(team.name), load.capacity)
             * weights
             / team.weight
             for pool, load in loads.items()
-            for team in teams.values()
-            if team.weight > 0
+            for team in weighted
         }
         self._levels = {
             key: _level(ratio, self._levels.get(key, 0)) for key, ratio in self.ratios.items()
--- a/tests/unit/cluster/test_admission.py
+++ b/tests/unit/cluster/test_admission.py
@@ -26,6 +26,7 @@
     WaitingWork,
     WorkClass,
     compute_report,
+    work_of,
 )
 from azurecleat_cluster._internal.owner.model import TeamUsage
 from azurecleat_cluster._internal.owner.pool_load import PoolLoad
@@ -98,6 +99,11 @@
         report = self.report(self.work(URGENT, 20, "limited"))
         self.assertEqual((report.queues, report.accounts["limited"]["urgent"]), ({}, 200.0))
 
+    def test_absurd_estimates_of_one_account_do_not_keep_the_others_out(self) -> None:
+        seconds = work_of(Resources(1000, 0), 10, 1e300)[0] / 100_000.0
+        report = self.report(self.work(URGENT, seconds, "limited"), self.work(URGENT, 1))
+        self.assertLess(report.queues["urgent"].within_s, 1.2)
+
     def test_no_waiting_work_means_no_wait(self) -> None:
         self.assertFalse(self.report().states_wait)
 
