Share the threads that send commands, and lose none of the commands

Cause: each target kept up to three command threads for good. At the limit of threads, submitting a command raised RuntimeError, which the session took for its own end: a stop was not sent, and the task of a cancelled job ran on. An error of an unexpected kind in a stop ended its repetition, and in a start left the run allocated without an outcome.

Change: a lane for each target with at most three commands in flight, and threads that all lanes share, started on demand and ended when idle. One thread always stays, so that a command is sent even if no other can be started. Stops are repeated, and starts get an outcome, whatever the error.

--- a/libs/bench/src/azurecleat_bench/_internal/commands/owner.py
+++ b/libs/bench/src/azurecleat_bench/_internal/commands/owner.py
@@ -13,6 +13,7 @@
     SUBMISSION,
     AdviceClient,
     Authority,
+    CommandThreads,
     ConfigurationView,
     Dispatcher,
     JobInfo,
@@ -60,6 +61,7 @@
         configuration.apply(LogRecord("config", b"{}", 0))
         authority = Authority(1, LEASE_S, clock)
         losses, preferences = LossTracker(clock), Preferences()
+        threads = CommandThreads()
         start_horizon = StartHorizon(1, lambda: UNLIMITED_HORIZON, lambda: 0.0, clock)
         self._writer = ProgressWriter(
             KeyedMemoryLog(),
@@ -78,7 +80,13 @@
             self._writer,
             start_horizon,
             lambda target, observer: TargetSession(
-                target, BenchTarget(target.entry, seed), authority, observer, losses, clock
+                target,
+                BenchTarget(target.entry, seed),
+                authority,
+                observer,
+                losses,
+                clock,
+                threads,
             ),
             preferences,
             clock,
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
@@ -1,15 +1,14 @@
 """An owner's session with one incarnation of a target.
 
-One thread polls the target, which renews its lease and returns its report. A small pool of threads
-sends commands.
+One thread polls the target, which renews its lease and returns its report. Commands are sent by
+threads that all sessions share.
 """
 
 from __future__ import annotations
 
 import math
 import threading
-from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from typing import Protocol
 
 from azurecleat_base import Clock
@@ -17,6 +16,7 @@
 
 from azurecleat_cluster._internal.exceptions import ConnectionChangedError, TargetReplacedError
 from azurecleat_cluster._internal.owner.authority import Authority
+from azurecleat_cluster._internal.owner.command_threads import CommandLane, CommandThreads
 from azurecleat_cluster._internal.owner.model import UNKNOWN_THROTTLE_PERCENT, Run, TargetInfo
 from azurecleat_cluster._internal.owner.start_attempts import StartAttempts, StartOutcome
 from azurecleat_cluster._internal.ports import StartCommand, TargetClient
@@ -121,7 +121,10 @@
 
 
 class TargetSession:
-    """Renews a target's lease and sends it commands while the owner may act."""
+    """Renews a target's lease and sends it commands while the owner may act.
+
+    :param threads: The threads that send commands; by default threads of this session only.
+    """
 
     def __init__(
         self,
@@ -131,6 +134,7 @@
         observer: SessionObserver,
         losses: LossTracker,
         clock: Clock,
+        threads: CommandThreads | None = None,
     ) -> None:
         self.target = target
         self._client = client
@@ -150,9 +154,7 @@
         self._is_reconnecting = False
         """Whether a connection was lost and no poll on a kept connection has succeeded since."""
         self._lease_renewed_at = float("-inf")
-        self._commands = ThreadPoolExecutor(
-            COMMAND_THREADS, thread_name_prefix=f"order-{target.id}"
-        )
+        self._commands = CommandLane(threads or CommandThreads(), COMMAND_THREADS)
         self._thread = threading.Thread(target=self._run, name=f"hold-{target.id}", daemon=True)
 
     @property
@@ -177,14 +179,14 @@
         with self._changed:
             self._stopping = True
             self._changed.notify_all()
-        self._commands.shutdown(wait=False, cancel_futures=True)
+        self._commands.close()
 
     def join(self) -> None:
         """Waits for the commands in flight, and closes the client.
 
         A poll in flight need not be awaited, as its answer has no effect any more.
         """
-        self._commands.shutdown(wait=True)
+        self._commands.join()
         self._client.close()
 
     def inherit_lease(self, reached_at: float) -> None:
@@ -209,19 +211,13 @@
             self._changed.notify_all()
 
     def submit_start(self, run: Run, payload: str, ticket: str) -> None:
-        self._submit(self._start_run, run, payload, ticket)
+        self._commands.submit(partial(self._start_run, run, payload, ticket))
 
     def submit_stop(self, run: Run) -> None:
-        self._submit(self._stop_run, run)
+        self._commands.submit(partial(self._stop_run, run))
 
     def submit_throttle(self, run: Run, percent: int) -> None:
-        self._submit(self._throttle_run, run, percent)
-
-    def _submit(self, call: Callable, *arguments: object) -> None:
-        try:
-            self._commands.submit(call, *arguments)
-        except RuntimeError:
-            pass  # The session has stopped: the term is over, or the target incarnation has ended.
+        self._commands.submit(partial(self._throttle_run, run, percent))
 
     def _run(self) -> None:
         while not self._stopping:
@@ -348,6 +344,9 @@
             self._observer.on_start_failed(run, error, may_run=True)
         except TargetError as error:
             self._observer.on_start_failed(run, error, may_run=False)
+        except Exception as error:  # A run without an outcome would stay allocated for good.
+            failure = OutcomeUnknownError(repr(error), step="run.start", peer=self.target.id)
+            self._observer.on_start_failed(run, failure, may_run=True)
         else:
             if outcome.result.clock_ms:
                 self._target_clock.note(outcome.result.clock_ms, self._clock.monotonic())
@@ -400,8 +399,8 @@
                 except TargetReplacedError as error:
                     self._observer.on_replaced(self, str(error))
                     return
-                except TargetError:
-                    pass  # The polls detect a target that does not answer at all.
+                except Exception:  # The polls detect a target that does not answer at all.
+                    pass
             self._pause(RETRY_PAUSE_S)
 
     def _throttle_run(self, run: Run, percent: int) -> None:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term_runner.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term_runner.py
@@ -19,6 +19,7 @@
 from azurecleat_cluster._internal.owner.advice import AdviceClient
 from azurecleat_cluster._internal.owner.authority import Authority
 from azurecleat_cluster._internal.owner.claim_order import node_of
+from azurecleat_cluster._internal.owner.command_threads import CommandThreads
 from azurecleat_cluster._internal.owner.directory import DirectoryWatcher
 from azurecleat_cluster._internal.owner.dispatch import Dispatcher
 from azurecleat_cluster._internal.owner.placement import Preferences
@@ -162,6 +163,7 @@
             lambda reason: self._term.lose_ownership(reason),
         )
         losses = LossTracker(dependencies.clock)
+        self._command_threads = CommandThreads()
         self._term = OwnerTerm(
             authority,
             dependencies.replica,
@@ -175,6 +177,7 @@
                 observer,
                 losses,
                 dependencies.clock,
+                self._command_threads,
             ),
             dependencies.settings.preferences,
             dependencies.clock,
@@ -278,6 +281,7 @@
         self._advice.stop()
         self._dispatcher.join(STOP_TIMEOUT_S)
         self._term.join()
+        self._command_threads.close()
         self._writer.stop(STOP_TIMEOUT_S)
         reason = self._term.authority.lost_reason
         self._dependencies.events.write(
--- a/libs/cluster/src/azurecleat_cluster/components.py
+++ b/libs/cluster/src/azurecleat_cluster/components.py
@@ -4,6 +4,7 @@
 from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.owner.advice import AdviceClient
 from azurecleat_cluster._internal.owner.authority import Authority
+from azurecleat_cluster._internal.owner.command_threads import CommandThreads
 from azurecleat_cluster._internal.owner.dispatch import Dispatcher
 from azurecleat_cluster._internal.owner.model import JobInfo
 from azurecleat_cluster._internal.owner.progress import ProgressWriter
@@ -17,6 +18,7 @@
     "SUBMISSION",
     "AdviceClient",
     "Authority",
+    "CommandThreads",
     "ConfigurationView",
     "Dispatcher",
     "JobReplica",
--- a/tests/unit/cluster/test_target_session.py
+++ b/tests/unit/cluster/test_target_session.py
@@ -295,6 +295,31 @@
         self.observer.wait_for("stopped")
         self.assertEqual(len(self.client.stops), 3)
 
+    def test_stop_is_repeated_after_an_error_of_an_unexpected_kind(self) -> None:
+        # The task of a cancelled job would run on: nothing sends its stop a second time.
+        self.begin()
+        answers = iter([ValueError("answer is malformed"), None])
+
+        def answer() -> None:
+            error = next(answers)
+            if error is not None:
+                raise error
+
+        self.client.on_stop = answer
+        self.session.submit_stop(self.make_run())
+        self.assertEqual(len(self.observer.wait_for("stopped", timeout_s=2.0)), 1)
+
+    def test_start_with_an_error_of_an_unexpected_kind_may_have_run(self) -> None:
+        # Without an outcome the run would stay allocated, and its gang incomplete, for good.
+        self.begin()
+
+        def answer() -> StartResult:
+            raise ValueError("answer is malformed")
+
+        self.client.on_start = answer
+        self.session.submit_start(self.make_run(), "", "")
+        self.assertEqual(self.observer.wait_for("failed", timeout_s=2.0), [("failed", True)])
+
     def test_start_queued_behind_unanswered_stops_is_not_sent_once_its_run_is_released(
         self,
     ) -> None:
