Bound the polls per second of an owner

Cause: each target with runs was polled twice a second, and one lost answer made the polls to all targets wait 0.3 s only for 8 s. A poll costs 0.55 ms of a core in the HTTP client and its JSON. 733 busy ones of 1,000 targets made 1,350 polls a second and took a whole core, the appends paused for 1.5 s, and a standby claims after 0.55 s. More answers then came too late, which counted as lost and raised the rate.

Change: the wait grows with the number of targets with runs, up to the 2 s that targets allow; targets without runs are polled after a pause above 800; the short wait after a lost answer is bounded. A start ends the pause. Without proofs from the log the pause ends and polls are answered soon enough to prove ownership. Lease ends given on an older clock sample allow for a slow clock.

--- a/libs/bench/src/azurecleat_bench/_internal/commands/owner.py
+++ b/libs/bench/src/azurecleat_bench/_internal/commands/owner.py
@@ -87,6 +87,7 @@
                 losses,
                 clock,
                 threads,
+                self.term.poll_schedule,
             ),
             preferences,
             clock,
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
@@ -20,6 +20,10 @@
 PROOF_VALIDITY_S = 3.0
 """Age of the newest proof beyond which an owner sends no commands and renews no leases."""
 
+LOG_SILENCE_S = 1.0
+"""Age of the log's last proof from which the targets' answers may be needed soon: five heartbeats.
+"""
+
 MAX_CLOCK_STRETCH = 1.021
 """Longest real duration of one second on a target's clock: 2% slow, plus rounding."""
 
@@ -97,6 +101,10 @@
         # The log's proof is checked first: it is nearly always there, and cheaper to evaluate.
         return self._log_proof_at > oldest or self.majority_proof_at() > oldest
 
+    def is_log_silent(self) -> bool:
+        """Whether the targets' answers may soon be the only proof of ownership."""
+        return self._clock.monotonic() - self._log_proof_at > LOG_SILENCE_S
+
     def lease_end(self, renewed_at: float) -> float:
         """Returns when a lease last renewed at ``renewed_at`` is certainly over.
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -114,6 +114,7 @@
     def move_slow_runs(self, now: float) -> None:
         """Moves runs away from targets that stall or are slow."""
         targets = [session.target for session in self.sessions.values()]
+        self.poll_schedule.update(len(targets), sum(bool(target.runs) for target in targets))
         for run in self.health.evaluate(targets, now):
             if run.step.active.get(run.task.index) is not run:
                 continue
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
@@ -21,6 +21,7 @@
     TeamUsage,
 )
 from azurecleat_cluster._internal.owner.placement import Preferences
+from azurecleat_cluster._internal.owner.poll_schedule import PollSchedule
 from azurecleat_cluster._internal.owner.shares import TeamShareLimiter
 from azurecleat_cluster._internal.owner.start_horizon import StartHorizon
 from azurecleat_cluster._internal.owner.target_health import HealthMonitor
@@ -109,6 +110,7 @@
         self.usage = TeamUsage()
         self.health = HealthMonitor(events, preferences)
         self.evacuations = EvacuationTracker()
+        self.poll_schedule = PollSchedule()
         self.takeover: Takeover | None = None
         self.dirty = True
         self.start_horizon = start_horizon
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
@@ -15,22 +15,17 @@
 from azurecleat_base.exceptions import FencedError, NotRunError, OutcomeUnknownError, TargetError
 
 from azurecleat_cluster._internal.exceptions import ConnectionChangedError, TargetReplacedError
-from azurecleat_cluster._internal.owner.authority import Authority
+from azurecleat_cluster._internal.owner.authority import MAX_CLOCK_STRETCH, Authority
 from azurecleat_cluster._internal.owner.command_threads import CommandLane, CommandThreads
 from azurecleat_cluster._internal.owner.model import UNKNOWN_THROTTLE_PERCENT, Run, TargetInfo
+from azurecleat_cluster._internal.owner.poll_schedule import PollPace, PollSchedule
 from azurecleat_cluster._internal.owner.start_attempts import StartAttempts, StartOutcome
 from azurecleat_cluster._internal.ports import StartCommand, TargetClient
 from azurecleat_cluster._internal.values import TargetReport
 
-POLL_WAIT_S = 0.5
-"""How long a target delays its answer to a poll while no run ends: a run that stalls is noticed
-within two polls."""
-
 ISOLATION_POLL_WAIT_S = 0.1
-"""The same while one run keeps all others away until a report shows that it survived its start."""
-
-IDLE_POLL_WAIT_S = 2.0
-"""The same for a target without runs; the longest that targets allow."""
+"""Wait of a poll while one run keeps all others away until a report shows that it survived its
+start."""
 
 POLL_MARGIN_S = 0.25
 """Added to a poll's own wait for its timeout: 100 times the round trip to any target."""
@@ -42,11 +37,11 @@
 START_ATTEMPTS = 3
 """How often a start is sent before the run is given up and stopped."""
 
-LOSSY_POLL_WAIT_S = 0.3
-"""Wait of a poll while answers get lost: a lost answer delays run ends by the whole wait."""
-
 LOSSY_PERIOD_S = 8.0
-"""How long after a lost answer polls wait only ``LOSSY_POLL_WAIT_S``."""
+"""How long after a lost answer polls wait only for a short time."""
+
+MAX_SAMPLE_AGE_S = 2.5
+"""Age of a target's clock up to which it is assumed to be exact: the longest poll, and a margin."""
 
 UNRESPONSIVE_POLLS = 2
 """Consecutive polls without an answer after which a target counts as unresponsive."""
@@ -54,6 +49,9 @@
 RETRY_PAUSE_S = 0.25
 """Pause after a failed call to a target."""
 
+PAUSE_CHECK_S = 0.5
+"""How often a pause between polls checks whether the log still proves ownership."""
+
 COMMIT_WAIT_S = 0.5
 """How long the next poll waits for the run ends of the last report to be committed to the log."""
 
@@ -86,7 +84,10 @@
 
 
 class TargetClock:
-    """Estimates a target's clock from its answers. The estimate is never ahead of the clock."""
+    """Estimates a target's clock from its answers. The estimate is never ahead of the clock.
+
+    A target's clock may be slow. The margin of a lease covers that for ``MAX_SAMPLE_AGE_S``.
+    """
 
     def __init__(self) -> None:
         self._sample: tuple[float, float] | None = None
@@ -102,7 +103,9 @@
         if self._sample is None:
             return None
         clock_ms, received_at = self._sample
-        return math.floor(clock_ms + (now - received_at + lease_s) * 1000.0)
+        age_s = now - received_at
+        slow_s = max(0.0, age_s - MAX_SAMPLE_AGE_S) * (1.0 - 1.0 / MAX_CLOCK_STRETCH)
+        return math.floor(clock_ms + (age_s - slow_s + lease_s) * 1000.0)
 
 
 class LossTracker:
@@ -124,6 +127,7 @@
     """Renews a target's lease and sends it commands while the owner may act.
 
     :param threads: The threads that send commands; by default threads of this session only.
+    :param schedule: The pace of the polls to all targets; by default that of few targets.
     """
 
     def __init__(
@@ -135,12 +139,17 @@
         losses: LossTracker,
         clock: Clock,
         threads: CommandThreads | None = None,
+        schedule: PollSchedule | None = None,
     ) -> None:
         self.target = target
         self._client = client
         self._authority = authority
         self._observer = observer
         self._losses = losses
+        self._schedule = schedule or PollSchedule()
+        self._is_pausing = False
+        self._is_proof_due = False
+        """Whether the next poll has to be answered at once, as the log gives no proof."""
         self._clock = clock
         self._target_clock = TargetClock()
         self._changed = threading.Condition()
@@ -212,10 +221,18 @@
 
     def submit_start(self, run: Run, payload: str, ticket: str) -> None:
         self._commands.submit(partial(self._start_run, run, payload, ticket))
+        self.poll_now()
 
     def submit_stop(self, run: Run) -> None:
         self._commands.submit(partial(self._stop_run, run))
 
+    def poll_now(self) -> None:
+        """Ends the pause before the next poll."""
+        if self._is_pausing:
+            with self._changed:
+                self._is_pausing = False
+                self._changed.notify_all()
+
     def submit_throttle(self, run: Run, percent: int) -> None:
         self._commands.submit(partial(self._throttle_run, run, percent))
 
@@ -225,8 +242,10 @@
                 if not self._authority.may_act():
                     self._pause(RETRY_PAUSE_S)
                     continue
-                self._poll()
+                is_quiet = self._poll()
                 self._failures = 0
+                if is_quiet:
+                    self._pause_polls(self._pace().pause_s)
             except ConnectionChangedError:
                 # The next poll renews and acknowledges nothing. The pause limits the rate of polls
                 # to a target that closes every connection.
@@ -254,7 +273,8 @@
             self._observer.on_unresponsive(self, error)
             self._pause(RETRY_PAUSE_S)
 
-    def _poll(self) -> None:
+    def _poll(self) -> bool:
+        """Polls once; returns whether the target has nothing new to report or to be told."""
         sent_at = self._clock.monotonic()
         # On a new connection another incarnation of the target may answer. The first poll on it
         # therefore only reads the clock and the runs: an acknowledgement could make the new
@@ -264,7 +284,8 @@
         until_ms = self._renew_lease(sent_at) if is_same_incarnation else None
         acknowledged = self._acknowledged if is_same_incarnation else 0
         is_committed = until_ms is not None and self._acknowledged >= self._processed
-        wait_s = self._wait_s() if is_committed else 0.0
+        wait_s = self._pace().wait_s if is_committed and not self._is_proof_due else 0.0
+        self._is_proof_due = False
         report = self._client.poll(
             self._authority.epoch,
             acknowledged,
@@ -278,13 +299,27 @@
         self._target_clock.note(report.clock_ms, self._clock.monotonic())
         self._observer.on_report(self, report, sent_at)
         self._wait_for_commit()
+        return is_committed and not report.ended
 
-    def _wait_s(self) -> float:
+    def _pace(self) -> PollPace:
         if self.target.is_isolated:
-            return ISOLATION_POLL_WAIT_S
-        if self._losses.has_recent:
-            return LOSSY_POLL_WAIT_S
-        return POLL_WAIT_S if self.target.runs else IDLE_POLL_WAIT_S
+            return PollPace(ISOLATION_POLL_WAIT_S)
+        return self._schedule.pace(
+            bool(self.target.runs), self._losses.has_recent, self._authority.is_log_silent()
+        )
+
+    def _pause_polls(self, seconds: float) -> None:
+        """Waits before the next poll, until the target has a run or the log is silent."""
+        deadline = self._clock.monotonic() + seconds
+        with self._changed:
+            self._is_pausing = True
+            while self._is_pausing and not self._stopping and not self.target.runs:
+                left_s = deadline - self._clock.monotonic()
+                self._is_proof_due = self._authority.is_log_silent()
+                if left_s <= 0 or self._is_proof_due:
+                    break
+                self._changed.wait(min(left_s, PAUSE_CHECK_S))
+            self._is_pausing = False
 
     def _wait_for_commit(self) -> None:
         """Waits for the processed ends to be committed; the timeout lets the lease be renewed."""
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term_runner.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term_runner.py
@@ -178,6 +178,7 @@
                 losses,
                 dependencies.clock,
                 self._command_threads,
+                self._term.poll_schedule,
             ),
             dependencies.settings.preferences,
             dependencies.clock,
