Start the sessions of many targets in turn

Cause: a new owner started the sessions of all targets at once, and compared each new target with all known ones. Threads that want the interpreter held up the appends; a standby claims after 0.55 s. Sessions were started by callbacks of the log writer, so that a refused thread ended the heartbeat for good.

Change: 400 sessions start at once, as before, further ones as earlier ones answer or have had 0.5 s, recorded targets first. A session whose thread cannot be started is started later. An error in a callback is printed and does not end the writer. Targets are found by address in an index.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -133,6 +133,7 @@
         term = self._term
         if now - self._evaluated_at >= EVALUATION_PERIOD_S:
             self._evaluated_at = now
+            term.start_sessions()
             term.move_slow_runs(now)
             term.throttle_filling_runs(now)
         term.apply_evacuations()
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/poll_schedule.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/poll_schedule.py
@@ -54,6 +54,15 @@
         self._targets = 0
         self._busy = 0
 
+    def add_target(self) -> None:
+        """Notes a further target; it counts as one with runs until it has answered."""
+        self._targets += 1
+        self._busy += 1
+
+    def note_idle(self) -> None:
+        """Notes that the first answer of a target shows no runs."""
+        self._busy = max(0, self._busy - 1)
+
     def update(self, targets: int, busy: int) -> None:
         """Notes the number of targets, and of those with runs."""
         self._targets, self._busy = targets, busy
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/progress.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/progress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import traceback
 from collections.abc import Callable
 
 from azurecleat_base import Clock
@@ -132,7 +133,13 @@
                 return
             self._start_horizon.commit(horizon)
             for callback in callbacks:
-                callback()
+                self._call(callback)
+
+    def _call(self, callback: CommitCallback) -> None:
+        try:
+            callback()
+        except Exception:  # An error in one callback must not end the heartbeat.
+            traceback.print_exc()
 
     def _append(self, batch: list[Record]) -> bool:
         """Retries an append until the batch is in the log.
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
@@ -22,6 +22,7 @@
 )
 from azurecleat_cluster._internal.owner.placement import Preferences
 from azurecleat_cluster._internal.owner.poll_schedule import PollSchedule
+from azurecleat_cluster._internal.owner.session_starter import SessionStarter
 from azurecleat_cluster._internal.owner.shares import TeamShareLimiter
 from azurecleat_cluster._internal.owner.start_horizon import StartHorizon
 from azurecleat_cluster._internal.owner.target_health import HealthMonitor
@@ -111,6 +112,7 @@
         self.health = HealthMonitor(events, preferences)
         self.evacuations = EvacuationTracker()
         self.poll_schedule = PollSchedule()
+        self.session_starter = SessionStarter()
         self.takeover: Takeover | None = None
         self.dirty = True
         self.start_horizon = start_horizon
@@ -119,6 +121,8 @@
 
         Another incarnation with the same id may have received their commands.
         """
+        self._targets_by_address: dict[str, str] = {}
+        """Id of the target known at each address."""
         self._deleted_targets: set[str] = set()
         """Targets whose record in the log this term has deleted, or is about to delete."""
         self._replica = replica
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
@@ -95,21 +95,22 @@
 
         Targets known at that address that are not newer are dropped: they have ended.
         """
-        for session in list(self.sessions.values()):
-            known = session.target.entry
-            if known.address != entry.address:
-                continue
-            if known.started_at_ms > entry.started_at_ms:
-                if self.takeover is not None:
-                    self.takeover.mark_ended(entry.id, self._clock.monotonic())
-                return True
-            self._drop_target(session, f"{entry.id} now uses its address")
+        session = self.sessions.get(self._targets_by_address.get(entry.address, ""))
+        if session is None:
+            return False
+        if session.target.entry.started_at_ms > entry.started_at_ms:
+            if self.takeover is not None:
+                self.takeover.mark_ended(entry.id, self._clock.monotonic())
+            return True
+        self._drop_target(session, f"{entry.id} now uses its address")
         return False
 
     def _add_target(self, entry: TargetEntry) -> None:
         target = TargetInfo(entry)
         session = self._make_session(target, self)
         self.sessions[entry.id] = session
+        self._targets_by_address[entry.address] = entry.id
+        self.poll_schedule.add_target()
         unconfirmed = self._unconfirmed_runs.pop(entry.id, ())
         for run in unconfirmed:
             self._stop_unconfirmed_run(run, target)
@@ -155,8 +156,22 @@
         with self.lock:
             if self._stopping or self.sessions.get(session.target.id) is not session:
                 return
-            self.authority.add_target(session.target.id)
-        session.start()
+            target = session.target.id
+            self.authority.add_target(target)
+            is_recorded = self.takeover is not None and target in self.takeover.unreached
+            self.session_starter.add(target, is_first=is_recorded)
+            self.start_sessions()
+
+    def start_sessions(self) -> None:
+        """Starts the sessions whose turn it is; has to be called regularly."""
+        with self.lock:
+            if self._stopping or not self.session_starter.has_waiting:
+                return
+            for target in self.session_starter.take(self._clock.monotonic()):
+                try:
+                    self.sessions[target].start()
+                except RuntimeError:  # The limit of threads or of memory is reached.
+                    self.session_starter.add(target, is_first=True)
 
     def _drop_target(
         self,
@@ -178,6 +193,9 @@
         if target.reached and not is_draining and not may_be_unreachable:
             self.note_crash(target, reason)
         del self.sessions[target.id]
+        self.session_starter.remove(target.id)
+        if self._targets_by_address.get(target.entry.address) == target.id:
+            del self._targets_by_address[target.entry.address]
         unconfirmed = target.unconfirmed_runs(self._clock.monotonic())
         if unconfirmed:
             self._unconfirmed_runs[target.id] = unconfirmed
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -223,6 +223,10 @@
                 self.takeover.mark_partly_known(target.id)
             if not target.reached:
                 session.inherit_lease(now)
+                self.session_starter.note_answered(target.id)
+                self.start_sessions()
+                if not report.running:
+                    self.poll_schedule.note_idle()
             if not target.responsive and target.reached:
                 self._events.write(eventlog.TARGET_BACK, target=target.id, runs=len(target.runs))
             for reported in (*report.ended, *report.running):
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term_runner.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term_runner.py
@@ -366,6 +366,7 @@
     def _run_maintenance(self) -> None:
         """Opens due occurrences, deletes old jobs and updates the advice workers."""
         dependencies, term = self._dependencies, self._term
+        term.start_sessions()
         with term.lock:
             for job in term.jobs.values():
                 term.open_due_occurrences(job)
