Follow a stream on after an answer that cannot be read

Cause: only log errors were caught in the loop of a follower. Another error, for instance a missing field in the answer that a reader gets after it fell behind, ended the thread. An owner then kept its heartbeat and read no cancellation any more, so that a long-running task went on although its cancelling was acknowledged.

Change: any error counts as a failed read, is reported and repeated.

--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
@@ -132,8 +132,12 @@
             try:
                 self.poll(wait_s)
                 self._is_failing = False
-            except LogError as error:
+            except Exception as error:
+                # An answer that can't be read must not end the following: an owner that reads no
+                # cancellations any more would run cancelled tasks on.
                 self._is_failing = True
+                if not isinstance(error, LogError):
+                    error = LogError(repr(error), step="log.read")
                 on_error(self._stream, error)
                 stopping.wait(RETRY_PAUSE_S)
 
--- a/tests/unit/cluster/test_replica.py
+++ b/tests/unit/cluster/test_replica.py
@@ -9,7 +9,7 @@
 import unittest
 
 from azurecleat_base import ManualClock, Resources
-from azurecleat_base.exceptions import AppendUnknownError, LogUnavailableError
+from azurecleat_base.exceptions import AppendUnknownError, LogError, LogUnavailableError
 from azurecleat_cluster import EventLog
 from azurecleat_cluster._internal.replica import records
 from azurecleat_cluster._internal.replica.appender import GroupAppender
@@ -107,6 +107,30 @@
         self.follower.poll()
         self.assertEqual(self.replica.job_ids(), [])
 
+    def test_following_goes_on_after_an_answer_that_cannot_be_read(self) -> None:
+        # The owner would read no cancellation any more, and run the cancelled tasks on.
+        read, errors, ended = self.log.read, [], threading.Event()
+
+        def fail_once(stream: str, start: int, wait_s: float) -> object:
+            self.log.read = read
+            raise KeyError("end")
+
+        self.submit()
+        self.follower.poll()
+        self.append(records.CANCELLATION + SUBMISSION.job, b"1")
+        self.log.read = fail_once
+        thread = threading.Thread(
+            target=self.follower.run, args=(ended, 0.01, lambda *error: errors.append(error))
+        )
+        thread.start()
+        deadline = time.monotonic() + 5.0
+        while not self.replica.is_cancelled(SUBMISSION.job) and time.monotonic() < deadline:
+            time.sleep(0.01)
+        ended.set()
+        thread.join()
+        self.assertTrue(self.replica.is_cancelled(SUBMISSION.job))
+        self.assertEqual([type(error) for _, error in errors], [LogError])
+
     def test_appended_records_are_applied_only_in_order(self) -> None:
         self.follower.poll()
         value = records.encode_submission(SUBMISSION)
