--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/preemptor.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/preemptor.py
@@ -88,8 +88,11 @@
         may use all capacity.
         """
         if step.job.queue.priority <= URGENT_PRIORITY:
-            for target, held in self._holds.pop(pool, ()):
+            holds = self._holds.pop(pool, ())
+            for target, held in holds:
                 target.release_hold(held)
+            if holds:
+                pool.note_released_holds()
         elif pool not in self._holds:
             self._holds[pool] = holds = []
             for reserved_for, reservation in self._reservations.items():
--- a/tests/unit/cluster/test_preemption.py
+++ b/tests/unit/cluster/test_preemption.py
@@ -338,6 +338,20 @@
         self.submit(urgent_step(), "c" * 16)
         self.assertEqual(len(self.dispatch()), 2)
 
+    # The list of targets with room was made while the headroom was held, for tasks as large as these.
+    def test_urgent_job_over_its_share_uses_the_headroom_after_other_work(self) -> None:
+        self.begin(wide_step())
+        large = urgent_step()._replace(count=1, need=wide_step().need)
+        self.submit(large)
+        self.dispatch()
+        self.end(self.stopped()[0])
+        self.assertEqual(len(self.dispatch()), 1)
+        other = next(iter(self.harness.session("t9").target.runs.values()))
+        self.end(other, EndKind.DONE, "")
+        self.submit(large, "c" * 16)
+        self.harness.term.jobs["c" * 16].is_over_share = True
+        self.assertEqual([started.job for started in self.dispatch()], ["c" * 16])
+
 
 SEEDS = (1, 2, 3)
 MAX_LATE_OBJECTIVES = 3.0
