--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/load_report.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/load_report.py
@@ -41,8 +41,8 @@
 LIMIT_PRECISION = 0.99
 
 MAX_COUNTED_S = 60.0
-"""Longest time for which a task counts. Callers estimate it, and the estimate of one caller must not
-keep the jobs of the others out."""
+"""Longest time for which a task counts. Callers estimate it, and the estimate of one of them must
+not keep the jobs of the others out."""
 
 Work = tuple[float, float, float]
 """Resources times seconds."""
