Bound the idle connections for commands of all targets together

Cause: each target kept up to three idle connections for commands beside the one for polls: 1,000 targets may keep 4,000, of the 3,000 to 8,000 descriptors that an instance has for everything.

--- a/libs/base/src/azurecleat_base/__init__.py
+++ b/libs/base/src/azurecleat_base/__init__.py
@@ -5,6 +5,7 @@
     AnswerLostError,
     HttpClient,
     HttpResponse,
+    IdleBudget,
     NotSentError,
 )
 from azurecleat_base._internal.resources import (
@@ -27,6 +28,7 @@
     "AnswerLostError",
     "Clock",
     "HttpResponse",
+    "IdleBudget",
     "HttpClient",
     "ManualClock",
     "NotSentError",
--- a/libs/base/src/azurecleat_base/_internal/http_client.py
+++ b/libs/base/src/azurecleat_base/_internal/http_client.py
@@ -49,16 +49,53 @@
         TRAFFIC.add("platform", len(data))
 
 
+class IdleBudget:
+    """Bounds the idle connections of many clients together: the one idle for longest is closed.
+
+    :param max_count: Maximum number of idle connections kept open.
+    """
+
+    def __init__(self, max_count: int) -> None:
+        self._max_count = max_count
+        self._lock = threading.Lock()
+        self._owners: dict[http.client.HTTPConnection, HttpClient] = {}
+        """Client of each idle connection, longest idle first."""
+
+    def add(self, connection: http.client.HTTPConnection, owner: HttpClient) -> None:
+        """Notes that a connection is idle; lets a client close one if there are too many."""
+        with self._lock:
+            self._owners.pop(connection, None)
+            self._owners[connection] = owner
+            if len(self._owners) <= self._max_count:
+                return
+            oldest = next(iter(self._owners))
+            owner = self._owners.pop(oldest)
+        owner.close_idle(oldest)
+
+    def remove(self, connection: http.client.HTTPConnection) -> None:
+        """Notes that a connection is in use or closed."""
+        with self._lock:
+            self._owners.pop(connection, None)
+
+
 class HttpClient:
     """Thread-safe client of one server that reuses idle connections.
 
     :param address: ``host:port`` of the server.
     :param connect_timeout_s: Time limit for opening a connection, in seconds.
     :param max_idle: Maximum number of idle connections kept open.
+    :param budget: Bound that this client shares with others; none by default.
     """
 
-    def __init__(self, address: str, connect_timeout_s: float = 1.0, max_idle: int = 4) -> None:
+    def __init__(
+        self,
+        address: str,
+        connect_timeout_s: float = 1.0,
+        max_idle: int = 4,
+        budget: IdleBudget | None = None,
+    ) -> None:
         self._address = address
+        self._budget = budget
         self._connect_timeout_s = connect_timeout_s
         self._max_idle = max_idle
         self._idle: list[http.client.HTTPConnection] = []
@@ -104,14 +141,28 @@
             self._closed = True
             idle, self._idle = self._idle, []
         for connection in idle:
+            self._forget(connection)
             connection.close()
 
+    def close_idle(self, connection: http.client.HTTPConnection) -> None:
+        """Closes a connection if it is still idle."""
+        with self._lock:
+            if connection not in self._idle:
+                return
+            self._idle.remove(connection)
+        connection.close()
+
+    def _forget(self, connection: http.client.HTTPConnection) -> None:
+        if self._budget is not None:
+            self._budget.remove(connection)
+
     def _connect(self, reuse_only: bool) -> http.client.HTTPConnection:
         while True:
             with self._lock:
                 connection = self._idle.pop() if self._idle else None
             if connection is None:
                 break
+            self._forget(connection)
             if not _is_readable(connection):
                 return connection
             # The server has closed the idle connection: a request sent over it would be lost.
@@ -144,9 +195,13 @@
     ) -> None:
         if not response.will_close:
             with self._lock:
-                if not self._closed and len(self._idle) < self._max_idle:
+                is_kept = not self._closed and len(self._idle) < self._max_idle
+                if is_kept:
                     self._idle.append(connection)
-                    return
+            if is_kept:
+                if self._budget is not None:
+                    self._budget.add(connection, self)
+                return
         connection.close()
 
 
