Wait at most half a lease for the answer to a poll of a target with runs

Cause: with waits of 2 s, a lost answer and an owner that is half a second behind leave no time to renew a lease of 3.2 s, and all runs of the target are lost.

Change: such polls wait 1.6 s at most, reached with 640 targets with runs.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/poll_schedule.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/poll_schedule.py
@@ -18,6 +18,10 @@
 BUSY_WAIT_S = 0.5
 """Shortest wait of a poll to a target with runs: a run that stalls is noticed within two polls."""
 
+MAX_BUSY_WAIT_S = 1.6
+"""Longest wait of such a poll: half a lease, so that a lost answer and an owner that is half a
+second behind still leave time for the next renewal."""
+
 MAX_WAIT_S = 2.0
 """Longest wait that targets allow, and the wait for a target without runs."""
 
@@ -73,7 +77,7 @@
         :param is_lossy: Whether answers got lost recently.
         :param is_log_silent: Whether only answers of targets prove ownership now.
         """
-        busy_wait_s = _between(BUSY_WAIT_S, self._busy / MAX_POLLS_PER_S, MAX_WAIT_S)
+        busy_wait_s = _between(BUSY_WAIT_S, self._busy / MAX_POLLS_PER_S, MAX_BUSY_WAIT_S)
         lossy_wait_s = max(LOSSY_WAIT_S, self._targets / MAX_LOSSY_POLLS_PER_S)
         if has_runs:
             wait_s = min(lossy_wait_s, busy_wait_s) if is_lossy else busy_wait_s
