Test that a start ends the pause between polls, and leases on an old clock sample

Both guard the pauses of an owner of thousands of targets: a run would lose its lease in the pause, or get one that ends later than the owner assumes.

--- a/tests/unit/cluster/test_target_session.py
+++ b/tests/unit/cluster/test_target_session.py
@@ -11,6 +11,7 @@
 from azurecleat_base.exceptions import FencedError, NotRunError, OutcomeUnknownError
 from azurecleat_cluster._internal.owner.authority import Authority
 from azurecleat_cluster._internal.owner.model import Run
+from azurecleat_cluster._internal.owner.poll_schedule import PollSchedule
 from azurecleat_cluster._internal.owner.target_session import (
     COMMAND_THREADS,
     START_ATTEMPTS,
@@ -135,9 +136,15 @@
         self.authority = Authority(7, LEASE_S, clock)
         self.authority.add_log_proof(clock.monotonic())
         self.client, self.observer = FakeTargetClient(), RecordingObserver()
-        self.target = make_target(1)
+        self.target, self.schedule = make_target(1), PollSchedule()
         self.session = TargetSession(
-            self.target, self.client, self.authority, self.observer, LossTracker(clock), clock
+            self.target,
+            self.client,
+            self.authority,
+            self.observer,
+            LossTracker(clock),
+            clock,
+            schedule=self.schedule,
         )
         self.addCleanup(self.session.stop)
 
@@ -281,6 +288,19 @@
         self.session.submit_start(self.make_run(), "", "")
         self.assertEqual(self.observer.wait_for("failed"), [("failed", False)])
 
+    def test_start_ends_the_pause_before_the_next_poll(self) -> None:
+        # Of 3,000 targets, one without runs is polled every 7.5 s: a lease would end before.
+        self.schedule.update(3000, 0)
+        self.begin()
+        self.authority.add_log_proof(time.monotonic())
+        time.sleep(0.1)
+        polls = len(self.client.polls)
+        time.sleep(0.2)
+        self.assertEqual(len(self.client.polls), polls)
+        self.session.submit_start(self.make_run(), "", "")
+        self.observer.wait_for("report", polls + 1, timeout_s=1.0)
+        self.assertGreater(len(self.client.polls), polls)
+
     def test_stop_is_repeated_until_it_is_answered(self) -> None:
         self.begin()
         answers = iter([OutcomeUnknownError("lost"), NotRunError("refused"), None])
@@ -393,6 +413,11 @@
         self.assertIsNone(clock.until_ms(1.0, 3.0))
         clock.note(50_000.0, received_at=10.0)
         self.assertEqual(clock.until_ms(10.5, 3.0), 53_500)
+        # A clock 2% slow, 8 s after the sample that preceded a pause between polls.
+        exact_ms, assumed_exact_s = 50_000.0 + 8_000.0 / 1.02, 2.5
+        self.assertLessEqual(
+            clock.until_ms(18.0, 3.0), exact_ms + 3_000.0 + 20.0 * assumed_exact_s + 1.0
+        )
 
 
 if __name__ == "__main__":
