--- a/libs/cluster/src/azurecleat_cluster/_internal/features.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/features.py
@@ -14,13 +14,16 @@
     :param relay: Instances that cannot reach the log serve callers through other instances.
     :param durations: Expected durations are learned from finished runs.
     :param preemption: Urgent work may take the place of running work that can continue later.
-    :param admission: Jobs that cannot be done in time are refused, and scarce capacity is ordered.
+    :param admission: Jobs that cannot be done in time are refused.
+    :param ordering: Scarce capacity goes first to work that can be on time, then by the accounts'
+        shares.
     """
 
     relay: bool = False
     durations: bool = False
     preemption: bool = False
     admission: bool = False
+    ordering: bool = False
 
     @classmethod
     def parse(cls, names: Iterable[str]) -> Features:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -91,7 +91,7 @@
         self._allowed_shares = AllowedShareEstimator()
         self._stalls = StallReporter(events, metrics)
         self._preemptor = Preemptor(term, events, metrics) if term.features.preemption else None
-        self._ranking = Ranking(term.features.admission)
+        self._ranking = Ranking(term.features.ordering, term.features.admission)
         self._load = LoadPublisher(term, self._ranking.shares, events, metrics)
         self._thread = threading.Thread(target=self._run, name="dispatch", daemon=True)
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/ranking.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/ranking.py
@@ -40,8 +40,8 @@
 """Most starts taken in advance that count: six wide jobs of 20 tasks."""
 
 
-class Rank(NamedTuple):
-    """Rank of a step under scarcity; the lowest goes first.
+class Order(NamedTuple):
+    """What decides the order of steps under scarcity; the lowest goes first.
 
     :param late: Whether the job will not be done by its due time.
     :param share_level: Level of the account's dominant share while the pool is nearly full.
@@ -57,6 +57,19 @@
     name: str
 
 
+class Rank(NamedTuple):
+    """Rank of a step, with what a load report needs to know of it.
+
+    :param order: Decides the rank alone, as it contains the step's name.
+    """
+
+    order: tuple
+    over_share: bool
+    too_late: bool
+    priority: int
+    late: bool
+
+
 def rank_of(step: StepInfo, now: float) -> tuple:
     """Returns the rank of a step; the lowest rank goes first.
 
@@ -122,10 +135,12 @@
     """Order of the waiting steps of one term.
 
     :param is_scarcity_ordered: Whether lateness, age and shares count; else :func:`rank_of` alone.
+    :param is_load_reported: Whether a load report needs the ranks, which are a :class:`Rank` then.
     """
 
-    def __init__(self, is_scarcity_ordered: bool) -> None:
+    def __init__(self, is_scarcity_ordered: bool, is_load_reported: bool = False) -> None:
         self._is_scarcity_ordered = is_scarcity_ordered
+        self._is_plain = not (is_scarcity_ordered or is_load_reported)
         self.shares = DominantShares()
         self._shares_at = float("-inf")
         self._credits: dict[tuple[str, int], float] = {}
@@ -134,23 +149,20 @@
     def begin_round(
         self, pools: UsablePools, usage: TeamUsage, configuration: Configuration, now: float
     ) -> None:
-        if self._is_scarcity_ordered and now - self._shares_at >= SHARES_PERIOD_S:
+        if not self._is_plain and now - self._shares_at >= SHARES_PERIOD_S:
             self._shares_at = now
             self.shares.update(pools.loads(), usage, configuration.teams)
 
     def rank(self, step: StepInfo, pool: str, now: float) -> tuple:
-        if not self._is_scarcity_ordered:
-            return rank_of(step, now)
-        over_share, too_late, priority, due, name = rank_of(step, now)
-        return Rank(
-            over_share,
-            too_late,
-            priority,
-            self._will_be_late(step, due, now),
-            self.shares.level(pool, step.job.team),
-            due,
-            name,
-        )
+        order = rank_of(step, now)
+        if self._is_plain:
+            return order
+        over_share, too_late, priority, due, name = order
+        late = self._will_be_late(step, due, now)
+        if self._is_scarcity_ordered:
+            level = self.shares.level(pool, step.job.team)
+            order = Order(over_share, too_late, priority, late, level, due, name)
+        return Rank(order, over_share, too_late, priority, late)
 
     def sort(self, waiting: list[tuple[tuple, StepInfo]], now: float) -> None:
         """Sorts steps by their ranks, and puts aged jobs first that are owed a start."""
@@ -164,7 +176,8 @@
             key = _credit_key(step)
             if owed.get(key) and rank.late and not rank.too_late and _is_aged(step, now):
                 owed[key] -= 1
-                waiting[position] = (rank._replace(late=False, share_level=-1), step)
+                order = rank.order._replace(late=False, share_level=-1)
+                waiting[position] = (rank._replace(order=order), step)
         waiting.sort(key=lambda pair: pair[0])
 
     def note_started(self, step: StepInfo, count: int, now: float) -> None:
--- a/tests/unit/cluster/test_admission.py
+++ b/tests/unit/cluster/test_admission.py
@@ -44,7 +44,7 @@
 from tests.lib.pool_simulation import Arrival, JobResult, PoolSimulation
 from tests.lib.term_harness import JOB, make_entry
 
-ADMISSION = Features(admission=True)
+ADMISSION = Features(admission=True, ordering=True)
 URGENT = Queue(
     "urgent", "host", "/u/", "pool", 0, attempts=3, stretch=1.5, objective_ms=250, timeout_ms=3000
 )
--- a/tests/unit/cluster/test_preemption.py
+++ b/tests/unit/cluster/test_preemption.py
@@ -338,7 +338,7 @@
         self.submit(urgent_step(), "c" * 16)
         self.assertEqual(len(self.dispatch()), 2)
 
-    # The list of targets with room was made while the headroom was held, for tasks as large as these.
+    # Targets with room had been listed while the headroom was held, for tasks as large as these.
     def test_urgent_job_over_its_share_uses_the_headroom_after_other_work(self) -> None:
         self.begin(wide_step())
         large = urgent_step()._replace(count=1, need=wide_step().need)
--- a/tests/unit/cluster/test_ranking.py
+++ b/tests/unit/cluster/test_ranking.py
@@ -18,7 +18,7 @@
 from tests.lib.pool_simulation import Arrival, JobResult, PoolSimulation
 from tests.lib.term_harness import JOB, TermHarness, make_entry, submit
 
-ADMISSION = Features(admission=True)
+ORDERING = Features(ordering=True)
 WIDE = Queue(
     "wide", "host", "/w/", "pool", 2, attempts=3, stretch=2.2, objective_ms=1200, timeout_ms=3000
 )
@@ -56,7 +56,7 @@
 
     def test_more_value_and_the_largest_are_served_half_as_often_as_all(self) -> None:
         earlier = [each for seed in range(3) for each in self.play(seed, NO_FEATURES)]
-        results = [each for seed in range(3) for each in self.play(seed, ADMISSION)]
+        results = [each for seed in range(3) for each in self.play(seed, ORDERING)]
         self.assertGreater(mean_value(results), mean_value(earlier))
         largest = sorted(results, key=size_of)[-len(results) // 10 :]
         served, served_largest = (
