Hand over ownership when the owner's machine becomes slow

Heartbeats stay in time, so nobody claims. Change: each instance times a fixed piece of work; an owner that is three times slower than usual for a second releases ownership, and slow instances leave the claim to others for 2 s. Feature `handover`.

--- a/libs/cluster/src/azurecleat_cluster/_internal/features.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/features.py
@@ -15,6 +15,7 @@
     :param durations: Expected durations are learned from finished runs.
     :param preemption: Urgent work may take the place of running work that can continue later.
     :param admission: Jobs that cannot be done in time are refused.
+    :param handover: An owner whose machine has become slow gives up ownership.
     :param ordering: Scarce capacity goes first to work that can be on time, then by the accounts'
         shares.
     """
@@ -23,6 +24,7 @@
     durations: bool = False
     preemption: bool = False
     admission: bool = False
+    handover: bool = False
     ordering: bool = False
 
     @classmethod
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
@@ -9,6 +9,7 @@
 
 from azurecleat_cluster._internal import eventlog
 from azurecleat_cluster._internal.owner.claim_order import ClaimOrder, node_of
+from azurecleat_cluster._internal.owner.machine_speed import SpeedMonitor, measure_work_s
 from azurecleat_cluster._internal.owner.term import OwnerTerm
 from azurecleat_cluster._internal.owner.term_runner import OwnerDependencies, TermRunner
 from azurecleat_cluster._internal.ports import JOBS
@@ -51,6 +52,16 @@
 
 CLAIM_TIMEOUT_S = 2.5
 
+OWNER_SPEED_PERIOD_S = 0.25
+"""Pause between two measurements of an owner's speed."""
+
+SPEED_PERIOD_S = 1.0
+"""The same for a standby."""
+
+SLOW_CLAIM_DELAY_S = 2.0
+"""Time for which an instance on a slow machine leaves the claim to others. If all machines are
+slow, one of them has to own."""
+
 RELEASED = "released"
 """Reason for a claim: the owner has released ownership or its process has ended."""
 
@@ -87,6 +98,8 @@
         self._last_activity = (0, 0)
         self._failing_since: float | None = None
         self._started_at = dependencies.clock.monotonic()
+        self._speed = SpeedMonitor()
+        self._has_handover = dependencies.settings.features.handover
         self._thread = threading.Thread(target=self._run, name="owner", daemon=True)
 
     @property
@@ -97,6 +110,8 @@
 
     def start(self) -> None:
         self._thread.start()
+        if self._has_handover:
+            threading.Thread(target=self._watch_speed, name="speed", daemon=True).start()
 
     def retire(self, timeout_s: float) -> None:
         """Gives up ownership, so that another instance can take over at once.
@@ -130,6 +145,28 @@
         self._released_epoch = max(self._released_epoch, epoch)
         self._wake.set()
 
+    def _watch_speed(self) -> None:
+        while not self._stopping.wait(
+            SPEED_PERIOD_S if self._runner is None else OWNER_SPEED_PERIOD_S
+        ):
+            self.note_speed(measure_work_s())
+
+    def note_speed(self, took_s: float) -> None:
+        """Adds a measurement of this machine's speed; a slow owner gives up ownership.
+
+        It stays the owner if no other instance is known.
+        """
+        self._speed.note(took_s)
+        runner = self._runner
+        if runner is None or not self._speed.is_slow or len(self._replica.instances) < 2:
+            return
+        self._events.write(
+            eventlog.OWNER_SLOW,
+            epoch=self._served_epoch,
+            slowdown=round(self._speed.slowdown, 1),
+        )
+        runner.give_up()
+
     def _run(self) -> None:
         while not self._stopping.is_set():
             try:
@@ -191,6 +228,8 @@
         claim = self._replica.claim
         if self._dependencies.configuration.current is None:
             return ""
+        if self._speed.is_slow and now - self._activity_at < SLOW_CLAIM_DELAY_S:
+            return ""
         if not claim.epoch and now - self._started_at < FIRST_CLAIM_DELAY_S:
             return ""
         if claim.released or (claim.epoch == self._released_epoch and claim.epoch):
