Rename what reviewers had to ask about

replaces_log -> is_log_lost, is_left -> is_removed_by_balancer, PreemptionAccounts -> PreemptionOutcomes (accounts are client accounts), MAX_ADVICE_VISITS -> MAX_EXAMINED_TARGETS. No behaviour changes.

--- a/libs/cluster/src/azurecleat_cluster/_internal/front/relay.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/relay.py
@@ -115,7 +115,7 @@
         return False
 
     @property
-    def is_left(self) -> bool:
+    def is_removed_by_balancer(self) -> bool:
         """Whether the balancer sends new connections elsewhere, as the instance's zone is cut off.
 
         An instance that cannot reach the log is not ready. In an outage of the log itself no other
@@ -124,7 +124,7 @@
         return False
 
     @property
-    def replaces_log(self) -> bool:
+    def is_log_lost(self) -> bool:
         """Whether callers should not wait for this instance's own reads of the log."""
         return False
 
@@ -199,13 +199,13 @@
         return self._is_isolated and self._follower.is_failing
 
     @property
-    def is_left(self) -> bool:
+    def is_removed_by_balancer(self) -> bool:
         failing_s = self._clock.monotonic() - self._began_at
-        is_left = self._is_zone_cut_off and failing_s >= self._balancer_removal_s
-        return is_left and self._follower.is_failing
+        is_removed_by_balancer = self._is_zone_cut_off and failing_s >= self._balancer_removal_s
+        return is_removed_by_balancer and self._follower.is_failing
 
     @property
-    def replaces_log(self) -> bool:
+    def is_log_lost(self) -> bool:
         return self._follower.is_log_lost
 
     def age(self) -> float:
--- a/libs/cluster/src/azurecleat_cluster/_internal/front/request_handler.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/request_handler.py
@@ -335,12 +335,12 @@
 
     def _is_cut_off(self) -> bool:
         """Whether a request to another instance would only delay the answer to the caller."""
-        is_alone = self._relay.is_isolated or self._relay.is_left
-        return is_alone and self._relay.replaces_log
+        is_alone = self._relay.is_isolated or self._relay.is_removed_by_balancer
+        return is_alone and self._relay.is_log_lost
 
     def _refuse(self, reason: str) -> Refused:
         """Refuses a request, with a retry hint that depends on what has failed."""
-        if self._relay.is_isolated or self._relay.is_left:
+        if self._relay.is_isolated or self._relay.is_removed_by_balancer:
             return Refused(reason, 0.0, is_local=True)
         return Refused(reason, RETRY_AFTER_S)
 
@@ -350,7 +350,7 @@
         While the replica is being loaded this does not wait: the caller is refused sooner than the
         load ends. Nor does it wait for a lost log that peers replace.
         """
-        is_unreadable = self._jobs_follower.is_loading or self._relay.replaces_log
+        is_unreadable = self._jobs_follower.is_loading or self._relay.is_log_lost
         if not self._jobs.knows(job) and not is_unreadable:
             try:
                 self._jobs_follower.catch_up()
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -45,7 +45,7 @@
 ADVICE_CHECK_PAUSE_S = 0.1
 """Pause between two checks of a waiting step for missing advice: each check scans all targets."""
 
-MAX_ADVICE_VISITS = 6_000
+MAX_EXAMINED_TARGETS = 6_000
 """Most targets that the checks of one round examine: at 10 us each, reports wait for 60 ms. The
 steps left out are checked in the next round."""
 
@@ -83,7 +83,7 @@
         self._events = events
         self._metrics = metrics
         self._evaluated_at = float("-inf")
-        self._visits_left = MAX_ADVICE_VISITS
+        self._targets_left = MAX_EXAMINED_TARGETS
         self._is_takeover_complete = False
         self._possible_usage: dict[str, Resources] = {}
         self._held_targets: list[TargetInfo] = []
@@ -149,7 +149,7 @@
         self._release_holds()
         if self._preemptor is not None:
             self._preemptor.begin_round(now)
-        self._visits_left = MAX_ADVICE_VISITS
+        self._targets_left = MAX_EXAMINED_TARGETS
         self._stalls.begin_round()
         pools = UsablePools([session.target for session in term.sessions.values()], now)
         self._ranking.begin_round(pools, term.usage, term.configuration.current, now)
@@ -281,12 +281,12 @@
         include_full: bool = False,
     ) -> None:
         """Requests the advice that pending tasks of a step still lack."""
-        if not step.pending or self._visits_left <= 0 or not _may_request_advice(step, now):
+        if not step.pending or self._targets_left <= 0 or not _may_request_advice(step, now):
             return
         step.advice_checked_at = now
         share = self._allowed_shares.of(step.job.queue.name)
         targets = pool.advisable(step, now, include_full)
-        self._visits_left -= len(targets)
+        self._targets_left -= len(targets)
         names = select_targets(step, targets, now, share, self._preferences, include_full)
         if names:
             step.advice_requested_at = now
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/preemption_accounts.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/preemption_outcomes.py
@@ -37,7 +37,7 @@
         return is_allowed
 
 
-class PreemptionAccounts:
+class PreemptionOutcomes:
     """The outcomes of preemptions under one term."""
 
     def __init__(self, events: EventLog, metrics: Metrics) -> None:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/preemptor.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/preemptor.py
@@ -27,7 +27,7 @@
     can_be_on_time,
     choose,
 )
-from azurecleat_cluster._internal.owner.preemption_accounts import LineLimit
+from azurecleat_cluster._internal.owner.preemption_outcomes import LineLimit
 from azurecleat_cluster._internal.owner.term import OwnerTerm
 from azurecleat_cluster._internal.owner.usable_pools import UsablePool
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -12,7 +12,7 @@
     StepInfo,
     TargetInfo,
 )
-from azurecleat_cluster._internal.owner.preemption_accounts import LOST, PREEMPTION_REASON
+from azurecleat_cluster._internal.owner.preemption_outcomes import LOST, PREEMPTION_REASON
 from azurecleat_cluster._internal.owner.start_attempts import StartOutcome
 from azurecleat_cluster._internal.owner.state import TermState
 from azurecleat_cluster._internal.owner.throttling import throttle_target
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
@@ -24,7 +24,7 @@
 )
 from azurecleat_cluster._internal.owner.placement import Preferences
 from azurecleat_cluster._internal.owner.poll_schedule import PollSchedule
-from azurecleat_cluster._internal.owner.preemption_accounts import PreemptionAccounts
+from azurecleat_cluster._internal.owner.preemption_outcomes import PreemptionOutcomes
 from azurecleat_cluster._internal.owner.session_starter import SessionStarter
 from azurecleat_cluster._internal.owner.shares import TeamShareLimiter
 from azurecleat_cluster._internal.owner.start_horizon import StartHorizon
@@ -115,7 +115,7 @@
         self.health = HealthMonitor(events, preferences)
         self.durations = DurationTracker(features.durations, preferences, events, metrics)
         self.evacuations = EvacuationTracker()
-        self.preemptions = PreemptionAccounts(events, metrics)
+        self.preemptions = PreemptionOutcomes(events, metrics)
         self.poll_schedule = PollSchedule()
         self.session_starter = SessionStarter()
         self.takeover: Takeover | None = None
