Put back checks that were loosened, and mend a test that could not fail

The bounds of the poll rate were raised when the waits were cut for the lease; the load test of preemption was averaged over seeds when it failed on its first. Change: both stand again as they were, as tests of their own. A test of the record of durations passed without the fix it is for; its weight is now below the rounding.

--- a/tests/unit/cluster/test_durations.py
+++ b/tests/unit/cluster/test_durations.py
@@ -59,7 +59,7 @@
     def test_record_with_a_little_known_key_can_be_read(self) -> None:
         learned = LearnedDurations()
         learn(learned, KEY, 1.0, 50)
-        learned.observe(KEY._replace(image="new"), 1.0, 1.0, 1.0, weight=0.03)
+        learned.observe(KEY._replace(image="new"), 1.0, 1.0, 1.0, weight=0.02)
         restored = LearnedDurations.decode(learned.encode())
         self.assertAlmostEqual(restored.expect(KEY, 0.0).p50_s, 1.0, delta=0.2)
 
--- a/tests/unit/cluster/test_poll_schedule.py
+++ b/tests/unit/cluster/test_poll_schedule.py
@@ -46,6 +46,14 @@
                 self.assertLessEqual(polls_per_s(targets, busy), max(505, 105 + busy / 1.2))
         self.assertLessEqual(polls_per_s(1000, 733), 105 + 733 / 1.2)
 
+    # The bounds as they were before waits were shortened for the lease; in KNOWN-RED.txt.
+    def test_rate_keeps_its_first_bounds(self) -> None:
+        for targets, busy in ((300, 300), (600, 300), (1000, 0), (800, 800), (3000, 0)):
+            self.assertLessEqual(polls_per_s(targets, busy), 505)
+        self.assertLessEqual(polls_per_s(1000, 733), 560)
+        for targets, busy in ((1000, 0), (1000, 733), (3000, 1000)):
+            self.assertLessEqual(polls_per_s(targets, busy, is_lossy=True), 1000)
+
     def test_lost_answer_leaves_time_to_renew_the_lease(self) -> None:
         # The poll times out, the next one renews nothing, and the one after it comes in time.
         for busy in (24, 300, 1000, 3000):
--- a/tests/unit/cluster/test_preemption.py
+++ b/tests/unit/cluster/test_preemption.py
@@ -415,6 +415,11 @@
         self.assertLess(wide_on, 1.15 * wide_off)
         self.assertLess(max(share for play in on for share in play["wide"]), MAX_LATE_OBJECTIVES)
 
+    # It failed once, at 1.18 times, when learned durations were merged.
+    def test_wide_jobs_are_hardly_slowed_on_the_first_seed(self) -> None:
+        off, on = self.play(1, Features()), self.play(1, ON)
+        self.assertLess(median(on["wide"]), 1.15 * median(off["wide"]))
+
 
 def arrivals(rng: random.Random, per_s: float, since: float, until: float) -> list[float]:
     return sorted(rng.uniform(since, until) for _ in range(int(per_s * (until - since))))
