Report a step as stalled when no target of its pool may be used

A waiting step was examined only in rounds in which its pool had a usable target.

step.stalled now comes for every step that waits, has the condition 'a usable target', and counts the targets that are suspect and on probation.

test_each_condition_is_found and test_targets_kept_back_after_failures_are_counted cover the condition and the counts.

--- a/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
@@ -166,7 +166,9 @@
 RUN_PACED = LogEvent(767, "run.paced", "task, run, target, percent, tail_share")
 RUN_UNANSWERED = LogEvent(768, "run.unanswered", "task, run, target, attempt, error")
 STEP_STALLED = LogEvent(
-    769, "step.stalled", "step, missing, pending, free, allowed, valid, waited_s"
+    769,
+    "step.stalled",
+    "step, missing, pending, free, allowed, valid, suspect, on_probation, waited_s",
 )
 ADVICE_GIVEN = LogEvent(770, "advice.given", "step, adviser, named, allowed, waited_s, took_s")
 ADVICE_FAILED = LogEvent(771, "advice.failed", "step, adviser, error")
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -170,10 +170,11 @@
         renewals_left = self._advice.general_worker_count
         for rank, step in waiting:
             pool = pools.of(self._pool_of(step.job))
-            if pool is not None:
-                with self._postpone_on_error(step, now):
+            with self._postpone_on_error(step, now):
+                if pool is not None:
                     started += self._serve(step, pool, rank, now, include_full=renewals_left > 0)
-                renewals_left -= bool(step.pending and step.job.queue.advice)
+                    renewals_left -= bool(step.pending and step.job.queue.advice)
+                self._report_stall(step, now)
         self._metrics.waiting_tasks.set(sum(len(step.pending) for _, step in waiting))
         self._load.update(waiting, pools, now)
         return started
@@ -206,11 +207,21 @@
         self._hold_capacity(step, pool)
         if self._preemptor is not None and self._preemptor.is_urgent(step):
             self._preempt(step, pool, started, now)
-        if step.pending and self._stalls.is_due(step, now):
-            within_limit = self._count_within_limit(step, len(step.pending))
-            self._stalls.report(step, pool.targets, within_limit, now)
         return started
 
+    def _report_stall(self, step: StepInfo, now: float) -> None:
+        """Reports what a step lacks that has waited for long."""
+        if not step.pending or not self._stalls.is_due(step, now):
+            return
+        pool = self._pool_of(step.job)
+        targets = [
+            session.target
+            for session in self._term.sessions.values()
+            if session.target.entry.pool == pool
+        ]
+        within_limit = self._count_within_limit(step, len(step.pending))
+        self._stalls.report(step, targets, within_limit, now)
+
     def _preempt(self, step: StepInfo, pool: UsablePool, started: int, now: float) -> None:
         """Stops runs for the tasks of an urgent step that found no capacity."""
         startable = step.startable(self._is_takeover_complete)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/stalls.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/stalls.py
@@ -10,7 +10,7 @@
 from azurecleat_cluster._internal.eventlog import EventLog
 from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.owner.model import StepInfo, TargetInfo
-from azurecleat_cluster._internal.owner.placement import capacity_for, has_label
+from azurecleat_cluster._internal.owner.placement import capacity_for, has_label, is_usable
 
 STALLED_AFTER_S = 3.0
 """Time without a start after which a ready step is examined, and the pause between two reports."""
@@ -24,6 +24,9 @@
 
     TEAM_LIMIT = "room within the team limit"
     LABEL = "a target with the label"
+    USABLE_TARGET = "a usable target"
+    """No target with the label may be given tasks: each is suspect, on probation or draining, its
+    zone is evacuated, or it is out of reach."""
     CAPACITY = "capacity"
     ALLOWED_TARGETS = "capacity on allowed targets"
     TICKETS = "tickets"
@@ -37,12 +40,16 @@
     :param free: Tasks that fit on all targets with the step's label.
     :param allowed: Tasks that fit on the targets that the advice service allows.
     :param valid: Tasks that fit on allowed targets with a valid ticket.
+    :param suspect: Targets with the label that are suspect.
+    :param on_probation: Targets with the label that are on probation and no longer suspect.
     """
 
     missing: MissingCondition
     free: int
     allowed: int
     valid: int
+    suspect: int
+    on_probation: int
 
 
 class StallReporter:
@@ -66,7 +73,7 @@
     ) -> None:
         """Logs and counts what a step lacks.
 
-        :param targets: Usable targets of the step's pool.
+        :param targets: All targets of the step's pool.
         :param within_limit: Number of tasks that the team's resource limit allows.
         """
         self._reports_left -= 1
@@ -81,6 +88,8 @@
             free=stall.free,
             allowed=stall.allowed,
             valid=stall.valid,
+            suspect=stall.suspect,
+            on_probation=stall.on_probation,
             waited_s=round(now - (step.ready_at or now), 3),
         )
 
@@ -89,8 +98,11 @@
     """Returns what a ready step lacks to start."""
     wanted = len(step.pending) if step.spec.gang else 1
     matching = [target for target in targets if has_label(step, target)]
+    usable = [target for target in matching if is_usable(target, now)]
+    suspect = sum(target.suspect_until > now for target in matching)
+    on_probation = sum(target.on_probation and target.suspect_until <= now for target in matching)
     free = allowed = valid = 0
-    for target in matching:
+    for target in usable:
         capacity = capacity_for(step, target)
         is_advised = step.job.queue.advice is not None
         free += capacity
@@ -99,9 +111,10 @@
     conditions = (
         (within_limit < wanted, MissingCondition.TEAM_LIMIT),
         (not matching, MissingCondition.LABEL),
+        (not usable, MissingCondition.USABLE_TARGET),
         (free < wanted, MissingCondition.CAPACITY),
         (allowed < wanted, MissingCondition.ALLOWED_TARGETS),
         (valid < wanted, MissingCondition.TICKETS),
     )
     missing = next((each for lacks, each in conditions if lacks), MissingCondition.PLACEMENT)
-    return Stall(missing, free, allowed, valid)
+    return Stall(missing, free, allowed, valid, suspect, on_probation)
--- a/tests/unit/cluster/test_stalls.py
+++ b/tests/unit/cluster/test_stalls.py
@@ -51,6 +51,16 @@
         for number, target in enumerate(self.targets):
             start(make_step(f"o{number}", 1, 60_000), 0, target, NOW)
         self.assertIs(self.missing(self.gang), MissingCondition.CAPACITY)
+        for target in self.targets:
+            target.suspect_until = NOW + 1.0
+        self.assertIs(self.missing(self.gang), MissingCondition.USABLE_TARGET)
+
+    def test_targets_kept_back_after_failures_are_counted(self) -> None:
+        for target in self.targets:
+            target.on_probation = True
+        self.targets[0].suspect_until = NOW + 1.0
+        stall = examine(make_step("step", 1), self.targets, 99, NOW)
+        self.assertEqual((stall.suspect, stall.on_probation), (1, 2))
 
     def test_counts_are_those_of_tasks(self) -> None:
         self.allow("t0")
