Probe a target on probation whatever was at work there before

Cause: after its suspicion a target was usable only while it had no run at all, and only an end as done ended its probation. A lasting task does neither: one that was at work before the failures kept the target out of use for good, and one that was started on probation never ended it.

A target on probation now starts one task at a time beside what was at work before, and comes last in placement. Probation ends with a run that is done, or with one that was started on probation and has been at work for 6 s; it keeps the next one away for 2 s at most. Runs from before are no evidence: a target may fail all that it starts while they go on. A sick target gets less than before: an empty one took as many tasks as it had room for after its pause, now it takes one, and the failure of that one alone makes it suspect again.

The tests of test_probation failed before: no task was started on the four targets ([0, 0] != [1, 1]).

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -589,8 +589,10 @@
         self.registered = True
         self.unregistered_at = 0.0
         self.suspect_until = 0.0
-        self.on_probation = False
-        """Whether the target gets one run at a time until one is done."""
+        self._probation_began_at: float | None = None
+        self.probes: set[Run] = set()
+        """Runs started on probation that keep all further starts away until they end, or have been
+        at work for some time."""
         self.is_evacuated = False
         """Whether the operator has requested that the target's zone gets no tasks."""
         self.throttle_percent = UNTHROTTLED_PERCENT
@@ -606,6 +608,16 @@
     def id(self) -> str:
         return self.entry.id
 
+    @property
+    def on_probation(self) -> bool:
+        """Whether the target gets one run at a time until there is evidence that it is sound."""
+        return self._probation_began_at is not None
+
+    @property
+    def probation_began_at(self) -> float | None:
+        """When the target last became suspect; None while it is not on probation."""
+        return self._probation_began_at
+
     @property
     def isolated_run(self) -> Run | None:
         """The run beside which the target starts no other; None if there is none."""
@@ -615,6 +627,16 @@
     def is_isolated(self) -> bool:
         return self._isolated_run is not None
 
+    def begin_probation(self, now: float) -> None:
+        """Begins probation, or begins it anew: the runs started until now are no evidence."""
+        self._probation_began_at = now
+        self.probes.clear()
+
+    def end_probation(self) -> None:
+        """Lets the target get any number of runs again."""
+        self._probation_began_at = None
+        self.probes.clear()
+
     def isolate(self, run: Run) -> None:
         """Keeps all other tasks away until :meth:`end_isolation` or the end of the run."""
         self._isolated_run = run
@@ -664,6 +686,7 @@
     def remove(self, run: Run) -> None:
         if self.runs.pop(run.key, None) is not None:
             self._use(run.allocation, -1)
+        self.probes.discard(run)
         self.end_isolation(run)
 
     def hold(self, allocation: Resources) -> None:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/placement.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/placement.py
@@ -108,7 +108,7 @@
         and target.entry.state is TargetState.READY
         and not target.is_evacuated
         and target.suspect_until <= now
-        and not (target.on_probation and target.runs)
+        and not target.probes
         and (target.registered or now - target.unregistered_at < UNREGISTERED_GRACE_S)
     )
 
@@ -130,11 +130,25 @@
     return sum(run.step is step for run in target.runs.values())
 
 
-def capacity_for(step: StepInfo, target: TargetInfo) -> int:
-    """Returns how many more tasks of a step a target has capacity for."""
+def max_starts(step: StepInfo, target: TargetInfo) -> int:
+    """Returns how many more tasks of a step a target may start if its capacity allows it.
+
+    On probation that is one task. The tasks of a gang start together or not at all, so that they
+    count as one.
+    """
+    if target.probes:
+        return 0
     count = step.spec.count
     if step.spec.max_per_target:
         count = step.spec.max_per_target - count_runs(step, target)
+    if target.on_probation and not step.spec.gang:
+        count = min(count, 1)
+    return max(0, count)
+
+
+def capacity_for(step: StepInfo, target: TargetInfo) -> int:
+    """Returns how many more tasks of a step a target may start and has capacity for."""
+    count = max_starts(step, target)
     for need, free in zip(step.spec.allocation, target.free, strict=True):
         if need:
             count = min(count, free // need)
@@ -217,7 +231,10 @@
 def rank_targets(
     step: StepInfo, candidates: list[Candidate], wanted: int, preferences: Preferences
 ) -> list[Candidate]:
-    """Orders targets for the tasks of one step, best first."""
+    """Orders targets for the tasks of one step, best first.
+
+    Targets on probation come after the others, so that few tasks run on one that is still faulty.
+    """
     if step.spec.fills:
         return sorted(candidates, key=lambda each: _filling_cost(each[0]))
     kind_costs: dict[str, tuple] = {}
@@ -251,6 +268,7 @@
         # Among targets that fit all tasks the fullest comes first, else the one that fits most.
         return (
             is_far,
+            target.on_probation,
             rank[groups[target.id]],
             not fits_all,
             target.free.cpu_milli if fits_all else -count,
@@ -287,9 +305,11 @@
 
 
 def _filling_cost(target: TargetInfo) -> tuple:
-    """Prefers targets with the fewest serving tasks, then those with the most idle processor."""
+    """Prefers targets that are not on probation, then those with the fewest serving tasks, then
+    those with the most idle processor."""
     serving = filling = 0
     for run in target.runs.values():
         serving += run.step.spec.long_running
         filling += run.step.spec.need.cpu_milli if run.step.spec.fills else 0
-    return serving, (target.used.cpu_milli + filling) / max(1, target.entry.capacity.cpu_milli)
+    load = (target.used.cpu_milli + filling) / max(1, target.entry.capacity.cpu_milli)
+    return target.on_probation, serving, load
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/preemption.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/preemption.py
@@ -15,7 +15,7 @@
 from azurecleat_base import ZERO, Resources
 
 from azurecleat_cluster._internal.owner.model import Run, RunState, StepInfo, TargetInfo
-from azurecleat_cluster._internal.owner.placement import count_runs
+from azurecleat_cluster._internal.owner.placement import max_starts
 
 URGENT_PRIORITY = 0
 """Priority number of the queues whose tasks may take the place of others."""
@@ -155,9 +155,7 @@
     def starts_after(self, step: StepInfo, target: TargetInfo, freed: Resources) -> int:
         """Returns how many more tasks fit on a target once further capacity is freed there."""
         free = target.free.plus(self._expected_on(target)).plus(freed)
-        fitting = step.spec.count
-        if step.spec.max_per_target:
-            fitting = step.spec.max_per_target - count_runs(step, target)
+        fitting = max_starts(step, target)
         for need, value in zip(step.spec.allocation, free, strict=True):
             if need:
                 fitting = min(fitting, value // need)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -74,6 +74,8 @@
         step.active[index] = run
         step.last_run = max(step.last_run, number)
         target.add(run)
+        if target.on_probation:
+            target.probes.add(run)
         self.usage.add(run)
         return run
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
@@ -27,6 +27,10 @@
 SUSPECT_S = 4.0
 """How long a suspect target gets no new tasks before it is tried again."""
 
+PROBE_S = 2.0
+"""Longest time for which one run on probation keeps further starts away: a run that stalls has been
+detected by then. Rule LOST allows a task to wait for 3 s while there is capacity."""
+
 MAX_SUSPECT_SHARE = 0.25
 """Share of the targets that may be suspect at one time."""
 
@@ -71,7 +75,7 @@
     def note_end(self, target: TargetInfo, run: Run, kind: EndKind, now: float) -> None:
         """Counts the end of a run; a run that is done ends the target's probation."""
         if kind is EndKind.DONE:
-            target.on_probation = False
+            self._end_probation(target, "a run is done", now)
             if run.first_percent == 0 and run.began_at and not run.checkpoint:
                 run.step.durations_by_target.append((target.id, now - run.began_at))
                 run.step.durations_by_kind.append((target.entry.kind, now - run.began_at))
@@ -80,6 +84,8 @@
                     self._preferences.add_durations(run.step.durations_by_kind, is_balanced)
         elif kind is not EndKind.FAILED:
             return
+        elif _is_started_on_probation(run):
+            self._suspect(target, "a run on probation failed", now)
         target.outcomes = [each for each in target.outcomes if now - each[0] < OUTCOME_WINDOW_S]
         target.outcomes.append((now, run.task.job, kind is EndKind.DONE))
         failed = {job for _, job, done in target.outcomes if not done}
@@ -98,6 +104,8 @@
         rates = _rates_by_step(targets)
         runs_to_move: list[Run] = []
         for target in targets:
+            if target.on_probation:
+                self._judge_probes(target, now)
             runs = [run for run in target.runs.values() if _has_measured_rate(run)]
             if not runs or not target.responsive:
                 continue
@@ -132,9 +140,51 @@
                 eventlog.TARGET_SUSPECT, target=target.id, reason=reason, for_s=SUSPECT_S
             )
         self._suspect_until[target.id] = target.suspect_until = now + SUSPECT_S
-        target.on_probation = True
+        target.begin_probation(now)
         return True
 
+    def _judge_probes(self, target: TargetInfo, now: float) -> None:
+        """Ends the probation of a target on which a run has been at work for long enough.
+
+        Runs that last never end as done, and others may take hours.
+        """
+        for run in list(target.probes):
+            if now - run.commanded_at >= PROBE_S:
+                target.probes.discard(run)
+        if any(_is_evidence(run, now) for run in target.runs.values()):
+            self._end_probation(target, "a run has been at work", now)
+
+    def _end_probation(self, target: TargetInfo, reason: str, now: float) -> None:
+        if target.probation_began_at is None:
+            return
+        self._events.write(
+            eventlog.TARGET_PROBATION_ENDED,
+            target=target.id,
+            reason=reason,
+            after_s=round(now - target.probation_began_at, 3),
+        )
+        target.end_probation()
+
+
+def _is_started_on_probation(run: Run) -> bool:
+    began_at = run.target.probation_began_at
+    return began_at is not None and run.commanded_at > began_at
+
+
+def _is_evidence(run: Run, now: float) -> bool:
+    """Whether a run that was started on probation shows that its target is sound.
+
+    It has been at work for as long as the end of a run counts. Runs that were started before are no
+    evidence: a target may fail all that it starts while these go on.
+    """
+    if not _is_started_on_probation(run) or run.state is not RunState.RUNNING:
+        return False
+    if not run.began_at or now - run.began_at < OUTCOME_WINDOW_S:
+        return False
+    if run.step.spec.long_running:
+        return run.percent >= 100
+    return run.percent > run.first_percent and run.reported_at - run.progressed_at < STALL_S
+
 
 def _has_measured_rate(run: Run) -> bool:
     """Whether a run's percentages allow its progress rate to be measured."""
--- /dev/null
+++ b/tests/unit/cluster/test_probation.py
@@ -0,0 +1,194 @@
+"""How a target that was suspect earns back the owner's trust, and what it gets until then."""
+
+from __future__ import annotations
+
+import unittest
+
+from azurecleat_base import ManualClock, Resources
+from azurecleat_cluster._internal.owner.model import Run, TargetInfo
+from azurecleat_cluster._internal.owner.target_health import (
+    OUTCOME_WINDOW_S,
+    PROBE_S,
+    SUSPECT_S,
+)
+from azurecleat_cluster._internal.replica import records
+from azurecleat_cluster._internal.replica.jobs import JobReplica
+from azurecleat_cluster.values import EndKind, JobSpec, RunEnd, RunStatus, Step, TaskId
+
+from tests.lib.term_harness import TermHarness, make_entry, submit
+
+TARGETS = ("t0", "t1", "t2", "t3")
+LASTING = Step(count=1, need=Resources(500, 64, 0), estimate_ms=300, long_running=True)
+SHORT = Step(count=1, need=Resources(1_000, 64, 0), estimate_ms=500)
+TICK_S = 0.25
+
+
+class ProbationTest(unittest.TestCase):
+    """Four targets with a lasting task each, and jobs whose tasks fail."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.replica = JobReplica()
+        self.harness = TermHarness(self.clock, self.replica)
+        for name in TARGETS:
+            self.harness.term.on_target_entry(make_entry(name))
+        self.harness.writer.commit()
+        for name in TARGETS:
+            self.harness.report(name)
+        self._ends = dict.fromkeys(TARGETS, 0)
+        self._offset = 0
+        self.submit("keeper", LASTING._replace(count=len(TARGETS), max_per_target=1))
+
+    def target(self, name: str) -> TargetInfo:
+        return self.harness.session(name).target
+
+    def runs(self, job: str) -> list[Run]:
+        """Returns the runs of a job."""
+        return [
+            run
+            for name in TARGETS
+            for run in self.target(name).runs.values()
+            if run.task.job == job
+        ]
+
+    def submit(self, job: str, step: Step) -> None:
+        self._offset += 1
+        submit(self.replica, JobSpec("", (step,)), job, offset=self._offset)
+        self.harness.term.on_job_record(records.SUBMISSION + job)
+        self.tick()
+
+    def tick(self) -> list[TaskId]:
+        """Lets all targets report their runs, and the owner start what it can."""
+        self.clock.advance(TICK_S)
+        self.harness.authority.add_log_proof(self.clock.monotonic())
+        for name in TARGETS:
+            self.report(name)
+        return self.harness.dispatch()
+
+    def report(self, name: str, ended: tuple[RunEnd, ...] = ()) -> None:
+        """Lets a target report its runs; those that do not last proceed by a tenth a second."""
+        now, ends = self.clock.monotonic(), {(end.task, end.run) for end in ended}
+        statuses = [
+            RunStatus(run.task, run.number, "", self._percent(run, now), 0.0)
+            for run in self.target(name).runs.values()
+            if run.key not in ends
+        ]
+        self.harness.report(name, statuses, ended)
+
+    def _percent(self, run: Run, now: float) -> float:
+        return 100.0 if run.step.spec.long_running else 10.0 * (now - run.commanded_at)
+
+    def wait(self, seconds: float) -> None:
+        for _ in range(round(seconds / TICK_S)):
+            self.tick()
+
+    def end(self, run: Run, kind: EndKind) -> None:
+        name = run.target.id
+        self._ends[name] += 1
+        others = [
+            RunStatus(other.task, other.number, "", 100.0, 0.0)
+            for other in run.target.runs.values()
+            if other is not run
+        ]
+        self.harness.report(
+            name, others, [RunEnd(self._ends[name], run.task, run.number, kind, "")]
+        )
+
+    def make_suspect(self, name: str) -> None:
+        """Lets the tasks of two jobs fail on a target."""
+        for job in ("one", "two"):
+            run = Run(TaskId(job, 0, 0, 0), self.runs("keeper")[0].step, 1, self.target(name))
+            self.harness.term.health.note_end(
+                self.target(name), run, EndKind.FAILED, self.clock.monotonic()
+            )
+        self.assertTrue(self.target(name).on_probation)
+
+    # Review case 4: lasting tasks that fail left their targets without further tasks for good.
+    def test_targets_with_lasting_tasks_are_used_again_after_failures(self) -> None:
+        for job in ("first", "second"):
+            self.submit(job, LASTING)
+        for _ in TARGETS:
+            self.wait(OUTCOME_WINDOW_S)
+            for job in ("first", "second"):
+                for run in self.runs(job):
+                    self.end(run, EndKind.FAILED)
+        self.wait(SUSPECT_S)
+        self.assertEqual([len(self.runs(job)) for job in ("first", "second")], [1, 1])
+        self.submit("later", SHORT._replace(count=2))
+        self.wait(PROBE_S)
+        self.assertEqual(len(self.runs("later")), 2)
+
+    def test_target_on_probation_starts_one_task_at_a_time(self) -> None:
+        for name in TARGETS:
+            self.make_suspect(name)
+            self.wait(SUSPECT_S)
+        self.submit("wide", SHORT._replace(count=40))
+        probes = self.runs("wide")
+        self.assertEqual(sorted(run.target.id for run in probes), sorted(TARGETS))
+        self.assertEqual(self.tick(), [])
+        self.end(probes[0], EndKind.DONE)
+        self.assertFalse(probes[0].target.on_probation)
+        self.tick()
+        self.assertEqual(len(self.runs("wide")), 39)
+
+    def test_lasting_task_at_work_ends_probation(self) -> None:
+        self.make_suspect("t0")
+        self.wait(OUTCOME_WINDOW_S + SUSPECT_S)
+        # What was at work before the failures is no evidence for what is started after them.
+        self.assertTrue(self.target("t0").on_probation)
+        for name in TARGETS[1:]:
+            self.target(name).is_evacuated = True
+        self.submit("lasting", LASTING)
+        self.assertEqual([run.target.id for run in self.runs("lasting")], ["t0"])
+        self.wait(OUTCOME_WINDOW_S - 1.0)
+        self.assertTrue(self.target("t0").on_probation)
+        self.wait(1.0 + 2 * TICK_S)
+        self.assertFalse(self.target("t0").on_probation)
+
+    def test_task_that_takes_long_does_not_keep_a_target_on_probation(self) -> None:
+        self.make_suspect("t0")
+        self.wait(SUSPECT_S)
+        for name in TARGETS[1:]:
+            self.target(name).is_evacuated = True
+        self.submit("long", SHORT._replace(count=4))
+        self.assertEqual(len(self.runs("long")), 1)
+        self.wait(PROBE_S + TICK_S)
+        self.assertEqual(len(self.runs("long")), 2)
+        self.wait(OUTCOME_WINDOW_S - PROBE_S)
+        self.assertFalse(self.target("t0").on_probation)
+        self.assertEqual(len(self.runs("long")), 4)
+
+    def test_gang_is_started_whole_on_targets_on_probation(self) -> None:
+        for name in TARGETS:
+            self.make_suspect(name)
+            self.wait(SUSPECT_S)
+        self.submit("gang", SHORT._replace(count=240, gang=True))
+        self.assertEqual(len(self.runs("gang")), 240)
+        self.submit("next", SHORT)
+        self.assertEqual(self.runs("next"), [])
+
+    def test_target_that_is_not_on_probation_goes_first(self) -> None:
+        for name in TARGETS[:3]:
+            self.make_suspect(name)
+            self.wait(SUSPECT_S)
+        self.submit("short", SHORT)
+        self.assertEqual([run.target.id for run in self.runs("short")], ["t3"])
+
+    def test_target_that_goes_on_failing_gets_one_task_in_each_pause(self) -> None:
+        starts = 0
+        for name in TARGETS[1:]:
+            self.target(name).is_evacuated = True
+        self.make_suspect("t0")
+        for number in range(20):
+            self.submit(f"job{number}", SHORT._replace(count=10))
+        for _ in range(round(3 * SUSPECT_S / TICK_S)):
+            self.tick()
+            for number in range(20):
+                for run in self.runs(f"job{number}"):
+                    starts += 1
+                    self.end(run, EndKind.FAILED)
+        self.assertIn(starts, (2, 3))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/unit/cluster/test_stalls.py
+++ b/tests/unit/cluster/test_stalls.py
@@ -57,7 +57,7 @@
 
     def test_targets_kept_back_after_failures_are_counted(self) -> None:
         for target in self.targets:
-            target.on_probation = True
+            target.begin_probation(NOW)
         self.targets[0].suspect_until = NOW + 1.0
         stall = examine(make_step("step", 1), self.targets, 99, NOW)
         self.assertEqual((stall.suspect, stall.on_probation), (1, 2))
