Place a gang whole if any assignment of its tasks to targets allows it

Cause: each target in turn took the first tasks that did not avoid it. Members 0 to 2 filled the first target, and member 3, which had failed on the two others, found no place: a gang starts whole or not at all, so that each round chose the same. step.stalled shows it: missing 'a placement', pending 4, free 9, no target suspect or on probation.

Tasks that avoid targets now choose first, and chains of exchanges make room for those that still find none, so that as many tasks as possible run where none of them failed. A gang that fits only on targets that a member avoids starts there; a gang that has to stay in one rack tries each rack before, and leaves its rack only if no rack has room.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/placement.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/placement.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 
 from azurecleat_cluster._internal.objectives import MAX_LATE_OBJECTIVES
+from azurecleat_cluster._internal.owner.assignment import Room, assign, assign_anywhere
 from azurecleat_cluster._internal.owner.model import StepInfo, TargetInfo
 from azurecleat_cluster._internal.values import TargetState
 
@@ -170,59 +170,91 @@
 
     :returns: Pairs of a task index and its target.
     """
-    candidates = {
+    candidates = _candidates(step, targets, now)
+    rooms = _rooms(step, candidates, len(indices), preferences)
+    assigned = assign(indices, rooms, step.avoided)
+    # Running on a target that a task avoids is better than not running.
+    avoids_all = [
+        index
+        for index in indices
+        if index not in assigned and step.avoided.get(index, set()).issuperset(candidates)
+    ]
+    assign_anywhere(avoids_all, rooms, assigned)
+    return [(index, candidates[target][0]) for index, target in assigned.items()]
+
+
+def _candidates(
+    step: StepInfo, targets: Iterable[TargetInfo], now: float
+) -> dict[str, tuple[TargetInfo, int]]:
+    return {
         target.id: (target, count)
         for target in targets
         if may_run_on(step, target, now) and (count := capacity_for(step, target))
     }
-    chosen: list[tuple[int, TargetInfo]] = []
-    left = list(indices)
-    for target, count in rank_targets(step, list(candidates.values()), len(indices), preferences):
-        fitting = [index for index in left if target.id not in step.avoided.get(index, ())]
-        taken = set(fitting[:count])
-        chosen.extend((index, target) for index in fitting[:count])
-        left = [index for index in left if index not in taken]
-        if not left:
-            return chosen
-    return chosen + _place_avoided(step, indices, candidates, chosen)
-
-
-def _place_avoided(
+
+
+def _rooms(
     step: StepInfo,
-    indices: Sequence[int],
     candidates: dict[str, tuple[TargetInfo, int]],
-    chosen: list[tuple[int, TargetInfo]],
-) -> list[tuple[int, TargetInfo]]:
-    """Places tasks that avoid every candidate, as running there is better than not running."""
-    placed = {index for index, _ in chosen}
-    taken = Counter(target.id for _, target in chosen)
-    extra: list[tuple[int, TargetInfo]] = []
-    for index in indices:
-        if index in placed or not step.avoided.get(index, set()).issuperset(candidates):
-            continue
-        for target, count in candidates.values():
-            if taken[target.id] < count:
-                taken[target.id] += 1
-                extra.append((index, target))
-                break
-    return extra
+    wanted: int,
+    preferences: Preferences,
+) -> list[Room]:
+    ranked = rank_targets(step, list(candidates.values()), wanted, preferences)
+    return [Room(target.id, count) for target, count in ranked]
 
 
 def place_gang(
     step: StepInfo, targets: Iterable[TargetInfo], now: float, preferences: Preferences
 ) -> list[tuple[int, TargetInfo]]:
-    """Chooses targets for all tasks of a gang, or none."""
-    indices = range(step.spec.count)
+    """Chooses targets for all tasks of a gang, or none.
+
+    Targets that its tasks avoid are used only if the gang would not fit otherwise.
+    """
     targets = list(targets)
-    if step.spec.same_rack:
-        racks = sorted({target.entry.rack for target in targets})
-        for rack in sorted(racks, key=lambda rack: rack != step.spec.data_rack):
-            members = [target for target in targets if target.entry.rack == rack]
-            chosen = place(step, indices, members, now, preferences)
-            if len(chosen) == step.spec.count:
-                return chosen
-    chosen = place(step, indices, targets, now, preferences)
-    return chosen if len(chosen) == step.spec.count else []
+    for groups in (_by_rack(step, targets), [targets]):
+        last_resort: list[tuple[int, TargetInfo]] = []
+        for members in groups:
+            whole = _place_whole(step, members, now, preferences)
+            if whole and not any(
+                target.id in step.avoided.get(index, ()) for index, target in whole
+            ):
+                return whole
+            last_resort = last_resort or whole
+        if last_resort:
+            return last_resort
+    return []
+
+
+def _by_rack(step: StepInfo, targets: list[TargetInfo]) -> list[list[TargetInfo]]:
+    """Returns the targets of each rack for a gang that has to stay in one, that of its data first.
+
+    Returns no group for any other gang.
+    """
+    if not step.spec.same_rack:
+        return []
+    racks: dict[str, list[TargetInfo]] = {}
+    for target in targets:
+        racks.setdefault(target.entry.rack, []).append(target)
+    return [
+        racks[rack] for rack in sorted(racks, key=lambda rack: (rack != step.spec.data_rack, rack))
+    ]
+
+
+def _place_whole(
+    step: StepInfo, targets: Iterable[TargetInfo], now: float, preferences: Preferences
+) -> list[tuple[int, TargetInfo]]:
+    """Chooses targets for all tasks of a gang, or none if they have too little capacity.
+
+    As few tasks as possible get a target that they avoid.
+    """
+    candidates = _candidates(step, targets, now)
+    if sum(count for _, count in candidates.values()) < step.spec.count:
+        return []
+    indices = range(step.spec.count)
+    rooms = _rooms(step, candidates, step.spec.count, preferences)
+    assigned = assign(indices, rooms, step.avoided)
+    assign_anywhere([index for index in indices if index not in assigned], rooms, assigned)
+    return [(index, candidates[target][0]) for index, target in assigned.items()]
 
 
 Candidate = tuple[TargetInfo, int]
--- a/tests/unit/cluster/test_placement.py
+++ b/tests/unit/cluster/test_placement.py
@@ -27,6 +27,18 @@
     return total.fits_in(target.entry.capacity) and (not bound or same < bound)
 
 
+def most_kept_away(step: StepInfo, indices: list[int], room: dict[str, int]) -> int:
+    """Returns the most tasks that can all run at once on targets that they do not avoid."""
+    if not indices:
+        return 0
+    first, others = indices[0], indices[1:]
+    best = most_kept_away(step, others, room)
+    for name, count in room.items():
+        if count and name not in step.avoided[first]:
+            best = max(best, 1 + most_kept_away(step, others, {**room, name: count - 1}))
+    return best
+
+
 class PlacementTest(unittest.TestCase):
     """Comparison with a naive computation on random loads, and tests of single constraints."""
 
@@ -96,6 +108,56 @@
             place(make_step("no", 1, required_label="gpu"), [0], targets, 0.0, Preferences()), []
         )
 
+    # Review case 5: a gang whose member avoided two of three targets was never started again.
+    def test_gang_is_placed_whole_if_some_assignment_avoids_failed_targets(self) -> None:
+        targets = [make_target(n, cpu=15_000) for n in range(3)]
+        gang = make_step("gang", 4, 5_000, gang=True)
+        gang.avoided[3] = {"t1", "t2"}
+        chosen = dict(place_gang(gang, targets, 0.0, Preferences()))
+        self.assertEqual(len(chosen), 4)
+        self.assertEqual(chosen[3].id, "t0")
+
+    def test_assignment_agrees_with_a_naive_search(self) -> None:
+        for seed in range(300):
+            rng = random.Random(seed)
+            targets = [
+                make_target(n, cpu=rng.choice((5_000, 10_000))) for n in range(rng.randint(1, 4))
+            ]
+            step = make_step("step", rng.randint(1, 6), 5_000, gang=True)
+            for index in range(step.spec.count):
+                step.avoided[index] = {each.id for each in targets if rng.random() < 0.5}
+            room = {target.id: target.free.cpu_milli // 5_000 for target in targets}
+            with self.subTest(seed=seed):
+                chosen = place_gang(step, targets, 0.0, Preferences())
+                if sum(room.values()) < step.spec.count:
+                    self.assertEqual(chosen, [])
+                    continue
+                self.assertEqual(sorted(index for index, _ in chosen), list(range(step.spec.count)))
+                for name, count in room.items():
+                    self.assertLessEqual(sum(target.id == name for _, target in chosen), count)
+                kept_away = sum(target.id not in step.avoided[index] for index, target in chosen)
+                self.assertEqual(
+                    kept_away, most_kept_away(step, list(range(step.spec.count)), room)
+                )
+
+    def test_task_with_fewer_targets_to_choose_from_gets_one_of_them(self) -> None:
+        targets = [make_target(n, cpu=15_000) for n in range(3)]
+        step = make_step("step", 4, 5_000)
+        step.avoided[3] = {"t1", "t2"}
+        chosen = dict(place(step, range(4), targets, 0.0, Preferences()))
+        self.assertEqual(len(chosen), 4)
+        self.assertEqual(chosen[3].id, "t0")
+
+    def test_gang_leaves_a_rack_only_if_the_rack_has_no_room(self) -> None:
+        targets = [make_target(n, cpu=10_000) for n in (0, 1, 8, 9)]
+        gang = make_step("gang", 4, 5_000, gang=True, same_rack=True, data_rack="r0")
+        gang.avoided[2] = {"t0", "t1"}
+        chosen = place_gang(gang, targets, 0.0, Preferences())
+        self.assertEqual({target.entry.rack for _, target in chosen}, {"r1"})
+        gang.avoided[2] = {"t0", "t1", "t8", "t9"}
+        chosen = place_gang(gang, targets, 0.0, Preferences())
+        self.assertEqual({target.entry.rack for _, target in chosen}, {"r0"})
+
     def test_gangs_are_placed_whole_and_in_one_rack_if_required(self) -> None:
         targets = [make_target(n, cpu=10_000) for n in range(16)]
         gang = make_step("gang", 12, 5_000, gang=True, same_rack=True)
