--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/assignment.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/assignment.py
@@ -29,7 +29,8 @@
     :returns: The target of each task that was assigned.
     """
     if not any(avoided.get(index) for index in indices):
-        return _fill(indices, rooms, avoided)
+        places = (target for target, count in rooms for _ in range(count))
+        return dict(zip(indices, places, strict=False))
     # Tasks that avoid some targets choose before those that may use any.
     assigned = _fill(sorted(indices, key=lambda index: not avoided.get(index)), rooms, avoided)
     exchange = _Exchange(rooms, avoided, assigned)
