Count only moves from slow targets against a further move of a task

A task that was slow on two targets counts as long in itself and is not moved again. The count was taken from the targets that the task avoids, which also holds those that refused it or on which it failed: a task that two busy targets had refused stayed on a slow target until its end.

test_refusals_do_not_keep_a_task_on_a_slow_target failed before (no run was moved). test_task_moves_away_from_two_targets_at_most now also states the moves, as avoidance alone does not mean them any more; its expectation is unchanged.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -253,6 +253,9 @@
         self.crash_history = CrashHistory()
         self.last_run = 0
         self.avoided: dict[int, set[str]] = {}
+        """Targets on which each task failed, was slow, or was not started."""
+        self.slow_on: dict[int, set[str]] = {}
+        """Targets from which each task was moved because it was slow there."""
         self.backup_runs: dict[int, set[Run]] = {}
         """Earlier runs of speculative tasks that were started again; their end still counts."""
         self.preempted_at: dict[int, list[float]] = {}
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
@@ -239,7 +239,7 @@
 
     A task that was slow on ``MAX_MOVES`` targets is long in itself and is not moved again.
     """
-    if len(run.step.avoided.get(run.task.index, ())) >= MAX_MOVES:
+    if len(run.step.slow_on.get(run.task.index, ())) >= MAX_MOVES:
         return False
     rate = max(run.current_rate or _rate(run), MIN_RATE)
     left_s = (100.0 - run.percent) / 100.0 / rate
--- a/tests/unit/cluster/test_target_health.py
+++ b/tests/unit/cluster/test_target_health.py
@@ -136,9 +136,20 @@
         runs = [start(step, n, self.targets[n // 2], START_S) for n in range(6)]
         for index in (4, 5):
             step.avoided[index] = {"t5", "t6"}
+            step.slow_on[index] = {"t5", "t6"}
         percents = {run: (8 if run.target.id == "t2" else 50) for run in runs}
         self.assertEqual(self.evaluate(percents, 0.5), [])
 
+    # A task that two busy targets had refused stayed on a slow target until its end.
+    def test_refusals_do_not_keep_a_task_on_a_slow_target(self) -> None:
+        step = make_step("wide", 6)
+        runs = [start(step, n, self.targets[n // 2], START_S) for n in range(6)]
+        for index in (4, 5):
+            step.avoided[index] = {"t5", "t6"}
+        percents = {run: (8 if run.target.id == "t2" else 50) for run in runs}
+        moved = self.evaluate(percents, 0.5)
+        self.assertEqual({run.task.index for run in moved}, {4, 5})
+
 
 if __name__ == "__main__":
     unittest.main()
