Bound the share of suspect targets in each pool

A quarter of all targets of all pools could be suspect at one time. In a small pool beside a large one these could be all targets, so that nothing of that pool started for four seconds: what affects most targets of a pool is not the fault of one of them. The bound now holds for each pool.

test_at_most_a_quarter_of_each_pool_is_suspect failed before (both targets of a pool of two were suspect).

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 from statistics import median
 
@@ -32,7 +32,7 @@
 detected by then. Rule LOST allows a task to wait for 3 s while there is capacity."""
 
 MAX_SUSPECT_SHARE = 0.25
-"""Share of the targets that may be suspect at one time."""
+"""Share of a pool's targets that may be suspect at one time; one may be in any pool."""
 
 STALL_S = 1.2
 """Time without progress after which a run counts as stalled: two reports."""
@@ -69,8 +69,8 @@
     def __init__(self, events: EventLog, preferences: Preferences) -> None:
         self._events = events
         self._preferences = preferences
-        self._suspect_until: dict[str, float] = {}
-        self._target_count = 0
+        self._suspects: dict[str, TargetInfo] = {}
+        self._pool_sizes: Counter[str] = Counter()
 
     def note_end(self, target: TargetInfo, run: Run, kind: EndKind, now: float) -> None:
         """Counts the end of a run; a run that is done ends the target's probation."""
@@ -100,7 +100,7 @@
     def evaluate(self, targets: Iterable[TargetInfo], now: float) -> list[Run]:
         """Marks slow and stalled targets as suspect, and returns the runs to move elsewhere."""
         targets = list(targets)
-        self._target_count = len(targets)
+        self._pool_sizes = Counter(target.entry.pool for target in targets)
         rates = _rates_by_step(targets)
         runs_to_move: list[Run] = []
         for target in targets:
@@ -125,21 +125,25 @@
         return runs_to_move
 
     def _suspect(self, target: TargetInfo, reason: str, now: float) -> bool:
-        """Makes a target suspect for ``SUSPECT_S``, unless too many others are.
+        """Makes a target suspect for ``SUSPECT_S``, unless too many others of its pool are.
 
         What affects most targets is not the fault of one of them. Returns whether it is suspect.
         """
-        self._suspect_until = {
-            name: until for name, until in self._suspect_until.items() if until > now
+        self._suspects = {
+            name: each for name, each in self._suspects.items() if each.suspect_until > now
         }
-        others = len(self._suspect_until) - (target.id in self._suspect_until)
-        if others + 1 > max(1, MAX_SUSPECT_SHARE * self._target_count):
+        pool = target.entry.pool
+        others = sum(
+            each.entry.pool == pool and each.id != target.id for each in self._suspects.values()
+        )
+        if others + 1 > max(1, MAX_SUSPECT_SHARE * self._pool_sizes[pool]):
             return False
         if target.suspect_until <= now:
             self._events.write(
                 eventlog.TARGET_SUSPECT, target=target.id, reason=reason, for_s=SUSPECT_S
             )
-        self._suspect_until[target.id] = target.suspect_until = now + SUSPECT_S
+        self._suspects[target.id] = target
+        target.suspect_until = now + SUSPECT_S
         target.begin_probation(now)
         return True
 
--- a/tests/unit/cluster/test_target_health.py
+++ b/tests/unit/cluster/test_target_health.py
@@ -150,6 +150,18 @@
         moved = self.evaluate(percents, 0.5)
         self.assertEqual({run.task.index for run in moved}, {4, 5})
 
+    # In a deployment with a small pool beside a large one, all targets of the small one could be
+    # suspect at one time, so that nothing started there for four seconds.
+    def test_at_most_a_quarter_of_each_pool_is_suspect(self) -> None:
+        for target in self.targets[6:]:
+            target.entry = target.entry._replace(pool="small")
+        self.health.evaluate(self.targets, START_S)
+        for number, target in enumerate(self.targets[6:]):
+            for name in ("one", "two"):
+                run = start(make_step(f"{name}{number}", 1), 0, target, 0.0)
+                self.health.note_end(target, run, EndKind.FAILED, START_S + 1.0)
+        self.assertEqual(self.suspects(1.0), ["t6"])
+
 
 if __name__ == "__main__":
     unittest.main()
