Let a slow owner stay that no other instance relieves

An owner whose machine became three times slower gives up, and claims again after two seconds if nobody else does. It was still slow then and gave up at the next measurement: while all machines are slow, or the other instances known have ended, nobody owned for two of each 2.25 s, for as long as that lasted.

That nobody claimed is evidence: the instances that left the claim to a slow one are remembered until it is fast again, and only another one makes it give up.

test_slow_instance_that_nobody_relieved_stays_the_owner failed before (gave up at each of 8 measurements).

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
@@ -99,6 +99,8 @@
         self._failing_since: float | None = None
         self._started_at = dependencies.clock.monotonic()
         self._speed = SpeedMonitor()
+        self._left_it_to_us: frozenset[tuple[str, r.InstanceEntry]] = frozenset()
+        """Instances, by node, that did not claim although this one left the claim to them."""
         self._has_handover = dependencies.settings.features.handover
         self._thread = threading.Thread(target=self._run, name="owner", daemon=True)
 
@@ -154,11 +156,15 @@
     def note_speed(self, took_s: float) -> None:
         """Adds a measurement of this machine's speed; a slow owner gives up ownership.
 
-        It stays the owner if no other instance is known.
+        It stays the owner if no other instance is known, or if those known have left a claim to it
+        while it was as slow as now.
         """
         self._speed.note(took_s)
+        if not self._speed.is_slow:
+            self._left_it_to_us = frozenset()
+            return
         runner = self._runner
-        if runner is None or not self._speed.is_slow or len(self._replica.instances) < 2:
+        if runner is None or not self._others() - self._left_it_to_us:
             return
         self._events.write(
             eventlog.OWNER_SLOW,
@@ -167,6 +173,13 @@
         )
         runner.give_up()
 
+    def _others(self) -> frozenset[tuple[str, r.InstanceEntry]]:
+        """Returns the other instances that are known, by node."""
+        own = node_of(self._instance)
+        return frozenset(
+            (node, entry) for node, entry in self._replica.instances.items() if node != own
+        )
+
     def _run(self) -> None:
         while not self._stopping.is_set():
             try:
@@ -279,6 +292,8 @@
 
     def _serve(self, epoch: int, previous_owner_gone: bool) -> None:
         self._served_epoch = epoch
+        if self._speed.is_slow:
+            self._left_it_to_us = self._others()
         self._runner = runner = TermRunner(
             epoch, previous_owner_gone, self._dependencies, self._on_released
         )
--- a/tests/unit/cluster/test_machine_speed.py
+++ b/tests/unit/cluster/test_machine_speed.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import unittest
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 from azurecleat_base import ManualClock
 from azurecleat_cluster import Features
+from azurecleat_cluster._internal.owner import service
 from azurecleat_cluster._internal.owner.machine_speed import (
     RECENT_COUNT,
     SLOW_FACTOR,
@@ -96,6 +97,40 @@
         self.be_slow()
         runner.give_up.assert_not_called()
 
+    # Where all machines were slow for long, or the other instances had ended, each claim was given
+    # up after a quarter of a second, and nobody owned for the two seconds until the next.
+    def test_slow_instance_that_nobody_relieved_stays_the_owner(self) -> None:
+        self.add_instance("b")
+        self.be_slow()
+        runner = self.serve()
+        self.stay_slow()
+        runner.give_up.assert_not_called()
+        self.add_instance("c")
+        self.stay_slow()
+        runner.give_up.assert_called()
+
+    def test_slow_instance_gives_up_again_after_it_was_fast(self) -> None:
+        self.add_instance("b")
+        self.be_slow()
+        runner = self.serve()
+        for _ in range(RECENT_COUNT):
+            self.service.note_speed(USUAL_S)
+        runner.give_up.assert_not_called()
+        self.be_slow()
+        runner.give_up.assert_called()
+
+    def stay_slow(self) -> None:
+        for _ in range(2 * RECENT_COUNT):
+            self.service.note_speed(USUAL_S * 6.0)
+
+    def serve(self) -> Mock:
+        """Begins a term of this instance, and returns what runs it."""
+        runner = Mock()
+        with patch.object(service, "TermRunner", return_value=runner):
+            self.service._serve(1, previous_owner_gone=True)
+        self.service._runner = runner
+        return runner
+
     # Without a delay a slow instance claims what it has just released; without an end of the
     # delay nobody owns while all machines are slow.
     def test_slow_instance_leaves_the_claim_to_others_for_a_while(self) -> None:
