Embedded daemon: probe a worker whatever was at work there before

A worker on probation got a probe only while it ran nothing, and only a success ended its probation: a service task at work there kept it out of use until its end, and a service started as the probe kept all else away. An all-at-once job was cut to one task there, so that it never started where only such a worker could hold it. And tasks from before the probation doubled its delay when they failed as well: five at one time made it half an hour.

Only tasks started on probation count as probes now; a probe that has been at work for 30 s ends the probation, and an all-at-once job may be the probe.

Failed before, with the indexed and with the naive scheduler: test_worker_on_probation_is_probed_beside_a_task_from_before, test_task_at_work_for_long_ends_probation, test_only_failed_probes_make_the_delay_longer, test_all_at_once_job_may_be_a_probe. The tests of faults now also run with the naive scheduler.

--- a/libs/policy/src/azurecleat_policy/_internal/naive_scheduler.py
+++ b/libs/policy/src/azurecleat_policy/_internal/naive_scheduler.py
@@ -49,7 +49,7 @@
                 chosen: list[Worker] = []
                 for worker in fitting:
                     count = tasks_that_fit(job.shape.size, worker.free)
-                    chosen += [worker] * (min(count, 1) if worker.probation.is_active else count)
+                    chosen += [worker] * count
                 return chosen[: job.gang_size] if len(chosen) >= job.gang_size else []
 
     def _preemption_candidates(self, job: PolicyJob) -> list[Worker]:
--- a/libs/policy/src/azurecleat_policy/_internal/scheduler.py
+++ b/libs/policy/src/azurecleat_policy/_internal/scheduler.py
@@ -133,8 +133,6 @@
         for position in np.argsort(scores, kind="stable"):
             worker = self._worker_at(fitting[position])
             count = min(int(counts[position]), job.gang_size - len(chosen))
-            if worker.probation.is_active:
-                count = min(count, 1)
             chosen += [worker] * count
             if len(chosen) == job.gang_size:
                 return chosen
--- a/libs/policy/src/azurecleat_policy/_internal/scheduling_state.py
+++ b/libs/policy/src/azurecleat_policy/_internal/scheduling_state.py
@@ -22,6 +22,7 @@
 from azurecleat_policy._internal.admission import check_fits_limit, check_fits_workers
 from azurecleat_policy._internal.estimator import Estimator
 from azurecleat_policy._internal.jobs import Lane, PolicyJob, RunningTask, Shape
+from azurecleat_policy._internal.probation import PROOF_S
 from azurecleat_policy._internal.ranking import (
     DECAY_INTERVAL_S,
     dominant_share,
@@ -394,6 +395,11 @@
         for name, worker in list(self._on_probation.items()):
             if self._workers.by_name.get(name) is not worker or not worker.probation.is_active:
                 del self._on_probation[name]
+            elif _has_long_probe(worker, now):
+                worker.probation.on_success()
+                self._usable_workers_changed()
+                self._workers.sync(worker)
+                self._capacity_freed(worker)
             elif worker.probation.tick(now):
                 self._workers.sync(worker)
                 self._capacity_freed(worker)
@@ -507,9 +513,18 @@
             if worker.probation.on_success():
                 self._usable_workers_changed()
         elif result is TaskResult.FAILED and worker.probation.on_failure(
-            job.job.team, job.job.spec.name, now
+            job.job.team, job.job.spec.name, task.started_at, now
         ):
             self._suspects.append(worker.policy.name)
             self._on_probation[worker.policy.name] = worker
             self._usable_workers_changed()
             self._worker_closed(worker)
+
+
+def _has_long_probe(worker: Worker, now: float) -> bool:
+    return any(
+        task.is_reported
+        and worker.probation.is_probe(task.started_at)
+        and now - task.started_at >= PROOF_S
+        for task in worker.tasks.values()
+    )
--- a/libs/policy/src/azurecleat_policy/_internal/workers.py
+++ b/libs/policy/src/azurecleat_policy/_internal/workers.py
@@ -50,7 +50,9 @@
 
     @property
     def is_open(self) -> bool:
-        return not self.draining and self.probation.admits(len(self.tasks))
+        return not self.draining and self.probation.admits(
+            task.started_at for task in self.tasks.values()
+        )
 
 
 class WorkerTable:
--- a/tests/unit/policy/test_rules.py
+++ b/tests/unit/policy/test_rules.py
@@ -15,6 +15,7 @@
     TeamPolicy,
     WorkerPolicy,
 )
+from azurecleat_policy._internal.probation import PROOF_S
 from azurecleat_policy._internal.scheduling_state import MAX_LOST_STARTS
 
 
@@ -215,6 +216,60 @@
         self.finish(probe[0], TaskResult.DONE, 34.0)
         self.assertEqual(len(self.started(34.0)), 2)
 
+    def put_on_probation(self, now: float) -> None:
+        """Lets tasks of three jobs fail on the only worker."""
+        for number, team in enumerate(("ada", "bor", "ada")):
+            self.submit(team=team, name=f"name-{number}", cpu=500, repeatable=False)
+        for start in self.started(now):
+            self.finish(start, TaskResult.FAILED, now)
+        self.assertEqual(self.scheduler.take_suspects(), ["w0"])
+
+    # A worker with a task that lasts got no probe, and stayed on probation until its end.
+    def test_worker_on_probation_is_probed_beside_a_task_from_before(self) -> None:
+        self.scheduler = self.make_scheduler(workers=1)
+        self.submit(kind=JobKind.SERVICE)
+        self.started(0.0)
+        self.put_on_probation(1.0)
+        self.submit(tasks=2)
+        self.assertEqual(self.started(2.0), [])
+        (probe,) = self.started(32.0)
+        self.assertEqual(self.started(33.0), [])
+        self.finish(probe, TaskResult.DONE, 34.0)
+        self.assertEqual(len(self.started(34.0)), 1)
+
+    # A worker whose probe was a task that lasts ran nothing else until the end of that task.
+    def test_task_at_work_for_long_ends_probation(self) -> None:
+        self.scheduler = self.make_scheduler(workers=1)
+        self.put_on_probation(1.0)
+        service = self.submit(kind=JobKind.SERVICE)
+        self.assertEqual(len(self.started(32.0)), 1)
+        self.submit()
+        self.assertEqual(self.started(32.0 + PROOF_S), [])
+        self.scheduler.report(service, 0, Resources(1000, 1000, 0))
+        self.assertEqual(len(self.started(33.0 + PROOF_S)), 1)
+
+    # Tasks that had been started before their worker was suspect doubled its delay when they
+    # failed as well: five at one time made it half an hour.
+    def test_only_failed_probes_make_the_delay_longer(self) -> None:
+        self.scheduler = self.make_scheduler(workers=1)
+        for number in range(4):
+            self.submit(team=("ada", "bor")[number % 2], name=f"name-{number}", repeatable=False)
+        for start in self.started(1.0):
+            self.finish(start, TaskResult.FAILED, 2.0)
+        self.submit(tasks=2)
+        (probe,) = self.started(32.0)
+        self.finish(probe, TaskResult.FAILED, 33.0)
+        self.assertEqual(self.started(92.0), [])
+        self.assertEqual(len(self.started(93.0)), 1)
+
+    # An all-at-once job that only a worker on probation could hold never started.
+    def test_all_at_once_job_may_be_a_probe(self) -> None:
+        self.scheduler = self.make_scheduler(workers=1)
+        self.put_on_probation(1.0)
+        self.submit(kind=JobKind.ALL_AT_ONCE, tasks=4)
+        self.assertEqual(self.started(2.0), [])
+        self.assertEqual(len(self.started(32.0)), 4)
+
     def test_job_that_always_fails_does_not_put_its_worker_on_probation(self) -> None:
         job = self.submit(name="broken")
         final_results = []
@@ -279,6 +334,12 @@
         self.assertNotIn(late, self.scheduler.jobs)
 
 
+class NaiveFaultTest(FaultTest):
+    """The same with the naive scheduler."""
+
+    scheduler_class = NaiveScheduler
+
+
 class EstimatedSizeTest(PolicyTest):
     """Jobs whose estimated size does not fit into the workers, although the declared one fits."""
 
