Try filling tasks again that were stopped beside a serving task

A filling task that a burst had brought to 0 percent stayed there for good while the tail latency of the serving task beside it lay between 0.6 and 1.0 of its bound on its own account. One without checkpoints is not moved either, so that it never ended.

At 0 percent the tail latency is that of the serving task alone. If it is not near its bound for 3 s, the filling tasks get 5 percent, which the next reports confirm or take back; near the bound they stay stopped.

test_stopped_task_works_again_beside_a_serving_task_below_its_bound failed before (0 percent after 5 s).

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/throttling.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/throttling.py
@@ -3,7 +3,9 @@
 Filling tasks use the processor time that other tasks leave idle. How much they slow the other tasks
 down differs by image and changes within seconds, so only the tail latency of the serving tasks
 shows it. The throttle percent is halved when a tail latency gets near its bound, set to 0 when it
-exceeds the bound, and raised slowly when it is well below the bound.
+exceeds the bound, and raised slowly when it is well below the bound. Between these, it stays as it
+is, but for 0 percent: a tail latency that is not near its bound without the filling tasks is no
+reason to keep them stopped for good.
 """
 
 from __future__ import annotations
@@ -23,6 +25,11 @@
 """Percentage points by which the throttle percent rises at a time: a fifth of the range, because
 tail latency rises steeply near saturation."""
 
+RETRY_AFTER_S = 3.0
+"""Time at 0 percent after which filling tasks are tried again at ``RETRY_PERCENT``."""
+
+RETRY_PERCENT = 5
+
 SETTLE_S = 0.6
 """Time until a tail latency reflects a change: it covers half a second, and a throttle command
 takes 0.1 s."""
@@ -52,8 +59,9 @@
         target.throttle_percent = UNTHROTTLED_PERCENT
         return ThrottleDecision()
     worst = max((_tail_share(run) for run in _running_runs(target)), default=0.0)
-    if now - target.throttled_at >= SETTLE_S:
-        wanted = _next_percent(target.throttle_percent, worst)
+    settled_s = now - target.throttled_at
+    if settled_s >= SETTLE_S:
+        wanted = _next_percent(target.throttle_percent, worst, settled_s)
         if wanted != target.throttle_percent:
             target.throttle_percent, target.throttled_at = wanted, now
     moves = tuple(
@@ -71,13 +79,15 @@
     return ThrottleDecision(changes, moves, worst)
 
 
-def _next_percent(percent: int, worst_tail_share: float) -> int:
+def _next_percent(percent: int, worst_tail_share: float, settled_s: float) -> int:
     if worst_tail_share > 1.0:
         return 0
     if worst_tail_share > SLOW_DOWN_SHARE:
         return percent // 2
     if worst_tail_share < SPEED_UP_SHARE:
         return min(UNTHROTTLED_PERCENT, percent + INCREASE_PERCENT)
+    if percent == 0 and settled_s >= RETRY_AFTER_S:
+        return RETRY_PERCENT
     return percent
 
 
--- a/tests/unit/cluster/test_throttling.py
+++ b/tests/unit/cluster/test_throttling.py
@@ -68,6 +68,28 @@
         self.simulate(SETTLE_S + MOVE_AFTER_S + 2 * STEP_S, 60.0, 10.0)
         self.assertEqual(set(self.moved), set(self.filling))
 
+    # A filling task that was stopped in a burst stayed at 0 percent for good if the serving task's
+    # own tail latency lay between the two bounds after it.
+    def test_stopped_task_works_again_beside_a_serving_task_below_its_bound(self) -> None:
+        self.fill_without_checkpoints()
+        self.simulate(1.0, 60.0, 10.0)
+        self.assertEqual([run.throttle_percent for run in self.filling], [0, 0])
+        self.simulate(5.0, 35.0, 60.0)
+        self.assertEqual([run.throttle_percent for run in self.filling], [5, 5])
+        self.assertLess(self.serving.load, TARGET_MS)
+
+    def test_stopped_task_stays_stopped_beside_a_serving_task_near_its_bound(self) -> None:
+        self.fill_without_checkpoints()
+        self.simulate(30.0, 60.0, 10.0)
+        self.simulate(30.0, 45.0, 10.0)
+        self.assertEqual([run.throttle_percent for run in self.filling], [0, 0])
+
+    def fill_without_checkpoints(self) -> None:
+        for run in self.filling:
+            self.target.remove(run)
+        fill = make_step("fill", 2, fills=True)
+        self.filling = [start(fill, index, self.target, 0.0) for index in range(2)]
+
     def test_unknown_throttle_percent_is_sent_again(self) -> None:
         self.filling[0].throttle_percent = UNKNOWN_THROTTLE_PERCENT
         self.assertEqual(throttle_target(self.target, 1.0).changes, ((self.filling[0], 100),))
