--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
@@ -150,7 +150,7 @@
     def _judge_probes(self, target: TargetInfo, now: float) -> None:
         """Ends the probation of a target on which a run has been at work for long enough.
 
-        Runs that last never end as done, and others may take hours.
+        Lasting runs never end as done, and other runs may take hours.
         """
         for run in list(target.probes):
             if now - run.commanded_at >= PROBE_S:
@@ -176,10 +176,10 @@
 
 
 def _is_evidence(run: Run, now: float) -> bool:
-    """Whether a run that was started on probation shows that its target is sound.
+    """Whether a run that has not ended yet shows that its target is sound.
 
-    It has been at work for as long as the end of a run counts. Runs that were started before are no
-    evidence: a target may fail all that it starts while these go on.
+    It was started on probation, and has been at work for as long as the end of a run counts. Runs
+    that were started before are no evidence: a target may fail all that it starts while they go on.
     """
     if not _is_started_on_probation(run) or run.state is not RunState.RUNNING:
         return False
