--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
@@ -29,7 +29,7 @@
 
 PROBE_S = 2.0
 """Longest time for which one run on probation keeps further starts away: a run that stalls has been
-detected by then. Rule LOST allows a task to wait for 3 s while there is capacity."""
+detected by then."""
 
 MAX_SUSPECT_SHARE = 0.25
 """Share of a pool's targets that may be suspect at one time; one may be in any pool."""
