Count a job once against a target on probation

A job that has failed on the target before says nothing new, and the failures that made a target suspect are not counted again.

test_job_that_goes_on_failing_does_not_keep_others_from_the_only_target failed before.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -596,6 +596,8 @@
         self.probes: set[Run] = set()
         """Runs started on probation that keep all further starts away until they end, or have been
         at work for some time."""
+        self.failed_jobs: set[str] = set()
+        """Jobs of which runs failed here, while or just before the target was put on probation."""
         self.is_evacuated = False
         """Whether the operator has requested that the target's zone gets no tasks."""
         self.throttle_percent = UNTHROTTLED_PERCENT
@@ -639,6 +641,7 @@
         """Lets the target get any number of runs again."""
         self._probation_began_at = None
         self.probes.clear()
+        self.failed_jobs.clear()
 
     def isolate(self, run: Run) -> None:
         """Keeps all other tasks away until :meth:`end_isolation` or the end of the run."""
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
@@ -84,14 +84,18 @@
                     self._preferences.add_durations(run.step.durations_by_kind, is_balanced)
         elif kind is not EndKind.FAILED:
             return
-        elif _is_started_on_probation(run):
+        elif _is_started_on_probation(run) and run.task.job not in target.failed_jobs:
+            # A job that has failed here before says nothing new: it may fail by its own fault.
+            target.failed_jobs.add(run.task.job)
             self._suspect(target, "a run on probation failed", now)
         target.outcomes = [each for each in target.outcomes if now - each[0] < OUTCOME_WINDOW_S]
         target.outcomes.append((now, run.task.job, kind is EndKind.DONE))
         failed = {job for _, job, done in target.outcomes if not done}
         failures = sum(not done for _, _, done in target.outcomes)
         if len(failed) >= MIN_FAILED_JOBS and failures * 2 > len(target.outcomes):
-            self._suspect(target, f"{failures} of {len(target.outcomes)} runs failed", now)
+            if self._suspect(target, f"{failures} of {len(target.outcomes)} runs failed", now):
+                target.failed_jobs |= failed
+                target.outcomes.clear()  # The next suspicion needs evidence of its own.
 
     def note_refusal(self, target: TargetInfo, reason: str, now: float) -> None:
         """Makes a target suspect that refused a start because it is unhealthy."""
