--- a/tests/unit/cluster/test_probation.py
+++ b/tests/unit/cluster/test_probation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 
 from azurecleat_base import ManualClock, Resources
@@ -22,6 +23,9 @@
 SHORT = Step(count=1, need=Resources(1_000, 64, 0), estimate_ms=500)
 TICK_S = 0.25
 
+MAX_AWAY_S = 9.0
+"""Longest time for which the users' rules let a lasting task be away while there is capacity."""
+
 
 class ProbationTest(unittest.TestCase):
     """Four targets with a lasting task each, and jobs whose tasks fail."""
@@ -203,6 +207,33 @@
         self.harness.dispatch()
         self.assertEqual(len(self.runs("second")), 1)
 
+    def test_every_lasting_task_runs_again_soon_after_random_failures(self) -> None:
+        for seed in range(40):
+            with self.subTest(seed=seed):
+                self.setUp()
+                rng = random.Random(seed)
+                jobs = [f"lasting{number}" for number in range(rng.randint(2, 6))]
+                for job in jobs:
+                    self.submit(job, LASTING)
+                for number in range(round(30.0 / TICK_S)):
+                    if rng.random() < 0.1:
+                        self.submit(f"short{number}", SHORT._replace(count=rng.randint(1, 8)))
+                    self.tick()
+                    for name in TARGETS:
+                        for run in list(self.target(name).runs.values()):
+                            self.end_at_random(run, rng)
+                self.wait(MAX_AWAY_S)
+                self.assertEqual(
+                    [len(self.runs(job)) for job in ("keeper", *jobs)], [4, *[1] * len(jobs)]
+                )
+
+    def end_at_random(self, run: Run, rng: random.Random) -> None:
+        """Lets some of the runs fail, and short ones end as done after half a second."""
+        if rng.random() < 0.04:
+            self.end(run, EndKind.FAILED)
+        elif not run.step.spec.long_running and self.clock.monotonic() - run.commanded_at >= 0.5:
+            self.end(run, EndKind.DONE)
+
 
 if __name__ == "__main__":
     unittest.main()
