--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/assignment.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/assignment.py
@@ -41,9 +41,11 @@
 
 
 def assign_anywhere(
-    indices: Iterable[int], rooms: Sequence[Room], assigned: dict[int, str]
+    indices: Sequence[int], rooms: Sequence[Room], assigned: dict[int, str]
 ) -> None:
     """Adds tasks to an assignment, as far as there is room, on targets that they may avoid."""
+    if not indices:
+        return
     left = _rooms_left(rooms, assigned)
     for index in indices:
         target = next((name for name, count in left.items() if count), None)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
@@ -99,8 +99,8 @@
         self._failing_since: float | None = None
         self._started_at = dependencies.clock.monotonic()
         self._speed = SpeedMonitor()
-        self._left_it_to_us: frozenset[tuple[str, r.InstanceEntry]] = frozenset()
-        """Instances, by node, that did not claim although this one left the claim to them."""
+        self._nonclaiming: frozenset[tuple[str, r.InstanceEntry]] = frozenset()
+        """Instances, by node, that did not claim ownership while this one waited for them to."""
         self._has_handover = dependencies.settings.features.handover
         self._thread = threading.Thread(target=self._run, name="owner", daemon=True)
 
@@ -156,15 +156,15 @@
     def note_speed(self, took_s: float) -> None:
         """Adds a measurement of this machine's speed; a slow owner gives up ownership.
 
-        It stays the owner if no other instance is known, or if those known have left a claim to it
-        while it was as slow as now.
+        It stays the owner if no other instance is known, or if none of those known claimed when it
+        was slow before.
         """
         self._speed.note(took_s)
         if not self._speed.is_slow:
-            self._left_it_to_us = frozenset()
+            self._nonclaiming = frozenset()
             return
         runner = self._runner
-        if runner is None or not self._others() - self._left_it_to_us:
+        if runner is None or not self._others() - self._nonclaiming:
             return
         self._events.write(
             eventlog.OWNER_SLOW,
@@ -293,7 +293,7 @@
     def _serve(self, epoch: int, previous_owner_gone: bool) -> None:
         self._served_epoch = epoch
         if self._speed.is_slow:
-            self._left_it_to_us = self._others()
+            self._nonclaiming = self._others()
         self._runner = runner = TermRunner(
             epoch, previous_owner_gone, self._dependencies, self._on_released
         )
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
@@ -92,10 +92,11 @@
         target.outcomes.append((now, run.task.job, kind is EndKind.DONE))
         failed = {job for _, job, done in target.outcomes if not done}
         failures = sum(not done for _, _, done in target.outcomes)
-        if len(failed) >= MIN_FAILED_JOBS and failures * 2 > len(target.outcomes):
-            if self._suspect(target, f"{failures} of {len(target.outcomes)} runs failed", now):
-                target.failed_jobs |= failed
-                target.outcomes.clear()  # The next suspicion needs evidence of its own.
+        is_faulty = len(failed) >= MIN_FAILED_JOBS and failures * 2 > len(target.outcomes)
+        reason = f"{failures} of {len(target.outcomes)} runs failed"
+        if is_faulty and self._suspect(target, reason, now):
+            target.failed_jobs |= failed
+            target.outcomes.clear()  # The next suspicion needs evidence of its own.
 
     def note_refusal(self, target: TargetInfo, reason: str, now: float) -> None:
         """Makes a target suspect that refused a start because it is unhealthy."""
--- a/tests/unit/cluster/test_probation.py
+++ b/tests/unit/cluster/test_probation.py
@@ -1,4 +1,4 @@
-"""How a target that was suspect earns back the owner's trust, and what it gets until then."""
+"""When the probation of a target ends that was suspect, and what the target starts until then."""
 
 from __future__ import annotations
 
