Log what became of a stalled step's request for advice

step.stalled could not tell a request that waits in the owner's queue from one that was sent, nor a denied target from one that was never asked about, and it measured the wait from the step's first readiness, so that a task lost a moment ago seemed to have waited for as long as its step exists. The times of a step's requests move to StepAdvice. No decision changes.

--- a/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
@@ -169,9 +169,14 @@
 STEP_STALLED = LogEvent(
     769,
     "step.stalled",
-    "step, missing, pending, free, allowed, valid, suspect, on_probation, waited_s",
+    "step, missing, pending, free, allowed, valid, unknown, suspect, on_probation, advice, "
+    "over_share, waited_s",
+)
+ADVICE_GIVEN = LogEvent(
+    770,
+    "advice.given",
+    "step, adviser, named, allowed, waited_s, took_s, queued, over_share",
 )
-ADVICE_GIVEN = LogEvent(770, "advice.given", "step, adviser, named, allowed, waited_s, took_s")
 ADVICE_FAILED = LogEvent(771, "advice.failed", "step, adviser, error")
 DURATIONS_RESTORED = LogEvent(780, "durations.restored", "keys, bytes, epoch")
 DURATIONS_EMPTY = LogEvent(781, "durations.empty", "reason, epoch")
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
@@ -13,6 +13,7 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import Future
+from enum import Enum
 from typing import NamedTuple
 
 from azurecleat_base import Clock
@@ -40,6 +41,16 @@
 """Subtracted from the validity of tickets: the time until a command with one reaches its target."""
 
 
+class RequestState(Enum):
+    """What became of a step's last request for advice."""
+
+    NONE = ""
+    """None is open: there was none, or it has been answered."""
+    QUEUED = "queued"
+    """It waits here for a worker."""
+    SENT = "sent"
+
+
 class _Request(NamedTuple):
     rank: tuple
     number: int
@@ -130,6 +141,15 @@
         with self._lock:
             self._queue(request)
 
+    def state_of(self, step: StepInfo) -> RequestState:
+        """Returns the state of a step's open request; one that waits to be sent again counts as
+        queued."""
+        if not step.advice.requested:
+            return RequestState.NONE
+        with self._lock:
+            is_queued = any(each.step is step for each in (*self._short, *self._long))
+        return RequestState.QUEUED if is_queued else RequestState.SENT
+
     def retry_overdue(self, now: float) -> None:
         """Queues overdue requests again; has to be called regularly."""
         with self._lock:
@@ -200,6 +220,8 @@
             allowed=len(tickets),
             waited_s=round(sent_at - request.queued_at, 3),
             took_s=round(now - sent_at, 3),
+            queued=len(self._short) + len(self._long),
+            over_share=step.job.is_over_share,
         )
         valid_until = now + request.valid_s - TICKET_MARGIN_S
         self._on_advice(step, Advice(tuple(request.targets), tickets, valid_until))
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -89,7 +89,7 @@
         self._held_targets: list[TargetInfo] = []
         """Targets with capacity held for gangs that wait for tickets."""
         self._allowed_shares = AllowedShareEstimator()
-        self._stalls = StallReporter(events, metrics)
+        self._stalls = StallReporter(events, metrics, advice.state_of)
         self._preemptor = Preemptor(term, events, metrics) if term.features.preemption else None
         self._ranking = Ranking(term.features.ordering, term.features.admission)
         self._load = LoadPublisher(term, self._ranking.shares, events, metrics)
@@ -294,13 +294,13 @@
         """Requests the advice that pending tasks of a step still lack."""
         if not step.pending or self._targets_left <= 0 or not _may_request_advice(step, now):
             return
-        step.advice_checked_at = now
+        step.advice.checked_at = now
         share = self._allowed_shares.of(step.job.queue.name)
         targets = pool.advisable(step, now, include_full)
         self._targets_left -= len(targets)
         names = select_targets(step, targets, now, share, self._preferences, include_full)
         if names:
-            step.advice_requested_at = now
+            step.advice.requested_at = now
             step.advice.requested.update(names)
             for targets in split_into_requests(step, names):
                 self._advice.submit(step, targets, rank)
@@ -413,7 +413,7 @@
     if (
         terms is None
         or step.advice.requested
-        or now - step.advice_checked_at < ADVICE_CHECK_PAUSE_S
+        or now - step.advice.checked_at < ADVICE_CHECK_PAUSE_S
     ):
         return False
-    return now - step.advice_requested_at >= REQUEST_PAUSE_COSTS * terms.cost_s(1)
+    return now - step.advice.requested_at >= REQUEST_PAUSE_COSTS * terms.cost_s(1)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -191,6 +191,10 @@
         self.denied: set[str] = set()
         self.requested: set[str] = set()
         """Targets named by requests that have no answer yet."""
+        self.requested_at = float("-inf")
+        """When advice was last requested."""
+        self.checked_at = float("-inf")
+        """When the step was last checked for missing advice."""
 
     @property
     def has_answers(self) -> bool:
@@ -208,6 +212,10 @@
     def is_allowed(self, target: str) -> bool:
         return target in self._tickets
 
+    def is_unknown(self, target: str) -> bool:
+        """Whether no answer has been received for the target."""
+        return target not in self._tickets and target not in self.denied
+
     def is_valid(self, target: str, now: float) -> bool:
         """Whether the target's ticket can still be used at time ``now``."""
         return target in self._tickets and now < self._tickets[target][1]
@@ -275,10 +283,8 @@
         self._expected_for: tuple[int, int] | None = None
         """Generation of the learned durations, and number of runs, behind these values."""
         self.advice = StepAdvice()
-        self.advice_requested_at = float("-inf")
-        """When advice was last requested."""
-        self.advice_checked_at = float("-inf")
-        """When the step was last checked for missing advice."""
+        self.returned_at: dict[int, float] = {}
+        """When each pending task that has run before became pending again."""
         self.ready_at: float | None = None
         self.started_at = float("-inf")
         """When a task of the step was last started."""
@@ -368,6 +374,23 @@
         steps = self.job.steps
         return all(steps[self.occurrence, index].is_done for index in self.spec.depends_on)
 
+    def return_task(self, index: int, now: float) -> None:
+        """Makes a task pending again whose run is over, or that may run elsewhere as well."""
+        self.pending.add(index)
+        self.returned_at[index] = now
+
+    def take_task(self, index: int) -> None:
+        """Makes a task not pending any more."""
+        self.pending.discard(index)
+        self.returned_at.pop(index, None)
+
+    def waiting_since(self, now: float) -> float:
+        """Returns since when the pending task that has waited longest could be started."""
+        ready_at = now if self.ready_at is None else self.ready_at
+        if len(self.returned_at) < len(self.pending):
+            return ready_at
+        return max(ready_at, min(self.returned_at.values(), default=now))
+
     def startable(self, is_takeover_complete: bool) -> set[int]:
         """Returns the pending tasks that no previous owner can have running, and whose crashes are
         recorded.
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -70,7 +70,7 @@
         run.checkpoint = step.checkpoints.get(index, "")
         run.is_resumed = bool(run.checkpoint)
         self.durations.note_allocated(run)
-        step.pending.discard(index)
+        step.take_task(index)
         step.active[index] = run
         step.last_run = max(step.last_run, number)
         target.add(run)
@@ -119,7 +119,7 @@
         if not run.has_survived_start and not step.may_run_ahead(index):
             return False
         del step.active[index]
-        step.pending.add(index)
+        step.return_task(index, self._clock.monotonic())
         step.backup_runs.setdefault(index, set()).add(run)
         step.avoided.setdefault(index, set()).add(run.target.id)
         return True
@@ -302,7 +302,7 @@
         if step.active.get(index) is run:
             del step.active[index]
             if index not in step.done:
-                step.pending.add(index)
+                step.return_task(index, self._clock.monotonic())
                 if run.checkpoint:
                     self._store_checkpoint(step, index, run.checkpoint)
 
@@ -368,7 +368,7 @@
     def _task_done(self, step: StepInfo, index: int) -> None:
         for each in range(step.spec.count) if step.spec.gang else (index,):
             step.done.add(each)
-            step.pending.discard(each)
+            step.take_task(each)
             step.checkpoints.pop(each, None)
             step.crash_history.forget(each)
             others = step.backup_runs.pop(each, set())
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/stalls.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/stalls.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import Enum
 from typing import NamedTuple
 
 from azurecleat_cluster._internal import eventlog
 from azurecleat_cluster._internal.eventlog import EventLog
 from azurecleat_cluster._internal.metrics import Metrics
+from azurecleat_cluster._internal.owner.advice import RequestState
 from azurecleat_cluster._internal.owner.model import StepInfo, TargetInfo
 from azurecleat_cluster._internal.owner.placement import capacity_for, has_label, is_usable
 
@@ -39,6 +40,7 @@
 
     :param free: Tasks that fit on all targets with the step's label.
     :param allowed: Tasks that fit on the targets that the advice service allows.
+    :param unknown: Tasks that fit on the targets that the step has no answer for.
     :param valid: Tasks that fit on allowed targets with a valid ticket.
     :param suspect: Targets with the label that are suspect.
     :param on_probation: Targets with the label that are on probation and no longer suspect.
@@ -48,16 +50,26 @@
     free: int
     allowed: int
     valid: int
+    unknown: int
     suspect: int
     on_probation: int
 
 
 class StallReporter:
-    """Finds stalled steps, and writes a log line for each every few seconds."""
+    """Finds stalled steps, and writes a log line for each every few seconds.
 
-    def __init__(self, events: EventLog, metrics: Metrics) -> None:
+    :param advice_state: Returns the state of a step's request for advice.
+    """
+
+    def __init__(
+        self,
+        events: EventLog,
+        metrics: Metrics,
+        advice_state: Callable[[StepInfo], RequestState],
+    ) -> None:
         self._events = events
         self._metrics = metrics
+        self._advice_state = advice_state
         self._reports_left = 0
 
     def begin_round(self) -> None:
@@ -65,7 +77,7 @@
 
     def is_due(self, step: StepInfo, now: float) -> bool:
         """Whether a step with pending tasks has waited for so long that it is to be reported."""
-        waiting_since = max(step.ready_at or now, step.started_at, step.stall_reported_at)
+        waiting_since = max(step.waiting_since(now), step.started_at, step.stall_reported_at)
         return self._reports_left > 0 and now - waiting_since >= STALLED_AFTER_S
 
     def report(
@@ -88,9 +100,12 @@
             free=stall.free,
             allowed=stall.allowed,
             valid=stall.valid,
+            unknown=stall.unknown,
             suspect=stall.suspect,
             on_probation=stall.on_probation,
-            waited_s=round(now - (step.ready_at or now), 3),
+            advice=self._advice_state(step).value,
+            over_share=step.job.is_over_share,
+            waited_s=round(now - step.waiting_since(now), 3),
         )
 
 
@@ -101,13 +116,14 @@
     usable = [target for target in matching if is_usable(target, now)]
     suspect = sum(target.suspect_until > now for target in matching)
     on_probation = sum(target.on_probation and target.suspect_until <= now for target in matching)
-    free = allowed = valid = 0
+    free = allowed = valid = unknown = 0
     for target in usable:
         capacity = capacity_for(step, target)
         is_advised = step.job.queue.advice is not None
         free += capacity
         allowed += capacity * (not is_advised or step.advice.is_allowed(target.id))
         valid += capacity * (not is_advised or step.advice.is_valid(target.id, now))
+        unknown += capacity * (is_advised and step.advice.is_unknown(target.id))
     conditions = (
         (within_limit < wanted, MissingCondition.TEAM_LIMIT),
         (not matching, MissingCondition.LABEL),
@@ -117,4 +133,4 @@
         (valid < wanted, MissingCondition.TICKETS),
     )
     missing = next((each for lacks, each in conditions if lacks), MissingCondition.PLACEMENT)
-    return Stall(missing, free, allowed, valid, suspect, on_probation)
+    return Stall(missing, free, allowed, valid, unknown, suspect, on_probation)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
@@ -148,7 +148,7 @@
         target.add(run)
         self.usage.add(run)
         if index in step.pending and index not in step.active:
-            step.pending.discard(index)
+            step.take_task(index)
             step.active[index] = run
         self.stop_run(run, "its target restarted")
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -300,7 +300,7 @@
         _note_running(step, index)
         is_wanted = step.job.is_open and index in step.pending and index not in step.active
         if is_wanted:
-            step.pending.discard(index)
+            step.take_task(index)
             step.active[index] = run
         else:
             self.stop_run(run, "not wanted")
--- a/tests/lib/pool_simulation.py
+++ b/tests/lib/pool_simulation.py
@@ -13,7 +13,7 @@
 
 from azurecleat_base import ManualClock
 from azurecleat_cluster._internal.features import NO_FEATURES, Features
-from azurecleat_cluster._internal.owner.advice import TICKET_MARGIN_S
+from azurecleat_cluster._internal.owner.advice import TICKET_MARGIN_S, RequestState
 from azurecleat_cluster._internal.owner.model import Advice, JobInfo, Run, StepInfo
 from azurecleat_cluster._internal.replica.jobs import JobReplica
 from azurecleat_cluster._internal.replica.records import SUBMISSION
@@ -57,6 +57,9 @@
     def general_worker_count(self) -> int:
         return len(self._free_at)
 
+    def state_of(self, step: StepInfo) -> RequestState:
+        return RequestState.SENT if step.advice.requested else RequestState.NONE
+
     def submit(self, step: StepInfo, targets: list[str], rank: tuple) -> None:
         now, terms = self._clock.monotonic(), step.job.queue.advice
         worker = min(range(ADVICE_WORKERS), key=self._free_at.__getitem__)
--- a/tests/unit/cluster/test_stalls.py
+++ b/tests/unit/cluster/test_stalls.py
@@ -8,6 +8,7 @@
 
 from azurecleat_cluster import EventLog
 from azurecleat_cluster._internal.metrics import Metrics
+from azurecleat_cluster._internal.owner.advice import RequestState
 from azurecleat_cluster._internal.owner.model import Advice, StepInfo
 from azurecleat_cluster._internal.owner.stalls import (
     MAX_REPORTS_PER_ROUND,
@@ -66,7 +67,7 @@
         self.allow("t0")
         self.allow("t1", valid_until=NOW - 1.0)
         stall = examine(self.gang, self.targets, 99, NOW)
-        self.assertEqual((stall.free, stall.allowed, stall.valid), (36, 24, 12))
+        self.assertEqual((stall.free, stall.allowed, stall.valid, stall.unknown), (36, 24, 12, 12))
 
 
 class StallReporterTest(unittest.TestCase):
@@ -76,7 +77,8 @@
         self.output = io.StringIO()
         self.events = EventLog("test", self.output)
         self.metrics = Metrics()
-        self.reporter = StallReporter(self.events, self.metrics)
+        self.advice_state = RequestState.NONE
+        self.reporter = StallReporter(self.events, self.metrics, lambda step: self.advice_state)
 
     def lines(self) -> list[dict]:
         self.events.start()
@@ -108,6 +110,23 @@
         self.check(step, NOW + STALLED_AFTER_S + 1.0)
         self.assertEqual(self.lines(), [])
 
+    def test_report_says_what_became_of_the_request_for_advice(self) -> None:
+        self.advice_state = RequestState.QUEUED
+        self.reporter.begin_round()
+        self.check(make_advised("waits", 2), NOW + STALLED_AFTER_S)
+        self.assertEqual(self.lines()[0]["advice"], "queued")
+
+    def test_wait_counts_from_the_end_of_the_last_run(self) -> None:
+        step = make_step("lasts", 2)
+        step.take_task(0)
+        step.take_task(1)
+        step.return_task(1, NOW + 10.0)
+        step.return_task(0, NOW + 12.0)
+        self.reporter.begin_round()
+        self.check(step, NOW + 12.0)
+        self.check(step, NOW + 14.0)
+        self.assertEqual([line["waited_s"] for line in self.lines()], [4.0])
+
     def test_reports_of_one_round_are_bounded(self) -> None:
         self.reporter.begin_round()
         for number in range(100):
