Choose the next request for advice when a worker can send it

Cause: a request kept the rank and the targets of the moment at which it was queued. The queue had no bound, so that each burst filled it, and whoever came later with a better rank was sent first, for ever; a step of a job over its account's share came behind all others. Steps without any room asked as well, and their tickets lapsed unused.

Now the dispatcher submits a request only when a worker will send it soon (RequestQueue.accepts), in the order of that moment. A step that has waited for 1 s asks before others: tasks that last at once, others for a third of the requests, the oldest first; so no rank passes without bound, and the budget of examined targets no longer always goes to the first steps. Without room only the first steps ask, one for each worker, as the tickets of all others lapse. Requests are sent first in, first out; a retry goes first, and one that has been answered is not sent again.

The simulations now use the real queue.

--- a/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
@@ -175,7 +175,7 @@
 ADVICE_GIVEN = LogEvent(
     770,
     "advice.given",
-    "step, adviser, named, allowed, waited_s, took_s, queued, over_share",
+    "step, adviser, named, allowed, unasked_s, waited_s, took_s, queued, over_share",
 )
 ADVICE_FAILED = LogEvent(771, "advice.failed", "step, adviser, error")
 DURATIONS_RESTORED = LogEvent(780, "durations.restored", "keys, bytes, epoch")
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -12,6 +12,7 @@
 from azurecleat_cluster._internal.eventlog import EventLog
 from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.owner.advice import AdviceClient
+from azurecleat_cluster._internal.owner.advice_queue import SHORT_REQUEST_S
 from azurecleat_cluster._internal.owner.advice_requests import (
     MIN_FIRST_TARGETS,
     AllowedShareEstimator,
@@ -53,6 +54,19 @@
 """Pause between two requests of a step, in costs of a request that names one target. Many steps
 wait when the targets are full, and the workers bound how many requests all of them can send."""
 
+OVERDUE_S = 1.0
+"""Wait after which a step asks for advice before others with a better rank: a third of the time
+within which tasks that last have to run again."""
+
+OVERDUE_ADVICE_SHARE = 1 / 3
+"""Share of the requests that overdue steps make before others, oldest first."""
+
+MAX_OVERDUE_CHECKS = 8
+"""Most overdue steps checked in one round, as many of them turn out to need no advice."""
+
+OVERDUE_REQUEST_PAUSE_COSTS = 1.0
+"""The same pause for overdue tasks that last, which ask again as soon as they have an answer."""
+
 MAX_BUSY_SHARE = 0.3
 """Share of the time that may be spent on dispatching; processing reports needs the rest."""
 
@@ -84,6 +98,8 @@
         self._metrics = metrics
         self._evaluated_at = float("-inf")
         self._targets_left = MAX_EXAMINED_TARGETS
+        self._overdue_credits = {True: 0.0, False: 0.0}
+        """Requests that overdue steps are owed: short ones, and long ones."""
         self._is_takeover_complete = False
         self._possible_usage: dict[str, Resources] = {}
         self._held_targets: list[TargetInfo] = []
@@ -105,7 +121,10 @@
     def on_advice(self, step: StepInfo, advice: Advice | None) -> None:
         """Handles an answer of the advice service; None if the request was dropped."""
         with self._term.lock:
-            if advice is not None:
+            step.advice.attended_at = self._clock.monotonic()
+            if advice is None:
+                step.advice.requested.clear()
+            else:
                 step.advice.add(advice)
                 self._allowed_shares.note(
                     step.job.queue.name, len(advice.targets), len(advice.tickets)
@@ -157,28 +176,59 @@
         self._is_takeover_complete = is_takeover_complete
         self._possible_usage = {} if is_takeover_complete else self._estimate_possible_usage()
         waiting: list[tuple[tuple, StepInfo]] = []
+        upcoming: list[tuple[tuple, StepInfo]] = []
         for job in list(term.open_jobs.values()):
             if not term.start_horizon.allows(job.offset):
                 continue
             for step in job.steps.values():
                 if step.pending and step.startable(is_takeover_complete):
                     with self._postpone_on_error(step, now):
-                        self._consider(step, waiting, pools, now)
+                        self._consider(step, waiting, upcoming, now)
         self._ranking.sort(waiting, now)
+        self._attend_overdue(waiting, pools, now)
         started = 0
         # The first waiting steps, one per general worker, also renew tickets for full targets.
         renewals_left = self._advice.general_worker_count
-        for rank, step in waiting:
-            pool = pools.of(self._pool_of(step.job))
+        for _, step in waiting:
             with self._postpone_on_error(step, now):
-                if pool is not None:
-                    started += self._serve(step, pool, rank, now, include_full=renewals_left > 0)
-                    renewals_left -= bool(step.pending and step.job.queue.advice)
+                started += self._serve(step, pools, now, include_full=renewals_left > 0)
+                renewals_left -= bool(step.pending and step.job.queue.advice)
                 self._report_stall(step, now)
+        for _, step in sorted(upcoming, key=lambda pair: pair[0]):
+            with self._postpone_on_error(step, now):
+                self._request_advice(step, pools, now)
         self._metrics.waiting_tasks.set(sum(len(step.pending) for _, step in waiting))
         self._load.update(waiting, pools, now)
         return started
 
+    def _attend_overdue(
+        self, waiting: list[tuple[tuple, StepInfo]], pools: UsablePools, now: float
+    ) -> None:
+        """Requests advice for steps that others have kept from asking for too long.
+
+        Steps whose tasks last come first, as their callers have no use for them until they run;
+        the other steps have a share of the requests. In both groups the oldest goes first.
+        """
+        overdue = [
+            (since, step)
+            for _, step in waiting
+            if now - (since := _unattended_since(step, now)) >= OVERDUE_S
+            and _may_request_advice(step, now)
+        ]
+        overdue.sort(key=lambda pair: (not pair[1].spec.long_running, pair[0]))
+        checks_left = MAX_OVERDUE_CHECKS
+        for _, step in overdue:
+            is_short = _is_short(step)
+            is_owed = step.spec.long_running or self._overdue_credits[is_short] >= 1.0
+            if not is_owed or not self._advice.accepts(step.job.queue.advice.cost_s(1)):
+                continue
+            with self._postpone_on_error(step, now):
+                if self._request_advice(step, pools, now) and not step.spec.long_running:
+                    self._overdue_credits[is_short] -= 1.0
+            checks_left -= 1
+            if not checks_left:
+                return
+
     @contextmanager
     def _postpone_on_error(self, step: StepInfo, now: float) -> Iterator[None]:
         """Logs an error in one step and postpones the step, so that the others have their turn."""
@@ -190,20 +240,21 @@
                 eventlog.COMPONENT_FAILED, component=f"dispatch of {step.name}", error=repr(error)
             )
 
-    def _serve(
-        self, step: StepInfo, pool: UsablePool, rank: tuple, now: float, include_full: bool
-    ) -> int:
+    def _serve(self, step: StepInfo, pools: UsablePools, now: float, include_full: bool) -> int:
         """Starts what can start of a waiting step, and asks for what it lacks.
 
         :param include_full: Also renews tickets for full targets.
         :returns: The number of starts.
         """
+        pool = pools.of(self._pool_of(step.job))
+        if pool is None:
+            return 0
         if self._preemptor is not None:
             self._preemptor.before_placement(step, pool, now)
         started = self._place(step, pool, now)
         self._ranking.note_started(step, started, now)
         self._load.note_started(step, started, now)
-        self._request_advice(step, pool, rank, now, include_full)
+        self._request_advice(step, pools, now, include_full)
         self._hold_capacity(step, pool)
         if self._preemptor is not None and self._preemptor.is_urgent(step):
             self._preempt(step, pool, started, now)
@@ -251,12 +302,12 @@
         self,
         step: StepInfo,
         waiting: list[tuple[tuple, StepInfo]],
-        pools: UsablePools,
+        upcoming: list[tuple[tuple, StepInfo]],
         now: float,
     ) -> None:
-        """Adds a step that may start tasks to ``waiting``.
+        """Adds a step that may start tasks to ``waiting``, with its rank.
 
-        Requests advice in advance for a step that is nearly ready.
+        Adds one that is nearly ready, and requests advice in advance, to ``upcoming``.
         """
         if step.is_ready:
             if step.ready_at is None:
@@ -266,9 +317,7 @@
                 waiting.append((self.rank(step, now), step))
         elif self._is_nearly_ready(step, now):
             step.considered_at = now
-            pool = pools.of(self._pool_of(step.job))
-            if pool is not None:
-                self._request_advice(step, pool, self.rank(step, now), now)
+            upcoming.append((self.rank(step, now), step))
 
     def _is_nearly_ready(self, step: StepInfo, now: float) -> bool:
         """Whether advice must be requested now to arrive before the steps depended on end."""
@@ -284,26 +333,48 @@
         return True
 
     def _request_advice(
-        self,
-        step: StepInfo,
-        pool: UsablePool,
-        rank: tuple,
-        now: float,
-        include_full: bool = False,
-    ) -> None:
-        """Requests the advice that pending tasks of a step still lack."""
+        self, step: StepInfo, pools: UsablePools, now: float, include_full: bool = False
+    ) -> bool:
+        """Requests the advice that pending tasks of a step still lack.
+
+        :returns: Whether a request was made.
+        """
         if not step.pending or self._targets_left <= 0 or not _may_request_advice(step, now):
-            return
+            return False
+        terms = step.job.queue.advice
+        if not self._advice.accepts(terms.cost_s(1)):
+            return False
         step.advice.checked_at = now
+        requests = self._choose_requests(step, pools, now, include_full)
+        if requests and not self._advice.accepts(terms.cost_s(len(requests[0]))):
+            return False
+        unasked_s = now - _unattended_since(step, now)
+        step.advice.attended_at = now
+        if not requests:
+            return False
+        step.advice.requested_at = now
+        for names in requests:
+            step.advice.requested.update(names)
+            self._advice.submit(step, names, unasked_s)
+        is_short = _is_short(step)
+        credit = self._overdue_credits[is_short] + OVERDUE_ADVICE_SHARE
+        self._overdue_credits[is_short] = min(1.0, credit)
+        return True
+
+    def _choose_requests(
+        self, step: StepInfo, pools: UsablePools, now: float, include_full: bool
+    ) -> list[list[str]]:
+        """Returns the targets that each of a step's next requests names; empty for no request."""
+        pool = pools.of(self._pool_of(step.job))
+        if pool is None:
+            return []
+        if not (pool.may_fit(step.spec.allocation) or include_full or _is_short(step)):
+            return []  # The tickets would lapse before there is room.
         share = self._allowed_shares.of(step.job.queue.name)
         targets = pool.advisable(step, now, include_full)
         self._targets_left -= len(targets)
         names = select_targets(step, targets, now, share, self._preferences, include_full)
-        if names:
-            step.advice.requested_at = now
-            step.advice.requested.update(names)
-            for targets in split_into_requests(step, names):
-                self._advice.submit(step, targets, rank)
+        return split_into_requests(step, names) if names else []
 
     def rank(self, step: StepInfo, now: float) -> tuple:
         """Returns the rank of a step; the lowest rank goes first."""
@@ -407,6 +478,11 @@
         return max(0, count)
 
 
+def _is_overdue(step: StepInfo, now: float) -> bool:
+    """Whether a task of a step has waited for too long."""
+    return now - step.waiting_since(now) >= OVERDUE_S
+
+
 def _may_request_advice(step: StepInfo, now: float) -> bool:
     """Whether a step needs advice, has no request in flight, and made no recent one."""
     terms = step.job.queue.advice
@@ -416,4 +492,16 @@
         or now - step.advice.checked_at < ADVICE_CHECK_PAUSE_S
     ):
         return False
-    return now - step.advice.requested_at >= REQUEST_PAUSE_COSTS * terms.cost_s(1)
+    is_urgent = step.spec.long_running and _is_overdue(step, now)
+    pause_costs = OVERDUE_REQUEST_PAUSE_COSTS if is_urgent else REQUEST_PAUSE_COSTS
+    return now - step.advice.requested_at >= pause_costs * terms.cost_s(1)
+
+
+def _is_short(step: StepInfo) -> bool:
+    """Whether a request of a step counts as short."""
+    return step.job.queue.advice.cost_s(1) <= SHORT_REQUEST_S
+
+
+def _unattended_since(step: StepInfo, now: float) -> float:
+    """Returns since when a step may lack advice without having been able to ask for it."""
+    return max(step.waiting_since(now), step.advice.attended_at)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -195,6 +195,8 @@
         """When advice was last requested."""
         self.checked_at = float("-inf")
         """When the step was last checked for missing advice."""
+        self.attended_at = float("-inf")
+        """When the step last made a request, got its answer, or was found to need none."""
 
     @property
     def has_answers(self) -> bool:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/stalls.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/stalls.py
@@ -9,7 +9,7 @@
 from azurecleat_cluster._internal import eventlog
 from azurecleat_cluster._internal.eventlog import EventLog
 from azurecleat_cluster._internal.metrics import Metrics
-from azurecleat_cluster._internal.owner.advice import RequestState
+from azurecleat_cluster._internal.owner.advice_queue import RequestState
 from azurecleat_cluster._internal.owner.model import StepInfo, TargetInfo
 from azurecleat_cluster._internal.owner.placement import capacity_for, has_label, is_usable
 
--- a/tests/lib/pool_simulation.py
+++ b/tests/lib/pool_simulation.py
@@ -13,7 +13,8 @@
 
 from azurecleat_base import ManualClock
 from azurecleat_cluster._internal.features import NO_FEATURES, Features
-from azurecleat_cluster._internal.owner.advice import TICKET_MARGIN_S, RequestState
+from azurecleat_cluster._internal.owner.advice import TICKET_MARGIN_S
+from azurecleat_cluster._internal.owner.advice_queue import Request, RequestQueue, RequestState
 from azurecleat_cluster._internal.owner.model import Advice, JobInfo, Run, StepInfo
 from azurecleat_cluster._internal.replica.jobs import JobReplica
 from azurecleat_cluster._internal.replica.records import SUBMISSION
@@ -42,40 +43,78 @@
 
 
 class AdviceStandIn:
-    """Advice service with several workers, which all share one queue.
+    """Advice service with several workers, and the real queue of the requests to it.
 
     :param is_allowed: Whether a step may use a target; does not change.
+    :param short_workers: Number of workers beside the others that take only short requests.
     """
 
-    def __init__(self, clock: ManualClock, is_allowed: Callable[[StepInfo, str], bool]) -> None:
+    def __init__(
+        self,
+        clock: ManualClock,
+        is_allowed: Callable[[StepInfo, str], bool],
+        general_workers: int = ADVICE_WORKERS,
+        short_workers: int = 0,
+    ) -> None:
         self._clock = clock
         self._is_allowed = is_allowed
-        self._free_at = [0.0] * ADVICE_WORKERS
-        self._due: list[tuple[float, StepInfo, Advice]] = []
+        self._general_workers = general_workers
+        self._free_at = [0.0] * (short_workers + general_workers)
+        """When each worker is free, those for short requests first."""
+        self._queue = RequestQueue()
+        self._due: list[tuple[float, Request]] = []
+        self.requests: list[Request] = []
+        """All requests, in the order in which they were submitted."""
 
     @property
     def general_worker_count(self) -> int:
-        return len(self._free_at)
+        return self._general_workers
 
-    def state_of(self, step: StepInfo) -> RequestState:
-        return RequestState.SENT if step.advice.requested else RequestState.NONE
+    def accepts(self, cost_s: float) -> bool:
+        return self._queue.accepts(cost_s, len(self._free_at))
 
-    def submit(self, step: StepInfo, targets: list[str], rank: tuple) -> None:
-        now, terms = self._clock.monotonic(), step.job.queue.advice
-        worker = min(range(ADVICE_WORKERS), key=self._free_at.__getitem__)
-        answered_at = max(now, self._free_at[worker]) + terms.cost_s(len(targets)) + TRANSPORT_S
-        self._free_at[worker] = answered_at
-        tickets = {name: "ticket" for name in targets if self._is_allowed(step, name)}
-        valid_until = answered_at + terms.valid_ms / 1000.0 - TICKET_MARGIN_S
-        self._due.append((answered_at, step, Advice(tuple(targets), tickets, valid_until)))
+    def state_of(self, step: StepInfo) -> RequestState:
+        return self._queue.state_of(step)
+
+    def submit(self, step: StepInfo, targets: list[str], unasked_s: float = 0.0) -> None:
+        terms, now = step.job.queue.advice, self._clock.monotonic()
+        request = Request(
+            len(self.requests),
+            step,
+            tuple(targets),
+            terms.cost_s(len(targets)),
+            terms.valid_ms / 1000.0,
+            now,
+            unasked_s,
+        )
+        self.requests.append(request)
+        self._queue.push(request)
+        self._send(now)
 
     def retry_overdue(self, now: float) -> None:
         pass  # Every request is answered.
 
     def answers_due(self, now: float) -> list[tuple[StepInfo, Advice]]:
-        due = [each for each in self._due if each[0] <= now]
+        due = sorted((each for each in self._due if each[0] <= now), key=lambda each: each[0])
         self._due = [each for each in self._due if each[0] > now]
-        return [(step, advice) for _, step, advice in sorted(due, key=lambda each: each[0])]
+        self._send(now)
+        return [(request.step, self._answer(request, at)) for at, request in due]
+
+    def _send(self, now: float) -> None:
+        """Sends queued requests through the workers that are free."""
+        first_general = len(self._free_at) - self._general_workers
+        for worker, free_at in enumerate(self._free_at):
+            if free_at <= now and (request := self._queue.pop(worker >= first_general)):
+                self._free_at[worker] = now + request.cost_s + TRANSPORT_S
+                self._queue.close(request)
+                self._due.append((self._free_at[worker], request))
+
+    def _answer(self, request: Request, at: float) -> Advice:
+        tickets = {name: "ticket" for name in request.targets if self.allows(request.step, name)}
+        return Advice(request.targets, tickets, at + request.valid_s - TICKET_MARGIN_S)
+
+    def allows(self, step: StepInfo, target: str) -> bool:
+        return self._is_allowed(step, target)
 
 
 class Arrival(NamedTuple):
--- a/tests/lib/preemption_simulation.py
+++ b/tests/lib/preemption_simulation.py
@@ -6,38 +6,20 @@
 from collections.abc import Iterable
 
 from azurecleat_cluster._internal.features import Features
-from azurecleat_cluster._internal.owner.advice import SHORT_REQUEST_S
-from azurecleat_cluster._internal.owner.model import Advice, Run, StepInfo
+from azurecleat_cluster._internal.owner.model import Run
 from azurecleat_cluster.values import EndKind, RunStatus, TargetEntry, TargetReport
 
 from tests.lib.pool_simulation import AdviceStandIn, PoolSimulation
 
 GENERAL_WORKERS = 28
-"""Workers for advice of any cost; 8 more take only short requests."""
+SHORT_WORKERS = 8
+"""Workers for advice of any cost, and those that take only short requests."""
 
 POLL_PERIOD_S = 0.5
 MIN_STOP_S, MAX_STOP_S = 0.05, 0.4
 MIN_RESTORE_S, MAX_RESTORE_S = 0.25, 0.6
 
 
-class SplitAdvice(AdviceStandIn):
-    """Advice service with workers that take only short requests, as :class:`AdviceClient` has."""
-
-    def __init__(self, advice: AdviceStandIn) -> None:
-        super().__init__(advice._clock, advice._is_allowed)
-        self._short = AdviceStandIn(advice._clock, advice._is_allowed)
-        self._free_at = [0.0] * GENERAL_WORKERS
-
-    def submit(self, step: StepInfo, targets: list[str], rank: tuple) -> None:
-        if step.job.queue.advice.cost_s(len(targets)) <= SHORT_REQUEST_S:
-            self._short.submit(step, targets, rank)
-        else:
-            super().submit(step, targets, rank)
-
-    def answers_due(self, now: float) -> list[tuple[StepInfo, Advice]]:
-        return self._short.answers_due(now) + super().answers_due(now)
-
-
 class PreemptionSimulation(PoolSimulation):
     """A pool simulation in which runs report progress. A checkpoint is the work left, in seconds.
 
@@ -52,7 +34,9 @@
         features: Features,
     ) -> None:
         super().__init__(entries, allowed_share, seed, features=features)
-        self.advice = self.harness.dispatcher._advice = SplitAdvice(self.advice)
+        self.advice = self.harness.dispatcher._advice = AdviceStandIn(
+            self.clock, self.is_allowed, GENERAL_WORKERS, SHORT_WORKERS
+        )
         self.harness.term._share_limiter.exceeds_share = lambda *_: False
         self.stopped: list[Run] = []
         self._chance = random.Random(seed)
--- a/tests/lib/term_harness.py
+++ b/tests/lib/term_harness.py
@@ -11,7 +11,8 @@
 from azurecleat_cluster._internal.configuration import ConfigurationView
 from azurecleat_cluster._internal.features import NO_FEATURES, Features
 from azurecleat_cluster._internal.metrics import Metrics
-from azurecleat_cluster._internal.owner.advice import AdviceClient, RequestState
+from azurecleat_cluster._internal.owner.advice import AdviceClient
+from azurecleat_cluster._internal.owner.advice_queue import RequestState
 from azurecleat_cluster._internal.owner.authority import Authority
 from azurecleat_cluster._internal.owner.dispatch import Dispatcher
 from azurecleat_cluster._internal.owner.model import Run, StepInfo, TargetInfo
@@ -139,7 +140,9 @@
 
     def state_of(self, step: StepInfo) -> RequestState: ...
 
-    def submit(self, step: StepInfo, targets: list[str], rank: tuple) -> None: ...
+    def accepts(self, cost_s: float) -> bool: ...
+
+    def submit(self, step: StepInfo, targets: list[str], unasked_s: float = 0.0) -> None: ...
 
     def retry_overdue(self, now: float) -> None: ...
 
--- a/tests/unit/cluster/test_advice.py
+++ b/tests/unit/cluster/test_advice.py
@@ -61,7 +61,7 @@
         cost_ms = (LONG_REQUEST_S if name.startswith("long") else SHORT_REQUEST_S) * 1000
         queue = step.job.submission.queue._replace(advice=AdviceTerms(cost_ms, 0.0, 2000.0))
         step.job.submission = step.job.submission._replace(queue=queue)
-        self.client.submit(step, ["t1"], (0,))
+        self.client.submit(step, ["t1"])
 
     def wait(self, count: int) -> None:
         with self.changed:
@@ -107,6 +107,19 @@
         self.assertLess(time.monotonic() - began_at, 1.0)
         self.assertEqual(sound.requested_steps, ["short0.0.0"])
 
+    def test_request_that_was_answered_is_not_sent_again(self) -> None:
+        slow, sound = SlowAdviser(), SlowAdviser()
+        answer = slow.advise
+        slow.advise = lambda *request: (time.sleep(0.4), answer(*request))[1]
+        self.client.add_worker("slow", lambda: slow)
+        self.submit("short0")
+        time.sleep(0.3)
+        self.client.retry_overdue(time.monotonic())
+        self.wait(1)
+        self.client.add_worker("sound", lambda: sound)
+        time.sleep(0.6)
+        self.assertEqual(slow.requested_steps + sound.requested_steps, ["short0.0.0"])
+
     def test_unexpected_answer_loses_no_request(self) -> None:
         odd, sound = SlowAdviser(), SlowAdviser()
         odd.advise = lambda step, targets, timeout_s: {}["tickets"]
@@ -123,7 +136,7 @@
         step.job.submission = step.job.submission._replace(queue=queue)
         step.job.cancelled = True
         adviser = SlowAdviser()
-        self.client.submit(step, ["t1"], (0,))
+        self.client.submit(step, ["t1"])
         self.client.add_worker("n", lambda: adviser)
         self.wait(1)
         self.assertEqual(adviser.requested_steps, [])
--- /dev/null
+++ b/tests/unit/cluster/test_advice_waits.py
@@ -0,0 +1,141 @@
+"""How long steps wait for advice while the service is busy or few targets are allowed."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+
+from azurecleat_base import Resources
+from azurecleat_cluster._internal.owner.model import Run, StepInfo, TargetInfo
+from azurecleat_cluster.values import AdviceTerms, JobSpec, Queue, Step
+
+from tests.lib.pool_simulation import ADVICE_WORKERS, Arrival, PoolSimulation
+from tests.lib.term_harness import QUEUE, make_entry
+
+MAX_WAIT_S = 3.0
+"""Longest time for which the users' rules let a task wait that could run."""
+
+TERMS = AdviceTerms(700.0, 6.0, 2_000.0)
+URGENT = QUEUE._replace(name="urgent", priority=0, advice=TERMS)
+STANDING = QUEUE._replace(name="standing", priority=1, advice=TERMS)
+WIDE = QUEUE._replace(name="wide", priority=2, advice=TERMS)
+ONE_CORE = Resources(1_000, 64, 0)
+LASTING = Step(count=1, need=ONE_CORE, estimate_ms=1_000_000, long_running=True)
+SHORT = Step(count=1, need=ONE_CORE, estimate_ms=500)
+WHOLE_TARGET = Step(count=1, need=Resources(64_000, 64, 0), estimate_ms=1_000_000)
+
+
+class Simulation(PoolSimulation):
+    """A pool whose lasting tasks fail on demand."""
+
+    def __init__(self, targets: int, is_allowed: Callable[[StepInfo, str], bool]) -> None:
+        self._is_allowed = is_allowed
+        entries = [make_entry(f"t{number}") for number in range(targets)]
+        super().__init__(
+            entries,
+            1.0,
+            seed=1,
+            fails=lambda run: run.step.spec.long_running,
+            queues=(URGENT, STANDING, WIDE),
+        )
+
+    def is_allowed(self, step: StepInfo, target: str) -> bool:
+        return self._is_allowed(step, target)
+
+    def wait(self, seconds: float) -> None:
+        self.play((), self.now + seconds)
+
+    def add(self, name: str, queue: Queue, step: Step) -> None:
+        self.submit(name.ljust(16, "0"), Arrival(self.now, queue, JobSpec("", (step,))))
+
+    def runs(self, name: str) -> list[Run]:
+        return [
+            run
+            for session in self.harness.term.sessions.values()
+            for run in session.target.runs.values()
+            if run.task.job == name.ljust(16, "0")
+        ]
+
+    def step(self, name: str) -> StepInfo:
+        return self.harness.term.jobs[name.ljust(16, "0")].steps[0, 0]
+
+    def target(self, name: str) -> TargetInfo:
+        return self.harness.session(name).target
+
+    def fail(self, name: str) -> None:
+        """Lets the only run of a job end as failed."""
+        run = self.runs(name)[0]
+        self._running[run.target.id][run] = self.clock.monotonic()
+
+    def seconds_until_run(self, name: str, limit_s: float) -> float:
+        """Lets time pass until a job has a run, at most ``limit_s``; returns how long it took."""
+        began_at = self.now
+        self.wait(2 * 0.025)
+        while not self.runs(name) and self.now - began_at < limit_s:
+            self.wait(0.025)
+        return self.now - began_at
+
+
+class BusyServiceTest(unittest.TestCase):
+    """More steps ask than the service can answer; the targets have room for all tasks."""
+
+    def setUp(self) -> None:
+        self.simulation = Simulation(24, lambda step, target: True)
+        self.number = 0
+
+    def overload(self, seconds: float, while_: Callable[[], bool] = lambda: True) -> None:
+        """Submits 15 jobs a second, where 8 workers get 10 answers a second."""
+        began_at = self.simulation.now
+        while self.simulation.now - began_at < seconds and while_():
+            self.simulation.add(f"u{self.number}x", URGENT, SHORT)
+            self.number += 1
+            self.simulation.wait(1 / 15)
+
+    # A step at the end of the order was passed without bound by requests with better ranks.
+    def test_restart_of_a_task_that_lasts_is_not_passed_by_better_ranks(self) -> None:
+        self.simulation.add("lasts", STANDING, LASTING)
+        self.simulation.wait(2.0)
+        self.simulation.step("lasts").job.is_over_share = True
+        self.overload(10.0)
+        self.simulation.fail("lasts")
+        self.simulation.wait(0.05)
+        began_at = self.simulation.now
+        self.overload(10.0, lambda: not self.simulation.runs("lasts"))
+        self.assertLess(self.simulation.now - began_at, MAX_WAIT_S)
+
+    def test_step_with_the_last_rank_is_not_passed_for_ever(self) -> None:
+        self.overload(5.0)
+        self.simulation.add("last", WIDE, SHORT._replace(estimate_ms=100_000))
+        self.overload(60.0, lambda: not self.simulation.runs("last"))
+        self.assertTrue(self.simulation.runs("last"))
+
+    def test_no_step_waits_for_long_while_the_service_has_capacity(self) -> None:
+        for _ in range(60):
+            self.simulation.add(f"u{self.number}x", URGENT, SHORT)
+            self.simulation.add(f"w{self.number}x", WIDE, SHORT)
+            self.number += 1
+            self.simulation.wait(0.25)
+        requests = self.simulation.advice.requests
+        self.assertEqual(len(requests), 120)
+        self.assertLess(max(each.unasked_s for each in requests), MAX_WAIT_S)
+
+
+class FullPoolTest(unittest.TestCase):
+    """Steps that wait for room, not for advice."""
+
+    # Hundreds of waiting steps kept the service busy with requests whose tickets lapsed unused.
+    def test_only_the_first_steps_ask_while_there_is_no_room(self) -> None:
+        simulation = Simulation(4, lambda step, target: True)
+        for number in range(4):
+            simulation.add(f"full{number}", URGENT, WHOLE_TARGET)
+        simulation.wait(3.0)
+        for number in range(100):
+            simulation.add(f"w{number}x", WIDE, SHORT)
+        count = len(simulation.advice.requests)
+        simulation.wait(10.0)
+        asking = {request.step.name for request in simulation.advice.requests[count:]}
+        self.assertLessEqual(len(asking), ADVICE_WORKERS)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/unit/cluster/test_stalls.py
+++ b/tests/unit/cluster/test_stalls.py
@@ -8,7 +8,7 @@
 
 from azurecleat_cluster import EventLog
 from azurecleat_cluster._internal.metrics import Metrics
-from azurecleat_cluster._internal.owner.advice import RequestState
+from azurecleat_cluster._internal.owner.advice_queue import RequestState
 from azurecleat_cluster._internal.owner.model import Advice, StepInfo
 from azurecleat_cluster._internal.owner.stalls import (
     MAX_REPORTS_PER_ROUND,
