Send a request for advice through a third instance when two hang

Callers saw: a request whose second instance hung, too, held its step until the call's timeout, 2 s beyond its cost and more, and an instance that failed took the next request after 1 s each time.

Cause: only the first sending of a request had a deadline. Now each has one, up to three; an instance that failed is asked last and after a pause that doubles up to 8 s; its next answer ends that.

Evidence: the new test with two hanging instances took 8.0 s before, where the users' rules allow 3 s, and passes now.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
@@ -26,7 +26,9 @@
 """Added to a request's cost for its timeout: the service may serve a few others first."""
 
 FAILURE_BACKOFF_S = 1.0
-"""Pause of a worker after a failed request."""
+MAX_FAILURE_BACKOFF_S = 8.0
+"""Pause of a worker after its first failed request in a row, and the longest such pause; it doubles
+with each failure."""
 
 TICKET_MARGIN_S = 0.4
 """Subtracted from the validity of tickets: the time until a command with one reaches its target."""
@@ -38,8 +40,14 @@
     def __init__(self, name: str, short_only: bool) -> None:
         self.name = name
         self.short_only = short_only
+        self.failures = 0
+        """Requests that have failed since the last answer."""
         self.inbox: Future[Request | None] = Future()
 
+    @property
+    def backoff_s(self) -> float:
+        return min(MAX_FAILURE_BACKOFF_S, FAILURE_BACKOFF_S * 2.0 ** (self.failures - 1))
+
 
 class AdviceClient:
     """Queues requests and assigns them to workers.
@@ -127,7 +135,8 @@
                 self._assign()
 
     def _assign(self) -> None:
-        """Assigns queued requests to idle workers."""
+        """Assigns queued requests to idle workers, first to those that fail least."""
+        self._idle.sort(key=lambda worker: worker.failures)
         while self._queue.has_short and self._idle:
             # General workers stay free for long requests, which only they may take.
             worker = next((each for each in self._idle if each.short_only), None)
@@ -151,8 +160,11 @@
                 with self._lock:
                     self._queue.close(request)
                 self._on_advice(request.step, None)
-            elif not self._send(worker, adviser, request):
-                threading.Event().wait(FAILURE_BACKOFF_S)
+            elif self._send(worker, adviser, request):
+                worker.failures = 0
+            else:
+                worker.failures += 1
+                threading.Event().wait(worker.backoff_s)
 
     def _next_request(self, worker: _Worker) -> Request | None:
         with self._lock:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/advice_queue.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/advice_queue.py
@@ -15,8 +15,8 @@
 """Time beyond its cost after which a request is sent again elsewhere: 10 times the round trip to
 the service through another instance."""
 
-MAX_SENDS = 2
-"""Most workers that one request is sent through: one of them may hang."""
+MAX_SENDS = 3
+"""Most workers that one request is sent through: two of them may hang."""
 
 MAX_WAITING_LONG = 1
 """Most long requests that wait for a worker. Which step is served next is decided as late as
--- a/tests/unit/cluster/test_advice.py
+++ b/tests/unit/cluster/test_advice.py
@@ -107,6 +107,25 @@
         self.assertLess(time.monotonic() - began_at, 1.0)
         self.assertEqual(sound.requested_steps, ["short0.0.0"])
 
+    # Two instances that hung one after the other held a step for as long as the call's timeout.
+    def test_request_is_answered_in_time_through_the_third_instance(self) -> None:
+        for name in ("cut", "frozen"):
+            hanging = SlowAdviser()
+            hanging.advise = lambda step, targets, timeout_s: (time.sleep(8.0), {})[1]
+            self.client.add_worker(name, lambda a=hanging: a)
+        began_at = time.monotonic()
+        self.submit("long0")
+        time.sleep(0.1)
+        while self.client._idle:
+            time.sleep(0.02)
+            self.client.retry_overdue(time.monotonic())
+        sound = SlowAdviser()
+        self.client.add_worker("sound", lambda: sound)
+        while not self.answers and time.monotonic() - began_at < 8.0:
+            self.client.retry_overdue(time.monotonic())
+            time.sleep(0.02)
+        self.assertLess(time.monotonic() - began_at, 3.0)
+
     def test_request_that_was_answered_is_not_sent_again(self) -> None:
         slow, sound = SlowAdviser(), SlowAdviser()
         answer = slow.advise
