Name further targets in a request for advice where they cost little

By the time of the answer the room was gone, or the target was denied.

Cause: a request after the first named as many targets as the pending tasks needed at that moment, and full ones never, although nearly all of the service's time does not depend on their number, and an answer for a target without room is as good as any once it has room.

Now a request also names the step's other allowed targets, full ones too, and then those without an answer, as far as they add a quarter to its cost and do not make a short request long. So a step has tickets for all its targets by one request, and learns of targets that replaced others by one.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/advice_requests.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/advice_requests.py
@@ -1,9 +1,10 @@
 """Chooses which targets a request to the advice service names. No I/O, no clock.
 
 The service takes longer the more targets a request names, and its answer for a step and a target
-never changes. A request therefore names only as many targets as are likely to be enough, best
-placement first. Denied targets are not named again, and a renewal names only targets that are known
-to be allowed.
+never changes. A request therefore names as many targets as are likely to be enough, best placement
+first, and beside them as many as cost little more: most of the service's time does not depend on
+their number, and a step with tickets for its full targets starts as soon as one of them has room.
+Denied targets are not named again.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import math
 from collections.abc import Iterable, Iterator
 
+from azurecleat_cluster._internal.owner.advice_queue import SHORT_REQUEST_S
 from azurecleat_cluster._internal.owner.model import StepInfo, TargetInfo
 from azurecleat_cluster._internal.owner.placement import (
     Preferences,
@@ -34,6 +36,9 @@
 """Most targets named by one request: requests are sent in parallel, and smaller ones are answered
 sooner."""
 
+MAX_EXTRA_COST = 0.25
+"""Most that the targets named beside those needed may add to a request's cost, as a share of it."""
+
 RENEW_MARGIN_S = 0.15
 """Tickets with less validity left than this count as lapsed."""
 
@@ -116,6 +121,43 @@
     return names[:MAX_TARGETS]
 
 
+def add_cheap_targets(step: StepInfo, names: list[str], targets: Iterable[TargetInfo]) -> list[str]:
+    """Returns the names with those of further targets that add little to the request's cost.
+
+    Allowed targets come first, that with the shortest validity before the others, then targets
+    without an answer. Full targets count: they may have room when the answer comes.
+
+    :param names: Targets that the request has to name.
+    :param targets: Targets of the step's pool that may be given tasks, full ones included.
+    """
+    terms, advice = step.job.queue.advice, step.advice
+    cost_s = terms.cost_s(len(names))
+    max_cost_s = cost_s * (1.0 + MAX_EXTRA_COST)
+    if cost_s <= SHORT_REQUEST_S:
+        max_cost_s = min(max_cost_s, SHORT_REQUEST_S)
+    named = set(names)
+    candidates = [
+        target
+        for target in targets
+        if target.id not in named and target.id not in advice.denied and has_label(step, target)
+    ]
+    # Targets without an answer are unknown and have no validity at all.
+    candidates.sort(
+        key=lambda target: (
+            not advice.is_allowed(target.id),
+            advice.valid_until(target.id),
+            -capacity_for(step, target),
+        )
+    )
+    result = list(names)
+    max_count = MAX_TARGETS if step.spec.gang else TARGETS_PER_REQUEST
+    for target in candidates:
+        if len(result) >= max_count or terms.cost_s(len(result) + 1) > max_cost_s:
+            break
+        result.append(target.id)
+    return result
+
+
 def split_into_requests(step: StepInfo, names: list[str]) -> list[list[str]]:
     """Splits the names for a step into requests that can be sent in parallel.
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -16,6 +16,7 @@
 from azurecleat_cluster._internal.owner.advice_requests import (
     MIN_FIRST_TARGETS,
     AllowedShareEstimator,
+    add_cheap_targets,
     select_targets,
     split_into_requests,
 )
@@ -374,7 +375,10 @@
         targets = pool.advisable(step, now, include_full)
         self._targets_left -= len(targets)
         names = select_targets(step, targets, now, share, self._preferences, include_full)
-        return split_into_requests(step, names) if names else []
+        requests = split_into_requests(step, names) if names else []
+        if len(requests) == 1:
+            requests = [add_cheap_targets(step, names, pool.targets)]
+        return requests
 
     def rank(self, step: StepInfo, now: float) -> tuple:
         """Returns the rank of a step; the lowest rank goes first."""
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -222,6 +222,10 @@
         """Whether the target's ticket can still be used at time ``now``."""
         return target in self._tickets and now < self._tickets[target][1]
 
+    def valid_until(self, target: str) -> float:
+        """Returns until when the target's ticket can be used."""
+        return self._tickets.get(target, ("", float("-inf")))[1]
+
     def ticket(self, target: str) -> str:
         return self._tickets.get(target, ("", 0.0))[0]
 
--- a/tests/unit/cluster/test_advice_waits.py
+++ b/tests/unit/cluster/test_advice_waits.py
@@ -136,6 +136,20 @@
         asking = {request.step.name for request in simulation.advice.requests[count:]}
         self.assertLessEqual(len(asking), ADVICE_WORKERS)
 
+    # Tickets for one target at a time had lapsed, or their room was gone, when they came.
+    def test_tickets_for_full_targets_come_with_those_that_are_needed(self) -> None:
+        simulation = Simulation(6, lambda step, target: True)
+        simulation.add("lasts", WIDE, LASTING)
+        simulation.wait(2.0)
+        for number in range(5):
+            simulation.add(f"full{number}", URGENT, WHOLE_TARGET)
+        simulation.wait(TERMS.valid_ms / 1000)
+        simulation.fail("lasts")
+        simulation.wait(1.0)
+        last = simulation.advice.requests[-1]
+        self.assertEqual(last.step, simulation.step("lasts"))
+        self.assertEqual(len(last.targets), 6)
+
 
 if __name__ == "__main__":
     unittest.main()
