Let the next task start beside a lasting one on probation that is at work

Cause: a run on probation keeps all further starts away for 2 s, even when a report shows it at work. A lasting task's report says so by 100 percent, and that is what the probation is to find out.

In the tests lasting tasks now take 0.5 s until they are at work, as real ones do.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
@@ -29,7 +29,7 @@
 
 PROBE_S = 2.0
 """Longest time for which one run on probation keeps further starts away: a run that stalls has been
-detected by then."""
+detected by then. One that lasts does so until it is at work."""
 
 MAX_SUSPECT_SHARE = 0.25
 """Share of a pool's targets that may be suspect at one time; one may be in any pool."""
@@ -160,7 +160,8 @@
         Lasting runs never end as done, and other runs may take hours.
         """
         for run in list(target.probes):
-            if now - run.commanded_at >= PROBE_S:
+            is_at_work = run.step.spec.long_running and run.percent >= 100
+            if is_at_work or now - run.commanded_at >= PROBE_S:
                 target.probes.discard(run)
         if any(_is_evidence(run, now) for run in target.runs.values()):
             self._end_probation(target, "a run has been at work", now)
--- a/tests/unit/cluster/test_probation.py
+++ b/tests/unit/cluster/test_probation.py
@@ -24,6 +24,12 @@
 SHORT = Step(count=1, need=Resources(1_000, 64, 0), estimate_ms=500)
 TICK_S = 0.25
 
+MAX_PENDING_S = 3.0
+"""Longest time for which the users' rules let a task wait that could run."""
+
+STARTUP_S = 0.5
+"""Time from the start of a lasting task until it is at work."""
+
 MAX_AWAY_S = 9.0
 """Longest time for which the users' rules let a lasting task be away while there is capacity."""
 
@@ -82,7 +88,10 @@
         self.harness.report(name, statuses, ended)
 
     def _percent(self, run: Run, now: float) -> float:
-        return 100.0 if run.step.spec.long_running else 10.0 * (now - run.commanded_at)
+        age_s = now - run.commanded_at
+        if run.step.spec.long_running:
+            return 100.0 if age_s >= STARTUP_S else 0.0
+        return 10.0 * age_s
 
     def wait(self, seconds: float) -> None:
         for _ in range(round(seconds / TICK_S)):
@@ -208,6 +217,16 @@
         self.harness.dispatch()
         self.assertEqual(len(self.runs("second")), 1)
 
+    # Two lasting tasks that failed on the only target: the second ran again after 3.1 s.
+    def test_lasting_task_at_work_lets_the_next_one_start(self) -> None:
+        for name in TARGETS[1:]:
+            self.target(name).is_evacuated = True
+        self.make_suspect("t0")
+        for job in ("first", "second", "third"):
+            self.submit(job, LASTING)
+        self.wait(MAX_PENDING_S - TICK_S)
+        self.assertEqual([len(self.runs(job)) for job in ("first", "second", "third")], [1] * 3)
+
     def test_every_lasting_task_runs_again_soon_after_random_failures(self) -> None:
         for seed in range(40):
             with self.subTest(seed=seed):
