Let tasks with attempts use targets that are kept back in idle pools only

Callers would see: in a full pool a sick target is the one with room, so that each job that had waited for 1 s tried it and lost one of its attempts.

For a job that does not last, the users' rule LOST asks for a start only while under half of the service's capacity is in use. So such a job has this last resort only then, beside the former conditions: no run of the job, and not the last attempt.

Evidence: a task of a busy pool started on a suspect target after 2.2 s, where it should not start there within 3 s.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -60,6 +60,9 @@
 """Wait after which a step asks for advice before others with a better rank, and may use targets
 that are kept back: a third of the time within which tasks that last have to run again."""
 
+MAX_FULLNESS_FOR_KEPT_BACK = 0.5
+"""Used part of a pool up to which tasks that do not last may use targets that are kept back."""
+
 OVERDUE_ADVICE_SHARE = 1 / 3
 """Share of the requests that overdue steps make before others, oldest first."""
 
@@ -371,7 +374,7 @@
     ) -> list[list[str]]:
         """Returns the targets that each of a step's next requests names; empty for no request."""
         pool = pools.of(self._pool_of(step.job))
-        last_resorts = _last_resorts(step, pools.kept_back(self._pool_of(step.job)), now)
+        last_resorts = self._last_resorts(step, pools, now)
         has_room = pool is not None and pool.may_fit(step.spec.allocation)
         if not (has_room or include_full or last_resorts or _is_short(step)):
             return []  # The tickets would lapse before there is room.
@@ -421,6 +424,26 @@
             self._term.send_start(run)
         return started + len(chosen)
 
+    def _last_resorts(self, step: StepInfo, pools: UsablePools, now: float) -> list[TargetInfo]:
+        """Returns the targets kept back that a step may use, as it has waited for long.
+
+        The users want a task to run that has room somewhere, and the advice may leave a step no
+        other target. For a task with a limited number of attempts this holds only while its job
+        has no run and half of the pool is free, and not for its last attempt: it could fail on such
+        a target.
+        """
+        pool = self._pool_of(step.job)
+        kept_back = pools.kept_back(pool)
+        if not kept_back or not step.pending or not _is_overdue(step, now):
+            return []
+        if not step.spec.long_running:
+            has_runs = any(each.active for each in step.job.steps.values())
+            if has_runs or _is_last_attempt(step):
+                return []
+            if pools.fullness(pool) > MAX_FULLNESS_FOR_KEPT_BACK:
+                return []
+        return [target for target in kept_back if target.id not in step.advice.denied]
+
     def _place_on_kept_back(
         self, step: StepInfo, pool: UsablePool | None, pools: UsablePools, now: float
     ) -> int:
@@ -428,7 +451,7 @@
 
         A gang may use all targets, so that it is started whole.
         """
-        kept_back = _last_resorts(step, pools.kept_back(self._pool_of(step.job)), now)
+        kept_back = self._last_resorts(step, pools, now)
         if not kept_back:
             return 0
         if step.spec.gang:
@@ -522,28 +545,17 @@
         return max(0, count)
 
 
-def _last_resorts(step: StepInfo, kept_back: list[TargetInfo], now: float) -> list[TargetInfo]:
-    """Returns the targets kept back that a step may use, as it has waited for long.
-
-    The users want a task to run that has room somewhere, and the advice may leave a step no other
-    target. A task with a limited number of attempts is not started where it may fail for the last
-    time.
-    """
-    if not kept_back or not step.pending or not _is_overdue(step, now):
-        return []
-    if not step.spec.long_running:
-        has_runs = any(each.active for each in step.job.steps.values())
-        failures = max((len(step.failures.get(index, ())) for index in step.pending), default=0)
-        if has_runs or failures + 1 >= max(1, step.job.queue.attempts):
-            return []
-    return [target for target in kept_back if target.id not in step.advice.denied]
-
-
 def _is_overdue(step: StepInfo, now: float) -> bool:
     """Whether a task of a step has waited for too long."""
     return now - step.waiting_since(now) >= OVERDUE_S
 
 
+def _is_last_attempt(step: StepInfo) -> bool:
+    """Whether a pending task of a step fails its job if it fails once more."""
+    failures = max((len(step.failures.get(index, ())) for index in step.pending), default=0)
+    return failures + 1 >= max(1, step.job.queue.attempts)
+
+
 def _begin_probation(target: TargetInfo, now: float) -> None:
     """Puts a target that is kept back on probation, so that it starts one run at a time."""
     if not target.on_probation:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/usable_pools.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/usable_pools.py
@@ -117,6 +117,7 @@
         self._now = now
         self._pools: dict[str, UsablePool] | None = None
         self._kept_back: dict[str, list[TargetInfo]] = {}
+        self._fullness: dict[str, float] = {}
 
     def of(self, name: str) -> UsablePool | None:
         """Returns a pool, None if it has no usable target."""
@@ -127,6 +128,14 @@
         self._all()
         return self._kept_back.get(name, [])
 
+    def fullness(self, name: str) -> float:
+        """Returns the used part of a pool, with the targets that are kept back."""
+        if name not in self._fullness:
+            pool = self.of(name)
+            targets = [] if pool is None else pool.targets
+            self._fullness[name] = measure(targets + self.kept_back(name)).fullness
+        return self._fullness[name]
+
     def loads(self) -> dict[str, PoolLoad]:
         """Returns the load of each pool that has a usable target."""
         return {name: measure(pool.targets) for name, pool in self._all().items()}
--- a/tests/unit/cluster/test_advice_waits.py
+++ b/tests/unit/cluster/test_advice_waits.py
@@ -111,6 +111,11 @@
         self.simulation.wait(MAX_WAIT_S)
         self.assertEqual(sum(len(self.simulation.runs(f"more{n}")) for n in range(5)), 1)
 
+    def test_task_that_may_fail_starts_on_a_suspect_target_of_an_idle_pool(self) -> None:
+        self.make_suspect()
+        self.simulation.add("short", WIDE, SHORT)
+        self.assertLess(self.simulation.seconds_until_run("short", 10.0), MAX_WAIT_S)
+
     def test_last_attempt_of_a_task_is_not_made_on_a_suspect_target(self) -> None:
         self.make_suspect()
         once = WIDE._replace(name="once", attempts=1)
@@ -118,6 +123,14 @@
         self.simulation.wait(MAX_WAIT_S)
         self.assertEqual(self.simulation.runs("once"), [])
 
+    def test_task_that_may_fail_does_not_start_on_a_suspect_target_of_a_busy_pool(self) -> None:
+        for number in range(5):
+            self.simulation.add(f"full{number}", QUEUE, WHOLE_TARGET)
+        self.simulation.wait(1.0)
+        self.make_suspect()
+        self.simulation.add("short", WIDE, SHORT)
+        self.assertGreater(self.simulation.seconds_until_run("short", 10.0), MAX_WAIT_S)
+
     def test_run_that_is_done_ends_the_suspicion(self) -> None:
         self.make_suspect()
         self.simulation.add("short", WIDE, SHORT)
