Give no precedence in advice to steps that their account's limit holds back

Callers saw (simulation, 24 targets, 8 workers): with 30 lasting steps of an account that is at its limit, an urgent job of another account got no advice for as long as it was watched (20 s; the users' rules allow 3 s).

Cause: such steps count as overdue for good, lasting ones go before all others without bound, and their tickets lapse unused, so that they asked 9.6 times a second, which is all that 8 workers can send.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -216,6 +216,7 @@
             for _, step in waiting
             if now - (since := _unattended_since(step, now)) >= OVERDUE_S
             and _may_request_advice(step, now)
+            and self._is_within_limit(step)
         ]
         overdue.sort(key=lambda pair: (not pair[1].spec.long_running, pair[0]))
         checks_left = MAX_OVERDUE_CHECKS
@@ -506,6 +507,11 @@
             target.release_holds()
         self._held_targets.clear()
 
+    def _is_within_limit(self, step: StepInfo) -> bool:
+        """Whether the team's resource limit allows a step to start anything."""
+        wanted = step.spec.count if step.spec.gang else 1
+        return self._count_within_limit(step, wanted) >= wanted
+
     def _count_within_limit(self, step: StepInfo, count: int, claimed: Resources = ZERO) -> int:
         """Returns how many of ``count`` tasks the team's resource limit allows.
 
--- a/tests/unit/cluster/test_advice_waits.py
+++ b/tests/unit/cluster/test_advice_waits.py
@@ -7,10 +7,10 @@
 
 from azurecleat_base import Resources
 from azurecleat_cluster._internal.owner.model import Run, StepInfo, TargetInfo
-from azurecleat_cluster.values import AdviceTerms, JobSpec, Queue, Step
+from azurecleat_cluster.values import AdviceTerms, JobSpec, Queue, Step, Team
 
 from tests.lib.pool_simulation import ADVICE_WORKERS, Arrival, PoolSimulation
-from tests.lib.term_harness import QUEUE, make_entry
+from tests.lib.term_harness import QUEUE, TEAM, make_entry
 
 MAX_WAIT_S = 3.0
 """Longest time for which the users' rules let a task wait that could run."""
@@ -22,6 +22,7 @@
 ONE_CORE = Resources(1_000, 64, 0)
 LASTING = Step(count=1, need=ONE_CORE, estimate_ms=1_000_000, long_running=True)
 SHORT = Step(count=1, need=ONE_CORE, estimate_ms=500)
+ONE_TASK_TEAM = Team("small", frozenset(("small",)), 10.0, limit=ONE_CORE)
 WHOLE_TARGET = Step(count=1, need=Resources(64_000, 64, 0), estimate_ms=1_000_000)
 
 
@@ -36,6 +37,7 @@
             1.0,
             seed=1,
             fails=lambda run: run.step.spec.long_running,
+            teams=(TEAM, ONE_TASK_TEAM),
             queues=(URGENT, STANDING, WIDE),
         )
 
@@ -45,8 +47,9 @@
     def wait(self, seconds: float) -> None:
         self.play((), self.now + seconds)
 
-    def add(self, name: str, queue: Queue, step: Step) -> None:
-        self.submit(name.ljust(16, "0"), Arrival(self.now, queue, JobSpec("", (step,))))
+    def add(self, name: str, queue: Queue, step: Step, team: str = "team") -> None:
+        arrival = Arrival(self.now, queue, JobSpec("", (step,)), team)
+        self.submit(name.ljust(16, "0"), arrival)
 
     def runs(self, name: str) -> list[Run]:
         return [
@@ -170,6 +173,14 @@
         self.assertEqual(len(requests), 120)
         self.assertLess(max(each.unasked_s for each in requests), MAX_WAIT_S)
 
+    # Lasting steps that their account's limit keeps from starting took all requests for good.
+    def test_steps_beyond_their_accounts_limit_leave_the_requests_to_others(self) -> None:
+        for number in range(30):
+            self.simulation.add(f"s{number}x", STANDING, LASTING, ONE_TASK_TEAM.name)
+        self.simulation.wait(10.0)
+        self.simulation.add("urgent", URGENT, SHORT)
+        self.assertLess(self.simulation.seconds_until_run("urgent", 10.0), MAX_WAIT_S)
+
 
 class FullPoolTest(unittest.TestCase):
     """Steps that wait for room, not for advice."""
