Start nothing at once on a target that has just refused a start

Callers saw (simulation, the only allowed target refuses, 20 lasting tasks wait): 23 starts in 4 s to a target that is unhealthy; 75 in 3 s to one that has no room, which is sound and was put on probation (trial), so that it took one task at a time afterwards.

Cause: the pause after a refusal is kept in suspect_until, and overdue tasks may use suspect targets. Each refusal ends the probe, and the next step's start follows in the same round.

Evidence: both new tests failed before (on probation; 23 starts, 4 allowed) and pass now that a target which refuses is unavailable for 0.5 s (no room) or 1 s. Its suspicion is unchanged.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -621,6 +621,8 @@
         self.registered = True
         self.unregistered_at = 0.0
         self.suspect_until = 0.0
+        self.refused_until = 0.0
+        """Until when no task is started after the target refused one, however long it waits."""
         self._probation_began_at: float | None = None
         self.probes: set[Run] = set()
         """Runs started on probation that keep all further starts away until they end, or have been
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/placement.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/placement.py
@@ -107,6 +107,7 @@
         and target.reached
         and target.entry.state is TargetState.READY
         and not target.is_evacuated
+        and target.refused_until <= now
         and (target.registered or now - target.unregistered_at < UNREGISTERED_GRACE_S)
     )
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -30,6 +30,9 @@
 """How long a target gets no new tasks after it refused one for lack of capacity: until its next
 reports have arrived."""
 
+REFUSAL_PAUSE_S = 1.0
+"""How long a target that refused a task for another reason gets no task at all."""
+
 
 class RunTransitions(TermState):
     """The part of a term that starts, stops and ends runs."""
@@ -238,8 +241,11 @@
             case "old":
                 pass  # The target has seen this run number or a higher one; the next is higher.
             case "room":
-                run.target.suspect_until = max(run.target.suspect_until, now + NO_CAPACITY_PAUSE_S)
+                target = run.target
+                target.suspect_until = max(target.suspect_until, now + NO_CAPACITY_PAUSE_S)
+                target.refused_until = max(target.refused_until, now + NO_CAPACITY_PAUSE_S)
             case _:
+                run.target.refused_until = max(run.target.refused_until, now + REFUSAL_PAUSE_S)
                 step.avoided.setdefault(run.task.index, set()).add(run.target.id)
                 self.health.note_refusal(run.target, reason, now)
         self._stop_gang(run, "another task of the gang was refused")
--- a/tests/unit/cluster/test_advice_waits.py
+++ b/tests/unit/cluster/test_advice_waits.py
@@ -7,9 +7,11 @@
 
 from azurecleat_base import Resources
 from azurecleat_cluster._internal.owner.model import Run, StepInfo, TargetInfo
+from azurecleat_cluster._internal.owner.start_attempts import StartOutcome
+from azurecleat_cluster.ports import StartResult
 from azurecleat_cluster.values import AdviceTerms, JobSpec, Queue, Step, Team
 
-from tests.lib.pool_simulation import ADVICE_WORKERS, Arrival, PoolSimulation
+from tests.lib.pool_simulation import ADVICE_WORKERS, TICK_S, Arrival, PoolSimulation
 from tests.lib.term_harness import QUEUE, TEAM, make_entry
 
 MAX_WAIT_S = 3.0
@@ -121,6 +123,33 @@
         self.simulation.wait(MAX_WAIT_S)
         self.assertEqual(self.simulation.runs("once"), [])
 
+    def refuse_starts(self, reason: str, seconds: float) -> int:
+        """Lets the target refuse all starts for a while; returns how many there were."""
+        term, session = self.simulation.harness.term, self.simulation.harness.session("t0")
+        first = len(session.started)
+        ends_at = self.simulation.now + seconds
+        while self.simulation.now < ends_at:
+            count = len(session.started)
+            self.simulation.wait(TICK_S)
+            for run in session.started[count:]:
+                del self.simulation._running["t0"][run]
+                term.on_start(run, StartOutcome(StartResult(False, reason, 0.0), may_run=False))
+        return len(session.started) - first
+
+    # A sound target that had no room was put on probation.
+    def test_target_without_room_is_no_last_resort(self) -> None:
+        for number in range(20):
+            self.simulation.add(f"more{number}", STANDING, LASTING)
+        self.refuse_starts("room", 3.0)
+        self.assertFalse(self.simulation.target("t0").on_probation)
+
+    # Each of many overdue steps sent its start as soon as that of the one before was refused.
+    def test_unhealthy_target_is_not_sent_a_start_in_each_round(self) -> None:
+        self.make_suspect()
+        for number in range(20):
+            self.simulation.add(f"more{number}", STANDING, LASTING)
+        self.assertLessEqual(self.refuse_starts("unhealthy", 4.0), 4)
+
     def test_run_that_is_done_ends_the_suspicion(self) -> None:
         self.make_suspect()
         self.simulation.add("short", WIDE, SHORT)
