--- a/tests/unit/cluster/test_advice_waits.py
+++ b/tests/unit/cluster/test_advice_waits.py
@@ -7,10 +7,12 @@
 
 from azurecleat_base import Resources
 from azurecleat_cluster._internal.owner.model import Run, StepInfo, TargetInfo
-from azurecleat_cluster.values import AdviceTerms, JobSpec, Queue, Step
+from azurecleat_cluster._internal.owner.start_attempts import StartOutcome
+from azurecleat_cluster.ports import StartResult
+from azurecleat_cluster.values import AdviceTerms, JobSpec, Queue, Step, Team
 
-from tests.lib.pool_simulation import ADVICE_WORKERS, Arrival, PoolSimulation
-from tests.lib.term_harness import QUEUE, make_entry
+from tests.lib.pool_simulation import ADVICE_WORKERS, TICK_S, Arrival, PoolSimulation
+from tests.lib.term_harness import QUEUE, TEAM, make_entry
 
 MAX_WAIT_S = 3.0
 """Longest time for which the users' rules let a task wait that could run."""
@@ -22,6 +24,7 @@
 ONE_CORE = Resources(1_000, 64, 0)
 LASTING = Step(count=1, need=ONE_CORE, estimate_ms=1_000_000, long_running=True)
 SHORT = Step(count=1, need=ONE_CORE, estimate_ms=500)
+ONE_TASK_TEAM = Team("small", frozenset(("small",)), 10.0, limit=ONE_CORE)
 WHOLE_TARGET = Step(count=1, need=Resources(64_000, 64, 0), estimate_ms=1_000_000)
 
 
@@ -36,6 +39,7 @@
             1.0,
             seed=1,
             fails=lambda run: run.step.spec.long_running,
+            teams=(TEAM, ONE_TASK_TEAM),
             queues=(URGENT, STANDING, WIDE),
         )
 
@@ -45,8 +49,9 @@
     def wait(self, seconds: float) -> None:
         self.play((), self.now + seconds)
 
-    def add(self, name: str, queue: Queue, step: Step) -> None:
-        self.submit(name.ljust(16, "0"), Arrival(self.now, queue, JobSpec("", (step,))))
+    def add(self, name: str, queue: Queue, step: Step, team: str = "team") -> None:
+        arrival = Arrival(self.now, queue, JobSpec("", (step,)), team)
+        self.submit(name.ljust(16, "0"), arrival)
 
     def runs(self, name: str) -> list[Run]:
         return [
@@ -131,6 +136,33 @@
         self.simulation.add("short", WIDE, SHORT)
         self.assertGreater(self.simulation.seconds_until_run("short", 10.0), MAX_WAIT_S)
 
+    def refuse_starts(self, reason: str, seconds: float) -> int:
+        """Lets the target refuse all starts for a while; returns how many there were."""
+        term, session = self.simulation.harness.term, self.simulation.harness.session("t0")
+        first = len(session.started)
+        ends_at = self.simulation.now + seconds
+        while self.simulation.now < ends_at:
+            count = len(session.started)
+            self.simulation.wait(TICK_S)
+            for run in session.started[count:]:
+                del self.simulation._running["t0"][run]
+                term.on_start(run, StartOutcome(StartResult(False, reason, 0.0), may_run=False))
+        return len(session.started) - first
+
+    # A sound target that had no room was put on probation.
+    def test_target_without_room_is_no_last_resort(self) -> None:
+        for number in range(20):
+            self.simulation.add(f"more{number}", STANDING, LASTING)
+        self.refuse_starts("room", 3.0)
+        self.assertFalse(self.simulation.target("t0").on_probation)
+
+    # Each of many overdue steps sent its start as soon as that of the one before was refused.
+    def test_unhealthy_target_is_not_sent_a_start_in_each_round(self) -> None:
+        self.make_suspect()
+        for number in range(20):
+            self.simulation.add(f"more{number}", STANDING, LASTING)
+        self.assertLessEqual(self.refuse_starts("unhealthy", 4.0), 4)
+
     def test_run_that_is_done_ends_the_suspicion(self) -> None:
         self.make_suspect()
         self.simulation.add("short", WIDE, SHORT)
@@ -183,6 +215,22 @@
         self.assertEqual(len(requests), 120)
         self.assertLess(max(each.unasked_s for each in requests), MAX_WAIT_S)
 
+    # Lasting steps that their account's limit keeps from starting took all requests for good.
+    def test_steps_beyond_their_accounts_limit_leave_the_requests_to_others(self) -> None:
+        for number in range(30):
+            self.simulation.add(f"s{number}x", STANDING, LASTING, ONE_TASK_TEAM.name)
+        self.simulation.wait(10.0)
+        self.simulation.add("urgent", URGENT, SHORT)
+        self.assertLess(self.simulation.seconds_until_run("urgent", 10.0), MAX_WAIT_S)
+
+    # A burst of lasting tasks went before all others, an urgent job waited 20 s for 200 of them.
+    def test_many_lasting_tasks_leave_a_share_of_the_requests_to_others(self) -> None:
+        for number in range(100):
+            self.simulation.add(f"l{number}x", STANDING, LASTING)
+        self.simulation.wait(2.0)
+        self.simulation.add("urgent", URGENT, SHORT)
+        self.assertLess(self.simulation.seconds_until_run("urgent", 10.0), MAX_WAIT_S)
+
 
 class FullPoolTest(unittest.TestCase):
     """Steps that wait for room, not for advice."""
