Let no start wait for stops that are never answered

What callers saw: tasks allocated to a target that answered its polls were neither started nor started elsewhere, for as long as three stops there got no answer.

Cause: a stop was repeated by the thread that sent it, in a lane with three commands in flight to one target. Three stops without an answer filled the lane for good: later starts and stops to the target were never sent. A start that is not sent has no lease that could end, so nothing else freed its task while polls were answered.

Fix: the lane sends a stop once. One that gets no answer is repeated in a second lane of the target, behind the others there, so that neither starts nor first stops wait for it, and no stop without an answer keeps another from being repeated. The pause between two attempts stays.

Evidence: two tests, a start and a stop behind twelve, or eleven, stops that are never answered; both failed before with the bound of 3 s for an unstarted task and pass now.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
@@ -56,7 +56,8 @@
 """How long the next poll waits for the run ends of the last report to be committed to the log."""
 
 COMMAND_THREADS = 3
-"""Commands in flight to one target: one that gets no answer does not block the others."""
+"""Commands in flight to one target: one that gets no answer does not block the others. As many
+stops that got no answer are in flight beside them, so that starts never wait for those."""
 
 
 class SessionObserver(Protocol):
@@ -163,7 +164,9 @@
         self._is_reconnecting = False
         """Whether a connection was lost and no poll on a kept connection has succeeded since."""
         self._lease_renewed_at = float("-inf")
-        self._commands = CommandLane(threads or CommandThreads(), COMMAND_THREADS)
+        threads = threads or CommandThreads()
+        self._commands = CommandLane(threads, COMMAND_THREADS)
+        self._stop_retries = CommandLane(threads, COMMAND_THREADS)
         self._thread = threading.Thread(target=self._run, name=f"hold-{target.id}", daemon=True)
 
     @property
@@ -189,6 +192,7 @@
             self._stopping = True
             self._changed.notify_all()
         self._commands.close()
+        self._stop_retries.close()
 
     def join(self) -> None:
         """Waits for the commands in flight, and closes the client.
@@ -196,6 +200,7 @@
         A poll in flight need not be awaited, as its answer has no effect any more.
         """
         self._commands.join()
+        self._stop_retries.join()
         self._client.close()
 
     def inherit_lease(self, reached_at: float) -> None:
@@ -418,27 +423,36 @@
         )
 
     def _stop_run(self, run: Run) -> None:
-        """Sends a stop until it is answered.
+        """Sends a stop, and sends it again behind other such stops until it is answered.
 
         A start that got no answer may reach the target after an unanswered stop.
         """
-        while not self._stopping and run.key in self.target.runs:
-            if self._authority.may_act():
-                try:
-                    self._client.stop(
-                        run.task, run.number, self._authority.epoch, COMMAND_TIMEOUT_S
-                    )
-                    self._observer.on_stop(run)
-                    return
-                except FencedError as error:
-                    self._observer.on_fenced(self, error.epoch)
-                    return
-                except TargetReplacedError as error:
-                    self._observer.on_replaced(self, str(error))
-                    return
-                except Exception:  # The polls detect a target that does not answer at all.
-                    pass
-            self._pause(RETRY_PAUSE_S)
+        tried_at = self._clock.monotonic()
+        if not self._send_stop(run):
+            self._stop_retries.submit(partial(self._retry_stop, run, tried_at))
+
+    def _retry_stop(self, run: Run, tried_at: float) -> None:
+        pause_s = tried_at + RETRY_PAUSE_S - self._clock.monotonic()
+        if pause_s > 0:
+            self._pause(pause_s)
+        self._stop_run(run)
+
+    def _send_stop(self, run: Run) -> bool:
+        """Sends a stop once; returns whether it needs no further attempt."""
+        if self._stopping or run.key not in self.target.runs:
+            return True
+        if not self._authority.may_act():
+            return False
+        try:
+            self._client.stop(run.task, run.number, self._authority.epoch, COMMAND_TIMEOUT_S)
+            self._observer.on_stop(run)
+        except FencedError as error:
+            self._observer.on_fenced(self, error.epoch)
+        except TargetReplacedError as error:
+            self._observer.on_replaced(self, str(error))
+        except Exception:  # The polls detect a target that does not answer at all.
+            return False
+        return True
 
     def _throttle_run(self, run: Run, percent: int) -> None:
         if not self._authority.may_act():
