Give up starts that wait behind commands without an answer

What callers saw: of many tasks allocated to a target just before it went silent, the last ones waited for over 5 s, or until the target's lease had ended, while other targets had room.

Cause: three commands to a target are in flight, and a start that gets no answer is sent three times, for 0.9 s in all. Twenty starts take 6 s. Those in the queue were never sent, so no lease stands in the way of starting their tasks elsewhere, but nothing took them out of the queue.

Fix: a start that has waited for more than 1 s fails as not run when its turn comes, if a command of its lane got no answer meanwhile. Its task is free then and avoids the target. At most 1.9 s pass from the allocation. Repeated stops don't count, as they are in another lane, and neither does a wait while the target answers: an owner that is slow itself still sends its starts.

A second test shows that starts which waited behind answered ones are sent; it fails without the condition on the lost answer.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_session.py
@@ -37,6 +37,10 @@
 START_ATTEMPTS = 3
 """How often a start is sent before the run is given up and stopped."""
 
+MAX_START_WAIT_S = 1.0
+"""Wait of a start behind commands without an answer after which it is given up, so that its task
+can start elsewhere. The commands in flight take 0.9 s more at most."""
+
 LOSSY_PERIOD_S = 8.0
 """How long after a lost answer polls wait only for a short time."""
 
@@ -164,6 +168,8 @@
         self._is_reconnecting = False
         """Whether a connection was lost and no poll on a kept connection has succeeded since."""
         self._lease_renewed_at = float("-inf")
+        self._unanswered_at = float("-inf")
+        """When a command in the lane of the starts last got no answer."""
         threads = threads or CommandThreads()
         self._commands = CommandLane(threads, COMMAND_THREADS)
         self._stop_retries = CommandLane(threads, COMMAND_THREADS)
@@ -225,7 +231,8 @@
             self._changed.notify_all()
 
     def submit_start(self, run: Run, payload: str, ticket: str) -> None:
-        self._commands.submit(partial(self._start_run, run, payload, ticket))
+        queued_at = self._clock.monotonic()
+        self._commands.submit(partial(self._start_run, run, payload, ticket, queued_at))
         self.poll_now()
 
     def submit_stop(self, run: Run) -> None:
@@ -348,17 +355,17 @@
             self._lease_renewed_at = max(self._lease_renewed_at, now)
         return until_ms
 
-    def _start_run(self, run: Run, payload: str, ticket: str) -> None:
-        if not self._authority.may_act() or self._stopping:
-            error = NotRunError("the owner may not act", step="run.start", peer=self.target.id)
-            self._observer.on_start_failed(run, error, may_run=False)
-            return
+    def _start_run(self, run: Run, payload: str, ticket: str, queued_at: float) -> None:
         now = self._clock.monotonic()
-        until_ms = self._renew_lease(now)
+        obstacle, until_ms = "", None
+        if not self._authority.may_act() or self._stopping:
+            obstacle = "the owner may not act"
+        elif self._unanswered_at >= queued_at and now - queued_at > MAX_START_WAIT_S:
+            obstacle = "the commands before it got no answer"
+        elif (until_ms := self._renew_lease(now)) is None:
+            obstacle = "the target's clock is unknown"
         if until_ms is None:
-            error = NotRunError(
-                "the target's clock is unknown", step="run.start", peer=self.target.id
-            )
+            error = NotRunError(obstacle, step="run.start", peer=self.target.id)
             self._observer.on_start_failed(run, error, may_run=False)
             return
         run.valid_until = self._authority.lease_end(now)
@@ -408,12 +415,14 @@
             try:
                 result = self._client.start(command, COMMAND_TIMEOUT_S)
             except OutcomeUnknownError as error:
+                self._unanswered_at = self._clock.monotonic()
                 attempts.note_unanswered(error)
                 self._losses.note()
                 self._observer.on_start_unanswered(run, number, error)
             except FencedError:
                 raise
             except NotRunError:
+                self._unanswered_at = self._clock.monotonic()
                 if attempts.unanswered is None:
                     raise
             else:
@@ -427,15 +436,17 @@
 
         A start that got no answer may reach the target after an unanswered stop.
         """
-        tried_at = self._clock.monotonic()
         if not self._send_stop(run):
-            self._stop_retries.submit(partial(self._retry_stop, run, tried_at))
+            self._unanswered_at = self._clock.monotonic()
+            self._stop_retries.submit(partial(self._retry_stop, run, self._unanswered_at))
 
-    def _retry_stop(self, run: Run, tried_at: float) -> None:
-        pause_s = tried_at + RETRY_PAUSE_S - self._clock.monotonic()
+    def _retry_stop(self, run: Run, failed_at: float) -> None:
+        pause_s = failed_at + RETRY_PAUSE_S - self._clock.monotonic()
         if pause_s > 0:
             self._pause(pause_s)
-        self._stop_run(run)
+        if not self._send_stop(run):
+            failed_at = self._clock.monotonic()
+            self._stop_retries.submit(partial(self._retry_stop, run, failed_at))
 
     def _send_stop(self, run: Run) -> bool:
         """Sends a stop once; returns whether it needs no further attempt."""
--- a/tests/unit/cluster/test_target_session.py
+++ b/tests/unit/cluster/test_target_session.py
@@ -14,6 +14,7 @@
 from azurecleat_cluster._internal.owner.poll_schedule import PollSchedule
 from azurecleat_cluster._internal.owner.target_session import (
     COMMAND_THREADS,
+    COMMAND_TIMEOUT_S,
     START_ATTEMPTS,
     LossTracker,
     TargetClock,
@@ -403,6 +404,44 @@
             self.session.submit_stop(self.make_run(number + 1))
         self.assertEqual(len(self.observer.wait_for("stopped", timeout_s=MAX_UNSTARTED_S)), 1)
 
+    def submit_starts(self, count: int) -> None:
+        step = make_step("job", count)
+        for index in range(count):
+            run = Run(step.task(index), step, 1, self.target)
+            self.target.add(run)
+            self.session.submit_start(run, "", "")
+
+    # Twenty starts were queued for a target that had gone silent; the last was first sent there
+    # after 5 s, while other targets had room.
+    def test_start_behind_unanswered_ones_is_given_up_in_time(self) -> None:
+        self.begin()
+        self.authority.add_log_proof(time.monotonic())
+
+        def time_out() -> StartResult:
+            time.sleep(COMMAND_TIMEOUT_S)
+            raise OutcomeUnknownError("no answer in time", step="run.start")
+
+        self.client.on_start = time_out
+        self.submit_starts(20)
+        self.observer.wait_for("failed", 20, timeout_s=MAX_UNSTARTED_S)
+        sent = {command.task for command in self.client.starts}
+        given_up = self.observer.named("failed").count(("failed", False))
+        self.assertEqual(len(sent) + given_up, 20)
+
+    # An owner that is busy may send starts late: those are not given up while the target answers.
+    def test_start_that_waited_behind_answered_ones_is_sent(self) -> None:
+        self.begin()
+        self.authority.add_log_proof(time.monotonic())
+
+        def answer_late() -> StartResult:
+            time.sleep(0.3)
+            return StartResult(True, "", 1000.0 * time.monotonic())
+
+        self.client.on_start = answer_late
+        self.submit_starts(5 * COMMAND_THREADS)
+        self.observer.wait_for("started", 5 * COMMAND_THREADS)
+        self.assertEqual(self.observer.named("failed"), [])
+
     def test_unresponsive_target_is_reported_and_its_lease_not_renewed(self) -> None:
         self.begin()
 
