Give every urgent step its turn at preemption

What callers saw: an urgent task stayed unstarted although runs could have been stopped for it, while 16 other urgent steps, for which none could, waited ahead of it.

Cause: a dispatch round looks for runs to stop until 16 steps found none, and counts what is being freed for 40 steps with tickets. Each round began with the first steps again, so that the same ones used up the bounds every time and those behind them never had a turn. Only the objective ended that; a queue without one has no such end.

Fix: while a round leaves steps for the next one, a step that was tried in vain yields its part of the bounds to those not reached yet, for at most 1.5 s. A round that reaches all steps works as before, in the same order.

Evidence: a step behind 16, and behind 120, that nothing can be stopped for. Before, no run was stopped for it within 3 s in either case; now one is.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/preemptor.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/preemptor.py
@@ -31,6 +31,9 @@
 from azurecleat_cluster._internal.owner.term import OwnerTerm
 from azurecleat_cluster._internal.owner.usable_pools import UsablePool
 
+MAX_YIELD_S = 1.5
+"""Longest time for which a step that was tried in vain lets others have their turn."""
+
 
 class _Reservation(NamedTuple):
     """Targets, by id, on which runs were stopped for a step, and when the last one was."""
@@ -56,6 +59,11 @@
         self._freeing: dict[UsablePool, FreeingCapacity] = {}
         self._claimed: dict[str, Resources] = {}
         self._claims_left = self._choices_left = self._failed_choices_left = 0
+        self._tried_in_vain: dict[StepInfo, float] = {}
+        """Steps for which nothing could be stopped since a round last reached all steps, and when
+        that was."""
+        self._is_any_left = False
+        """Whether the round has left a step for the next one."""
 
     def begin_round(self, now: float) -> None:
         """Begins a dispatch round."""
@@ -68,6 +76,12 @@
         self._claims_left = MAX_CLAIMS_PER_ROUND
         self._choices_left = MAX_CHOICES_PER_ROUND
         self._failed_choices_left = MAX_FAILED_CHOICES_PER_ROUND
+        self._tried_in_vain = {
+            step: tried_at
+            for step, tried_at in self._tried_in_vain.items()
+            if self._is_any_left and now - tried_at < MAX_YIELD_S
+        }
+        self._is_any_left = False
         self._reservations = {
             step: reservation
             for step, reservation in self._reservations.items()
@@ -188,7 +202,10 @@
         if not can_be_on_time(step, now):
             return "too late"
         if not self._claims_left:
+            self._is_any_left = True
             return "left for the next round"
+        if step in self._tried_in_vain:
+            return "left for the next round"  # Those that were not reached yet have their turn.
         targets = _usable_targets(step, pool, now)
         if not targets:
             return "no tickets"
@@ -204,10 +221,14 @@
         choice = Choice()
         if expected < missing:
             headroom.note_wait(now)
-        if expected < missing and self._choices_left and self._failed_choices_left:
+        if expected < missing and not (self._choices_left and self._failed_choices_left):
+            self._is_any_left = True
+        elif expected < missing:
             choice = choose(step, missing - expected, targets, freeing, now)
             self._choices_left -= bool(choice.runs)
-            self._failed_choices_left -= not choice.runs
+            if not choice.runs:
+                self._failed_choices_left -= 1
+                self._tried_in_vain[step] = now
         self._claim(step, expected + choice.starts)
         if choice.runs:
             self._stop(step, choice, now)
--- a/tests/unit/cluster/test_preemption.py
+++ b/tests/unit/cluster/test_preemption.py
@@ -40,6 +40,9 @@
 WIDE_ADVISED = WIDE._replace(advice=AdviceTerms(440.0, 6.3, 2000.0))
 ON = Features(preemption=True)
 WIDE_JOB, URGENT_JOB = "a" * 16, "b" * 16
+MAX_WAIT_S = 3.0
+"""Longest time for which a step may wait for its turn."""
+
 TARGETS = 10
 """Targets of 8 cores with two tasks of 4 cores each: 10 cores, two tasks, may stop at one time."""
 
@@ -322,6 +325,28 @@
         self.dispatch()
         self.assertEqual(len(self.stopped()), 1)
 
+    # The bounds of a round were used up by the same steps in every round: by 16 for which nothing
+    # could be stopped, or by 40 with tickets. No step behind them ever had its turn.
+    def test_later_step_has_its_turn_however_many_wait_in_vain(self) -> None:
+        patient = URGENT._replace(objective_ms=60_000.0)
+        for count in (
+            preemption.MAX_FAILED_CHOICES_PER_ROUND,
+            3 * preemption.MAX_CLAIMS_PER_ROUND,
+        ):
+            with self.subTest(count=count):
+                self.setUp()
+                self.begin(wide_step())
+                step = urgent_step()._replace(need=Resources(500_000, 500, 0))
+                for number in range(count):
+                    self.submit(step, f"{number:016x}", patient)
+                self.submit(urgent_step(), "f" * 16, patient)
+                for job in self.harness.term.jobs.values():
+                    job.is_over_share = False  # They were submitted at one time.
+                began_at = self.clock.monotonic()
+                while not self.stopped() and self.clock.monotonic() - began_at < MAX_WAIT_S:
+                    self.dispatch()
+                self.assertEqual(len(self.stopped()), 1)
+
 
 class HeadroomTest(PreemptionTestCase):
     """Capacity is kept free for a burst that has begun."""
