Ask every peer in turn for the configuration, and keep one that answers

What callers saw: an instance that had lost the log refused them although a peer had a fresh view and answered, while many other peers gave no answer.

Cause: the peers of a round were a slice of those not left out, at a position counted in rounds. Peers that gave no answer are left out for a second, so that the slice was taken from another list in each round: with ten peers, of which nine gave no answer, a simulation of a minute never asked the tenth. And one that had answered was asked again only after all others, each of which took 0.4 s, so that its view grew too old to serve callers with.

Fix: the peer asked longest ago goes first, whichever are left out. Each stage asks one peer with a fresh view, if there is one, and gives its other request to the rest in turn. While all answer, all are asked equally often, as before.

Evidence: two to ten peers of which one answers.

test_peers_take_turns reads the stages of a round as a list, since they are chosen one by one now; what it expects is unchanged.

--- a/libs/cluster/src/azurecleat_cluster/_internal/front/relay.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/relay.py
@@ -301,7 +301,9 @@
         """Requests the configuration from peers of this zone and, if it is stale, of others."""
         known = self._peers.known()
         usable = [peer for peer in known if not self._peers.is_backing_off(peer.address)]
-        for is_elsewhere, stage in enumerate(self._rotation.choose(usable)):
+        with self._lock:
+            sources = self._state.sources(self._clock.monotonic())
+        for is_elsewhere, stage in enumerate(self._rotation.choose(usable, sources)):
             list(executor.map(self._request_configuration, stage, repeat(is_elsewhere)))
             if self.age() <= YOUNG_AGE_S:
                 break
--- a/libs/cluster/src/azurecleat_cluster/_internal/front/relay_state.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/front/relay_state.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from itertools import cycle, islice
+from collections.abc import Collection, Iterator, Sequence
+from itertools import count
 from typing import NamedTuple
 
 PEERS_PER_STAGE = 2
@@ -24,23 +24,36 @@
 
 
 class PeerRotation:
-    """Chooses the peers of each round, so that all peers are asked equally often.
+    """Chooses the peers of each round: the one that was asked longest ago goes first.
+
+    A peer that is left out of some rounds, as it gave no answer, therefore keeps its turn, and so
+    do the others.
 
     :param zone: The zone of this instance.
     """
 
     def __init__(self, zone: str) -> None:
         self._zone = zone
-        self._rounds = 0
+        self._turns: dict[str, int] = {}
+        """Number of the request last sent to a peer."""
+        self._next_turn = count(1)
+
+    def choose(
+        self, peers: Sequence[PeerAddress], sources: Collection[str] = ()
+    ) -> Iterator[list[str]]:
+        """Yields the peers to ask first, of this zone, and those to ask next, of other zones.
 
-    def choose(self, peers: Sequence[PeerAddress]) -> tuple[list[str], list[str]]:
-        """Returns the peers to ask first, of this zone, and those to ask next, of other zones."""
-        ordered = sorted(peers)
-        first = [peer.address for peer in ordered if peer.zone == self._zone]
-        others = [peer.address for peer in ordered if peer.zone != self._zone]
-        start = self._rounds * PEERS_PER_STAGE
-        self._rounds += 1
-        return _slice(first, start), _slice(others, start)
+        :param sources: Peers with a fresh view. Each stage asks one of them, so that the view that
+            came through it stays fresh while silent peers have their turns.
+        """
+        for is_elsewhere in (False, True):
+            group = [peer.address for peer in peers if (peer.zone != self._zone) is is_elsewhere]
+            group.sort(key=lambda address: (self._turns.get(address, 0), address))
+            first = [address for address in group if address in sources][:1]
+            others = [address for address in group if address not in first]
+            stage = [*first, *others][:PEERS_PER_STAGE]
+            self._turns.update(zip(stage, self._next_turn, strict=False))
+            yield stage
 
 
 class RelayState:
@@ -98,18 +111,10 @@
 
         :param avoided: Peer that is chosen only if there is no other.
         """
-        fresh = [
-            (address != avoided, fresh_at, address)
-            for address, fresh_at in self._fresh_at.copy().items()
-            if now - fresh_at <= MAX_SOURCE_AGE_S
-        ]
+        fresh = [(a != avoided, self._fresh_at[a], a) for a in self.sources(now)]
         return max(fresh)[2] if fresh else None
 
-
-def _slice(addresses: Sequence[str], start: int) -> list[str]:
-    """Returns up to ``PEERS_PER_STAGE`` different addresses from a position in the rotation on."""
-    if not addresses:
-        return []
-    count = min(PEERS_PER_STAGE, len(addresses))
-    start %= len(addresses)
-    return list(islice(cycle(addresses), start, start + count))
+    def sources(self, now: float) -> list[str]:
+        """Returns the peers with a fresh view."""
+        fresh = self._fresh_at.copy().items()
+        return [address for address, at in fresh if now - at <= MAX_SOURCE_AGE_S]
--- a/tests/unit/cluster/test_relay.py
+++ b/tests/unit/cluster/test_relay.py
@@ -23,11 +23,25 @@
 )
 from azurecleat_cluster import Admitted, Caller
 from azurecleat_cluster._internal.exceptions import PeerStatusError
-from azurecleat_cluster._internal.front.relay import PeerRelay, decode_configuration
-from azurecleat_cluster._internal.front.relay_state import PeerAddress, PeerRotation
+from azurecleat_cluster._internal.front.relay import (
+    ROUND_PAUSE_S,
+    PeerRelay,
+    decode_configuration,
+)
+from azurecleat_cluster._internal.front.relay_state import PeerAddress, PeerRotation, RelayState
 from azurecleat_cluster._internal.front.request_handler import OwnerClient
-from azurecleat_cluster._internal.peers import BackOff, PeerApplication, PeerOwnerClient
-from azurecleat_cluster._internal.relay_client import RelayClient, RelayService
+from azurecleat_cluster._internal.peers import (
+    BACKOFF_S,
+    BackOff,
+    PeerApplication,
+    PeerOwnerClient,
+)
+from azurecleat_cluster._internal.relay_client import (
+    ANSWER_TIMEOUT_S,
+    CONNECT_TIMEOUT_S,
+    RelayClient,
+    RelayService,
+)
 from azurecleat_cluster._internal.replica import records
 from azurecleat_cluster.answers import (
     Accepted,
@@ -49,6 +63,10 @@
 JOB = "0" * 16
 BODY = json.dumps({"spec": "x", "steps": [{"count": 1, "cpu": 1}]}).encode()
 BALANCER_REMOVAL_S = 2.6
+
+MAX_UNSERVED_S = 3.0
+"""Longest time for which a peer that answers and has a fresh view may stay unasked."""
+
 PEERS = {"b": "zone 1", "c": "zone 1", "d": "zone 2", "e": "zone 2"}
 
 
@@ -283,11 +301,58 @@
     def test_peers_take_turns(self) -> None:
         rotation = PeerRotation("z")
         peers = [PeerAddress(name, "z") for name in "abc"] + [PeerAddress("x", "")]
-        rounds = [rotation.choose(peers) for _ in range(3)]
+        rounds = [list(rotation.choose(peers)) for _ in range(3)]
         self.assertEqual([own for own, _ in rounds], [["a", "b"], ["c", "a"], ["b", "c"]])
         self.assertEqual({tuple(others) for _, others in rounds}, {("x",)})
 
 
+class SilentPeersTest(unittest.TestCase):
+    """The only peer that answers, among others that time out and are then left out for a while."""
+
+    ROUND_S = ROUND_PAUSE_S + CONNECT_TIMEOUT_S + ANSWER_TIMEOUT_S
+
+    def setUp(self) -> None:
+        self.rotation, self.state, self.now = PeerRotation("z"), RelayState(), 0.0
+        self.left_out_until: dict[str, float] = {}
+
+    def round(self, peers: list[PeerAddress], alive: str) -> None:
+        """Makes one round, in which all but one of the peers asked give no answer."""
+        usable = [each for each in peers if self.left_out_until.get(each.address, 0.0) <= self.now]
+        asked = [name for stage in self.rotation.choose(usable, self.sources()) for name in stage]
+        if alive in asked:
+            self.state.on_view(alive, self.now)
+        self.now += self.ROUND_S
+        for name in asked:
+            if name != alive:
+                self.left_out_until[name] = self.now + BACKOFF_S
+                self.state.on_silence(name)
+
+    def sources(self) -> list[str]:
+        return self.state.sources(self.now)
+
+    # Of ten peers of other zones, one that answered was not asked for a minute: the turn went by
+    # the number of the round, while the list that it counted in changed with the silent peers.
+    def test_peer_that_answers_is_found_in_time_and_stays_in_use(self) -> None:
+        for count in range(2, 11):
+            for alive in range(count):
+                with self.subTest(count=count, alive=alive):
+                    self.setUp()
+                    peers = [PeerAddress(f"p{number:02}", "y") for number in range(count)]
+                    name = peers[alive].address
+                    while name not in self.sources():
+                        self.assertLessEqual(self.now, MAX_UNSERVED_S)
+                        self.round(peers, name)
+                    for _ in range(50):
+                        self.round(peers, name)
+                        self.assertIn(name, self.sources())
+
+    # A peer whose view is old must not take the turns of one that has a fresh one.
+    def test_silent_peers_keep_their_turns_beside_a_source(self) -> None:
+        peers = [PeerAddress(name, "z") for name in "abcde"]
+        asked = [next(iter(self.rotation.choose(peers, ["c"]))) for _ in range(4)]
+        self.assertEqual(asked, [["c", "a"], ["c", "b"], ["c", "d"], ["c", "e"]])
+
+
 class IsolationTest(RelayTest):
     """The retry hint depends on whether any peer answers."""
 
