Bound the size of a call that appends records of many callers

What callers saw: of submissions that arrived at the same time as a few large ones, all failed, as refused or as undecided.

Cause: up to 64 records go into one call, whatever their size. A job may have 256 KB, while the log takes 2 MB in a call and refuses a larger one as a whole. A record above what the log takes for one record makes its whole call fail as well.

Evidence: 61 records, 40 of them of 60 KB and one that is too large, in a log with the bounds of the platform's. Before, the large and the small ones failed together; now only the one that is too large fails.

--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/appender.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/appender.py
@@ -12,6 +12,7 @@
 from azurecleat_base.exceptions import LogError, LogUnavailableError
 
 from azurecleat_cluster._internal.ports import Log
+from azurecleat_cluster._internal.replica.call_size import count_for_call
 
 WRITER_THREADS = 2
 """Maximum number of concurrent calls. With two, a call on an unresponsive connection does not block
@@ -95,10 +96,10 @@
                     self._changed.wait()
                 if not self._queue:
                     return
-                batch, self._queue = (
-                    self._queue[:MAX_BATCH_RECORDS],
-                    self._queue[MAX_BATCH_RECORDS:],
+                count = count_for_call(
+                    (entry.key, entry.value) for entry in self._queue[:MAX_BATCH_RECORDS]
                 )
+                batch, self._queue = self._queue[:count], self._queue[count:]
             self._commit(batch)
 
     def _commit(self, batch: list[_PendingAppend]) -> None:
--- a/tests/unit/cluster/test_replica.py
+++ b/tests/unit/cluster/test_replica.py
@@ -32,6 +32,19 @@
 SUBMISSION = records.Submission("0" * 16, "team", QUEUE, JobSpec("payload", STEPS, 2, 1000, 50))
 
 
+class BoundedLog(KeyedMemoryLog):
+    """Log that refuses too large records, and too large calls as a whole."""
+
+    RECORD_BYTES = 1 << 18
+    CALL_BYTES = 1 << 21
+
+    def append(self, stream, records, timeout_s, writer=None) -> int:  # noqa: ANN001
+        sizes = [5 + len(key) + len(value or b"") for key, value in records]
+        if sum(sizes) > self.CALL_BYTES or max(sizes, default=0) > self.RECORD_BYTES:
+            raise LogUnavailableError("too large", step="log.append")
+        return super().append(stream, records, timeout_s, writer)
+
+
 class RecordsTest(unittest.TestCase):
     """Encoding and decoding of records."""
 
@@ -203,6 +216,19 @@
         self.assertEqual(len({future.result(5.0) for future in futures}), 30)
         self.assertLess(log.appends, 6)
 
+    # Guards against a call that the log refuses as a whole: of submissions sent at the same time, a
+    # few large ones made all fail, and one that exceeds what a record may hold did as well.
+    def test_large_records_do_not_make_others_fail(self) -> None:
+        log = BoundedLog()
+        appender = GroupAppender(log, JOBS, lambda offset, records: None)
+        sizes = [*[60_000] * 40, BoundedLog.RECORD_BYTES + 1, *[10] * 20]
+        futures = [appender.submit(f"k{n}", bytes(size), 1.0) for n, size in enumerate(sizes)]
+        appender.start()
+        self.addCleanup(appender.stop)
+        failed = [n for n, future in enumerate(futures) if future.exception(5.0)]
+        self.assertEqual(failed, [40])
+        self.assertLess(log.appends, 10)
+
     # Each of two errors ended a thread that appends, so that callers' records were queued for good.
     def test_append_goes_on_after_errors_of_an_unexpected_kind(self) -> None:
         log = KeyedMemoryLog()
