Write progress of any size in calls that the log takes

What callers saw: nothing was started any more. An owner whose log was out of reach for a while, under load, could not append again.

Cause: everything queued goes into one call. Above 2 MB the log refuses it, and the writer repeats the same call for ever, so that its heartbeat ends and everything queued later waits behind it. 80 records of 40 KB are enough.

Fix: the batch is written in several calls of at most 1 MB, in order, each with its own sequence number. Callbacks are called after the last one, and the horizon is published with it.

Not solved: a single record above what the log takes for one record (256 KB) is still repeated for ever. It takes, for instance, a gang of over 10,000 tasks with a checkpoint for each.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/progress.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/progress.py
@@ -4,7 +4,7 @@
 
 import threading
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from azurecleat_base import Clock
 from azurecleat_base.exceptions import FencedError, LogError
@@ -12,6 +12,7 @@
 from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.owner.start_horizon import StartHorizon
 from azurecleat_cluster._internal.ports import PROGRESS, Log, LogRecord, Writer
+from azurecleat_cluster._internal.replica.call_size import Record, split_into_calls
 
 WRITER_NAME = "owner"
 
@@ -25,7 +26,6 @@
 APPEND_TIMEOUT_S = 2.0
 RETRY_PAUSE_S = 0.1
 
-Record = tuple[str, bytes | None]
 CommitCallback = Callable[[], None]
 
 STOP_RETRY_S = 1.0
@@ -129,7 +129,7 @@
             horizon = self._start_horizon.propose()
             if not batch or self._start_horizon.is_news(horizon):
                 batch.append(self._start_horizon.encode(horizon))
-            if not self._append(batch):
+            if not all(self._append(records) for records in split_into_calls(batch)):
                 return
             self._start_horizon.commit(horizon)
             for callback in callbacks:
@@ -141,7 +141,7 @@
         except Exception:  # An error in one callback must not end the heartbeat.
             traceback.print_exc()
 
-    def _append(self, batch: list[Record]) -> bool:
+    def _append(self, batch: Sequence[Record]) -> bool:
         """Retries an append until the batch is in the log.
 
         :returns: False if the append was fenced, or failed for too long while stopping.
