Reserve workers for the next job if the first can't start

What callers saw: in the embedded daemon, a large all-at-once job never started beside a stream of small jobs, while another large job that the workers can't hold at present waited as well.

Cause: only the first blocked job, in scheduling order, is considered for the one reservation. If the workers could not fit it even when idle, as after a worker was lost or while some drain, no reservation was made at all, and the same job was the first one again in the next search.

Fix: a search goes on to the next shape, for up to 8 plans, as each examines all workers. The next search goes on from there until one has reached all jobs. If the first job can be planned for, the decisions are as before.

Evidence: a job of three workers behind one, and behind seventeen, that need nine, beside small jobs that arrive each second. Before, it did not start within 200 s in either case; now it does.

--- a/libs/policy/src/azurecleat_policy/_internal/decisions.py
+++ b/libs/policy/src/azurecleat_policy/_internal/decisions.py
@@ -5,10 +5,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from azurecleat_model import NO_QUOTA, Quota, Scheduling, task_quota
 
 from azurecleat_policy._internal.admission import check_fits_limit, check_fits_workers
-from azurecleat_policy._internal.jobs import Lane, PolicyJob, RunningTask
+from azurecleat_policy._internal.jobs import Lane, PolicyJob, RunningTask, Shape
 from azurecleat_policy._internal.preemption import Victims, choose_victims
 from azurecleat_policy._internal.reservation import Reservation, plan_reservation
 from azurecleat_policy._internal.scheduling_state import SchedulingState
@@ -32,6 +34,9 @@
 RESERVATION_SCAN_INTERVAL_S = 1.0
 """Interval between searches for a blocked job that has waited too long."""
 
+MAX_PLANS_PER_SCAN = 8
+"""Most jobs for which one search plans a reservation, as each plan examines all workers."""
+
 
 class DecisionLoop(SchedulingState):
     """Derives decisions from the state, and applies them to it at once."""
@@ -41,6 +46,8 @@
         self._reservation: Reservation | None = None
         self._reserved_at = 0.0
         self._scanned_at = 0.0
+        self._unplannable: set[Shape] = set()
+        """Shapes that the workers could not fit in the searches since one reached all jobs."""
         self._reclaiming: dict[tuple[str, int], RunningTask] = {}
         self._urgent_reservations: dict[str, list[str]] = {}
 
@@ -128,13 +135,14 @@
         """Excludes the shape of a job from the search until capacity is freed."""
         raise NotImplementedError
 
-    def _first_blocked(self, waited_since: float) -> PolicyJob | None:
+    def _first_blocked(self, waited_since: float, excluded: Collection[Shape]) -> PolicyJob | None:
         """Returns the first job, in scheduling order, among those blocked by lack of capacity.
 
         The order is not that of age: with reservations for the oldest job, a full fleet would
         serve jobs first come, first served, and ignore the shares.
 
         :param waited_since: Only jobs submitted by this time qualify.
+        :param excluded: Shapes of which no job qualifies.
         """
         raise NotImplementedError
 
@@ -254,12 +262,7 @@
             self._end_reservation()
 
     def _reserve_for_blocked_job(self, now: float) -> None:
-        if self._reservation is not None:
-            return
-        job = self._first_blocked(now - self._scheduling.reserve_after_s)
-        if job is None:
-            return
-        reservation = plan_reservation(job, self._workers.live(), now)
+        reservation = None if self._reservation is not None else self._plan_reservation(now)
         if reservation is None:
             return
         self._reservation = reservation
@@ -268,6 +271,22 @@
             worker = self._workers.by_name[name]
             self._workers.reserve(worker, reservation.job_id, reservation.until)
 
+    def _plan_reservation(self, now: float) -> Reservation | None:
+        """Plans a reservation for the first blocked job that the workers could fit.
+
+        Jobs that need more than the workers have now must not keep the others from one. A search
+        goes on where the one before it ended, until one has reached all jobs.
+        """
+        waited_since = now - self._scheduling.reserve_after_s
+        for _ in range(MAX_PLANS_PER_SCAN):
+            job = self._first_blocked(waited_since, self._unplannable)
+            reservation = plan_reservation(job, self._workers.live(), now) if job else None
+            if job is None or reservation is not None:
+                self._unplannable.clear()
+                return reservation
+            self._unplannable.add(job.shape)
+        return None
+
     def _end_job_reservations(self, job_id: str) -> None:
         for name in self._urgent_reservations.pop(job_id, ()):
             self._unreserve_worker(name, job_id)
--- a/libs/policy/src/azurecleat_policy/_internal/lane_index.py
+++ b/libs/policy/src/azurecleat_policy/_internal/lane_index.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from azurecleat_policy._internal.jobs import Lane, Shape
 
@@ -116,11 +116,16 @@
                 if top is not None:
                     heapq.heappush(self._shape_heap, (top[0], self._next_tiebreaker(), queue))
 
-    def first_blocked(self, qualifies: Callable[[Lane], bool]) -> Lane | None:
-        """Returns the first qualifying lane among the blocked shapes, in sort order."""
+    def first_blocked(
+        self, qualifies: Callable[[Lane], bool], excluded: Collection[Shape] = ()
+    ) -> Lane | None:
+        """Returns the first qualifying lane among the blocked shapes, in sort order.
+
+        :param excluded: Shapes of which no lane qualifies.
+        """
         best: HeapEntry | None = None
         for queue in self._shapes.values():
-            if not queue.blocked:
+            if not queue.blocked or queue.shape in excluded:
                 continue
             entry = self._first_in(queue, qualifies)
             if entry is not None and (best is None or entry[0] < best[0]):
--- a/libs/policy/src/azurecleat_policy/_internal/naive_scheduler.py
+++ b/libs/policy/src/azurecleat_policy/_internal/naive_scheduler.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from azurecleat_model import Scheduling
 
 from azurecleat_policy._internal.decisions import DecisionLoop
@@ -59,7 +61,7 @@
     def _block(self, job: PolicyJob, now: float) -> None:
         self._blocked_shapes.add(job.shape)
 
-    def _first_blocked(self, waited_since: float) -> PolicyJob | None:
+    def _first_blocked(self, waited_since: float, excluded: Collection[Shape]) -> PolicyJob | None:
         found: list[tuple[tuple, PolicyJob]] = []
         for team in self._teams.values():
             for lane in team.lanes.values():
@@ -67,7 +69,8 @@
                 is_blocked = (
                     job is not None and key is not None and lane.shape in self._blocked_shapes
                 )
-                if is_blocked and job.job.submitted_at <= waited_since:
+                is_excluded = lane.shape in excluded
+                if is_blocked and not is_excluded and job.job.submitted_at <= waited_since:
                     found.append((key, job))
         return min(found, key=lambda entry: entry[0])[1] if found else None
 
--- a/libs/policy/src/azurecleat_policy/_internal/scheduler.py
+++ b/libs/policy/src/azurecleat_policy/_internal/scheduler.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 import numpy as np
 from azurecleat_model import Scheduling
 
@@ -91,12 +93,12 @@
     def _block(self, job: PolicyJob, now: float) -> None:
         self._index.block(job.shape, self._missing_tasks)
 
-    def _first_blocked(self, waited_since: float) -> PolicyJob | None:
+    def _first_blocked(self, waited_since: float, excluded: Collection[Shape]) -> PolicyJob | None:
         def has_waited(lane: Lane) -> bool:
             job = lane.head()
             return job is not None and job.job.submitted_at <= waited_since
 
-        lane = self._index.first_blocked(has_waited)
+        lane = self._index.first_blocked(has_waited, excluded)
         return lane.head() if lane is not None else None
 
     def _find_spread(self, job: PolicyJob, fitting: np.ndarray, scores: np.ndarray) -> Worker:
--- a/tests/unit/policy/test_rules.py
+++ b/tests/unit/policy/test_rules.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from collections.abc import Sequence
 
 from azurecleat_model import Job, JobKind, JobSpec, Quota, Resources, Scheduling, TaskSize
 from azurecleat_policy import (
@@ -15,6 +16,7 @@
     TeamPolicy,
     WorkerPolicy,
 )
+from azurecleat_policy._internal.decisions import MAX_PLANS_PER_SCAN
 from azurecleat_policy._internal.probation import PROOF_S
 from azurecleat_policy._internal.scheduling_state import MAX_LOST_STARTS
 
@@ -144,8 +146,30 @@
 
     def test_blocked_job_is_not_starved_by_small_jobs(self) -> None:
         big = self.submit(cpu=4000, tasks=3, kind=JobKind.ALL_AT_ONCE, run_s=10.0)
-        now = 0.0
-        running: list[tuple[float, Start]] = []
+        self.assert_starts_beside_small_jobs(big)
+
+    # The first blocked job needed more workers than there were, so that no reservation was possible
+    # for it, and none was made for any other job: small jobs passed a large one for ever.
+    def test_blocked_job_is_not_starved_behind_those_that_cannot_start_now(self) -> None:
+        for count in (1, 2 * MAX_PLANS_PER_SCAN + 1):
+            with self.subTest(count=count):
+                self.setUp()
+                self.submit(team="bor", cpu=500, run_s=5.0)
+                (first,) = self.started(0.0)
+                for index in range(count):
+                    fields = {"kind": JobKind.ALL_AT_ONCE, "run_s": 20.0 + index}
+                    self.submit(cpu=4000, tasks=9, **fields)
+                big = self.submit(cpu=4000, tasks=3, kind=JobKind.ALL_AT_ONCE, run_s=10.0)
+                self.assert_starts_beside_small_jobs(big, [(5.0, first)])
+
+    def assert_starts_beside_small_jobs(
+        self, big: str, running: Sequence[tuple[float, Start]] = ()
+    ) -> None:
+        """Asserts that a job starts while small jobs arrive all the time.
+
+        :param running: The tasks that run at first, and when they end.
+        """
+        now, running = 0.0, list(running)
         for _ in range(200):
             now += 1.0
             self.submit(now=now, team="bor", cpu=500, run_s=5.0, tasks=3)
