Start tasks elsewhere once a worker is unresponsive

What callers saw: in the embedded daemon, tasks waited for the end of a silent worker's lease, 4.8 s with a lease of 3 s, while other workers had room.

Cause: half a lease after the last answer a session stops sending anything to the target, until the lease has lapsed. The scheduler was not told: it went on to place tasks there, and those queued for the session stayed. They are certain not to have reached the worker. So are starts of exchanges that were not sent at all, as of a refused connection, but those counted as sent.

Unresponsive runners get no further requests.

Not solved: a worker is unresponsive after half a lease only, 7.5 s with the default of 15 s.

--- a/libs/daemon/src/azurecleat_daemon/_internal/request_dispatcher.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/request_dispatcher.py
@@ -237,7 +237,8 @@
         """Drains a runner that the instance list shows as leaving."""
         with self._lock:
             if session.target.name in self._scheduler.workers:
-                self._scheduler.set_draining(session.target.name, session.target.leaving)
+                is_closed = session.target.leaving or session.is_unresponsive
+                self._scheduler.set_draining(session.target.name, is_closed)
 
     def on_running(
         self, session: TargetSession, running: tuple[RunningTask, ...], sent_at: float
@@ -275,6 +276,11 @@
     def on_start_unknown(self, session: TargetSession, tasks: tuple[str, ...]) -> None:
         """Does nothing: runners receive no starts through their session."""
 
+    def on_unresponsive(self, session: TargetSession) -> None:
+        """Grants no further slots of a silent runner."""
+        with self._lock:
+            self._assign_slots()
+
     def on_lost(self, session: TargetSession) -> None:
         """Removes a runner whose lease lapsed."""
         with self._lock:
@@ -523,7 +529,8 @@
             session = self._sessions.get(name)
             if session is not None and name in self._scheduler.workers:
                 tripped = breaker.state.value == "open"
-                self._scheduler.set_draining(name, session.target.leaving or tripped)
+                is_closed = session.target.leaving or session.is_unresponsive
+                self._scheduler.set_draining(name, is_closed or tripped)
 
     def _adopt(self, request_id: str, runner: str, now: float) -> None:
         """Assigns its slot to a request that a previous owner dispatched."""
