Decode documents of other writers within bounds of depth, size and range

An id of 254 or 255 bytes stopped all jobs: the record of a target in use has a key with a prefix, which the store's framing could not hold, and the thread that writes progress ended. A report whose clock is 1e400 cost a target for good: no lease could be computed, and the clock was only replaced after a poll that needs one. A configuration whose version has 400 digits made all later ones count as older.

Cause: the parser accepts nearly 1,000 levels, but printing a nested value for the error ("... is not a text") recurses on the thread's 160 KiB stack and overflows it. Numbers, addresses and ids were checked for type only, or not. Ports out of range were truncated by the resolver (65536 was connected to as 0); "host:abc" or "a..b:80" raised ValueError through HttpClient, which documents other errors.

Why it works: azurecleat_base.parse_json is the one place where such a text is parsed. Whatever fails there is a DocumentError, and no value nested more than 32 levels leaves it, so that nothing later can recurse deeply. Errors name the type of a value and are shortened. The decoder bounds numbers, texts, ids and addresses; a record that fails is logged once and names no target, and a known target keeps its last good entry. HttpClient reports an address or a header that cannot be used as "not sent".

--- a/libs/base/src/azurecleat_base/__init__.py
+++ b/libs/base/src/azurecleat_base/__init__.py
@@ -1,6 +1,12 @@
-"""Value types, errors, clocks and an HTTP client, without third-party imports."""
+"""Value types, errors, clocks, parsing and an HTTP client, without third-party imports."""
 
 from azurecleat_base._internal.clock import Clock, ManualClock, SystemClock
+from azurecleat_base._internal.documents import (
+    describe,
+    parse_json,
+    parse_json_object,
+    split_address,
+)
 from azurecleat_base._internal.http_client import (
     AnswerLostError,
     HttpClient,
@@ -35,5 +41,9 @@
     "Quota",
     "Resources",
     "SystemClock",
+    "describe",
+    "parse_json",
+    "parse_json_object",
+    "split_address",
     "task_quota",
 ]
--- a/libs/base/src/azurecleat_base/_internal/http_client.py
+++ b/libs/base/src/azurecleat_base/_internal/http_client.py
@@ -13,6 +13,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from azurecleat_base._internal.documents import split_address
 from azurecleat_base._internal.traffic import TRAFFIC
 
 MAX_RESPONSE_BYTES = 16 << 20
@@ -81,7 +82,7 @@
 class HttpClient:
     """Thread-safe client of one server that reuses idle connections.
 
-    :param address: ``host:port`` of the server.
+    :param address: ``host:port`` of the server. To any other address nothing can be sent.
     :param connect_timeout_s: Time limit for opening a connection, in seconds.
     :param max_idle: Maximum number of idle connections kept open.
     :param budget: Bound that this client shares with others; none by default.
@@ -126,9 +127,17 @@
         connection.sock.settimeout(timeout_s)
         try:
             connection.request(method, path, body, dict(headers or {}))
+        except ValueError as error:
+            # The path or a header can't be encoded: that shows before anything is sent.
+            connection.close()
+            raise NotSentError(f"{type(error).__name__}: {error}") from error
+        except (OSError, http.client.HTTPException) as error:
+            connection.close()
+            raise AnswerLostError(f"{type(error).__name__}: {error}") from error
+        try:
             response = connection.getresponse()
             answer = self._read(response)
-        except (OSError, http.client.HTTPException) as error:
+        except (OSError, ValueError, http.client.HTTPException) as error:
             connection.close()
             raise AnswerLostError(f"{type(error).__name__}: {error}") from error
         TRAFFIC.add("platform", _wire_bytes(response, answer.body))
@@ -169,11 +178,11 @@
             connection.close()
         if reuse_only:
             raise NotSentError("no connection of an earlier call is open")
-        host, _, port = self._address.rpartition(":")
-        connection = _CountingConnection(host, int(port), timeout=self._connect_timeout_s)
         try:
+            host, port = split_address(self._address)
+            connection = _CountingConnection(host, port, timeout=self._connect_timeout_s)
             connection.connect()
-        except OSError as error:
+        except (OSError, ValueError) as error:
             refused = isinstance(error, ConnectionRefusedError)
             raise NotSentError(f"{type(error).__name__}: {error}", refused=refused) from error
         return connection
--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -204,11 +204,8 @@
         self.store_address, self.cloud_address, self.advice_address = (
             server.address for server in self._servers
         )
-        for number in range(targets):
-            server = Server(close_connection)
-            self._servers.append(server)
-            self._target_servers.append(server)
-            self._slots.append(self._make_target(f"i-{number}", server))
+        for _ in range(targets):
+            self.add_target()
 
     def close(self) -> None:
         for server in self._servers:
@@ -292,6 +289,16 @@
             )
             self.checker.expected_steps[job, number] = ExpectedStep(spec, "team", 3)
 
+    def add_target(self) -> str:
+        """Starts and announces a further target; returns its id."""
+        server = Server(close_connection)
+        with self.lock:
+            name = f"i-{len(self._slots)}"
+            self._servers.append(server)
+            self._target_servers.append(server)
+            self._slots.append(self._make_target(name, server))
+        return name
+
     def replace_target(self, number: int, keeps_id: bool = False) -> None:
         """Crashes a target and starts another incarnation at its address."""
         with self.lock:
