Skip odd records of jobs, claims, instances and targets in use

Seen: a record of a target in use that is no list of three values, or nested too deeply, failed each takeover: the owner claimed, failed, released and claimed again, on every instance in turn. A claim whose epoch is 1e400 came into force, and no later epoch was one that the store takes. An instance whose "cores" is a text made the comparison of instances fail, so that no standby claimed. A submission of 10**12 tasks, or recorded progress of as many, was expanded in memory. A submission under a key of replacement characters was served, but its progress could not be written: its key is longer than the log allows.

Cause: records in the product's own streams were unpacked into value types without a check of types and ranges, and only ValueError was expected.

Why it works: records.load raises ValueError for whatever cannot be parsed or is nested too deeply, and the decoders check numbers, texts and addresses, so that an odd record is logged and skipped and the ones behind it hold.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/durations.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/durations.py
@@ -13,6 +13,7 @@
 from typing import Any, Generic, NamedTuple, TypeVar
 
 from azurecleat_cluster._internal.owner.log_histogram import FADING_WEIGHT, MAX_LOG_S, LogHistogram
+from azurecleat_cluster._internal.replica.records import load
 
 MAX_KEYS = 4096
 """Most keys that are kept, at about 2 KB each. The least recently observed key is dropped first."""
@@ -62,7 +63,7 @@
 
 VERSION = 1
 
-_DECODE_ERRORS = (KeyError, IndexError, TypeError, AttributeError, RecursionError, OverflowError)
+_DECODE_ERRORS = (KeyError, IndexError, TypeError, AttributeError, OverflowError)
 
 
 class WorkKey(NamedTuple):
@@ -419,7 +420,7 @@
         :raises ValueError: The value is not an encoded model of this version.
         """
         try:
-            data = json.loads(value)
+            data = load(value)
             if data["v"] != VERSION:
                 raise ValueError(f"version {data['v']}")
             return cls._from_data(data)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term_runner.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term_runner.py
@@ -355,7 +355,7 @@
         """Adds targets that the previous owner used and that have no registry entry any more."""
         for name, value in previous_targets.items():
             try:
-                address, pool, started_at_ms = r.load(value)
+                address, pool, started_at_ms = r.decode_target(value)
             except ValueError as error:
                 self._dependencies.events.write(
                     eventlog.RECORD_UNREADABLE, stream="progress", key=name, error=error
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/follower.py
@@ -5,7 +5,7 @@
 import threading
 from collections.abc import Callable, Sequence
 
-from azurecleat_base import Clock
+from azurecleat_base import Clock, describe
 from azurecleat_base.exceptions import LogError, OffsetForgottenError
 
 from azurecleat_cluster._internal import eventlog
@@ -184,6 +184,6 @@
                     eventlog.RECORD_UNREADABLE,
                     stream=self._stream,
                     key=record.key,
-                    error=repr(error),
+                    error=describe(error),
                 )
         self._applied += len(records)
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/jobs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/jobs.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -154,6 +153,8 @@
         kind, _, name = key.partition("/")
         with self._lock:
             match kind + "/":
+                case records.SUBMISSION if value is not None and not records.is_key(key):
+                    raise ValueError("the key cannot be written to the log")
                 case records.SUBMISSION:
                     self._apply_submission(name, record)
                 case records.CANCELLATION:
@@ -208,10 +209,11 @@
             self._offsets.pop(job, None)
             self._queues.pop(job, None)
         elif job not in self._submissions:
+            queue = records.load(value)["queue"]["name"]
             # Callers repeat a submission after a lost answer; only the first one counts.
             self._submissions[job] = value
             self._offsets[job] = (record.offset, not record.may_replace)
-            self._queues[job] = json.loads(value)["queue"]["name"]
+            self._queues[job] = queue
 
     def _apply_cancellation(self, job: str, value: bytes | None) -> None:
         if value is None:
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
@@ -8,13 +8,24 @@
 import json
 from typing import Any, NamedTuple
 
-from azurecleat_base import Resources
+from azurecleat_base import Resources, describe, parse_json, split_address
+from azurecleat_base.exceptions import DocumentError
 
 from azurecleat_cluster._internal.values import AdviceTerms, JobSpec, Queue, Step
 
-DECODE_ERRORS = (KeyError, IndexError, TypeError, AttributeError, RecursionError)
+DECODE_ERRORS = (KeyError, IndexError, TypeError, AttributeError, OverflowError)
 """Exceptions, apart from ValueError, that decoding a malformed record may raise."""
 
+MAX_KEY_BYTES = 255
+"""Length of a record's key that the log allows."""
+
+MAX_NUMBER = 1 << 53
+"""Largest number in a record: times, counts, sizes and epochs are all below."""
+
+MAX_TASKS = 1_000_000
+"""Most tasks and steps of a job over all its occurrences, far above what is accepted now: an owner
+holds them in memory."""
+
 SUBMISSION = "s/"
 CANCELLATION = "c/"
 INSTANCE = "i/"
@@ -123,12 +134,26 @@
 NO_RESOURCES = Resources(0, 0, 0)
 
 
+def is_key(key: str) -> bool:
+    """Whether the log takes a record with this key, or of another kind with the same name.
+
+    A key that was read has replacement characters, which are longer, where it is not UTF-8.
+    """
+    try:
+        return len(key.encode()) <= MAX_KEY_BYTES
+    except UnicodeEncodeError:
+        return False
+
+
 def load(value: str | bytes) -> Any:
     """Parses a JSON value.
 
-    :raises ValueError: The value is not JSON.
+    :raises ValueError: The value is not JSON, or nested too deeply.
     """
-    return json.loads(value)
+    try:
+        return parse_json(value, "record")
+    except DocumentError as error:
+        raise ValueError(str(error)) from None
 
 
 def dump(value: Any) -> bytes:
@@ -155,15 +180,18 @@
     :raises ValueError: The value is not an encoded submission.
     """
     try:
-        data = json.loads(value)
+        data = load(value)
         queue = data["queue"]
         if queue.get("advice"):
             queue["advice"] = AdviceTerms(*queue["advice"])
         steps = tuple(_step(step) for step in data["steps"])
-        spec = JobSpec(data["payload"], steps, *data["times"])
-        return Submission(job, data["team"], Queue(**queue), spec)
+        spec = JobSpec(_text(data["payload"]), steps, *data["times"])
+        total = sum(step.count for step in steps) * spec.occurrences
+        if not max(total, len(steps) * spec.occurrences) <= MAX_TASKS:
+            raise ValueError("it has too many tasks")
+        return Submission(job, _text(data["team"]), Queue(**queue), spec)
     except DECODE_ERRORS as error:
-        raise ValueError(f"submission of {job}: {error!r}") from error
+        raise ValueError(f"submission of {job}: {describe(error)}") from None
 
 
 def claim_key(claim: Claim) -> str:
@@ -180,9 +208,11 @@
     :raises ValueError: The value is not an encoded claim.
     """
     try:
-        return Claim(**json.loads(value))
+        claim = Claim(**load(value))
+        _check_numbers(claim.epoch, whole=True)
+        return claim._replace(instance=_text(claim.instance), address=_text(claim.address))
     except TypeError as error:
-        raise ValueError(f"claim: {error}") from error
+        raise ValueError(f"claim: {describe(error)}") from None
 
 
 def encode_instance(entry: InstanceEntry) -> bytes:
@@ -195,9 +225,11 @@
     :raises ValueError: The value is not an encoded entry.
     """
     try:
-        return InstanceEntry(**json.loads(value))
+        entry = InstanceEntry(**load(value))
+        _check_numbers(entry.started, entry.cores)
+        return entry._replace(address=_text(entry.address))
     except TypeError as error:
-        raise ValueError(f"instance: {error}") from error
+        raise ValueError(f"instance: {describe(error)}") from None
 
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
@@ -207,7 +239,9 @@
 def decode_heartbeat(value: bytes) -> Heartbeat | None:
     """Decodes a heartbeat; None if it names no horizon, as that of an earlier version."""
     try:
-        return Heartbeat(**json.loads(value))
+        heartbeat = Heartbeat(**load(value))
+        _check_numbers(*heartbeat, whole=True)
+        return heartbeat
     except (TypeError, ValueError):
         return None
 
@@ -238,7 +272,7 @@
     :raises ValueError: The value is not an encoded progress.
     """
     try:
-        data = json.loads(value)
+        data = load(value)
         steps = {}
         crashes = data.get("crashes", {})
         for name, (done, failures, checkpoints, last_run) in data["steps"].items():
@@ -255,7 +289,7 @@
             )
         return Progress(data["begun"], data["outcome"], steps)
     except DECODE_ERRORS as error:
-        raise ValueError(f"progress: {error!r}") from error
+        raise ValueError(f"progress: {describe(error)}") from None
 
 
 def outcome_of(value: bytes) -> tuple[bool, str]:
@@ -263,10 +297,39 @@
 
     :param value: Encoded progress.
     """
-    data = json.loads(value)
+    data = load(value)
     return data["begun"], data["outcome"]
 
 
+def decode_target(value: str) -> tuple[str, str, int]:
+    """Decodes address, pool and start time, in Unix milliseconds, of a target in use.
+
+    :raises ValueError: The value is not the record of a target.
+    """
+    try:
+        address, pool, started_at_ms = load(value)
+        _check_numbers(started_at_ms, whole=True)
+        split_address(_text(address))
+        return address, _text(pool), started_at_ms
+    except TypeError as error:
+        raise ValueError(f"target: {describe(error)}") from None
+
+
+def _check_numbers(*values: Any, whole: bool = False) -> None:
+    """Raises an error if a value is not a number in the range of records."""
+    for value in values:
+        if isinstance(value, bool) or not isinstance(value, int if whole else int | float):
+            raise TypeError(f"a number is a {type(value).__name__}")
+        if not 0 <= value <= MAX_NUMBER:  # NaN is in no range.
+            raise ValueError("a number is negative or too large")
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"a text is a {type(value).__name__}")
+    return value
+
+
 def _compact(value: NamedTuple, defaults: dict[str, Any]) -> dict[str, Any]:
     fields = value._asdict()
     return {name: item for name, item in fields.items() if item != defaults.get(name, _MISSING)}
@@ -278,7 +341,10 @@
 def _step(fields: dict[str, Any]) -> Step:
     fields["need"] = Resources(*fields["need"])
     fields["depends_on"] = tuple(fields.get("depends_on", ()))
-    return Step(**fields)
+    step = Step(**fields)
+    _check_numbers(step.count, *step.need, *step.depends_on, step.max_per_target, whole=True)
+    _check_numbers(step.estimate_ms, step.target_ms)
+    return step
 
 
 def _to_ranges(indices: tuple[int, ...]) -> list[list[int]]:
@@ -292,4 +358,8 @@
 
 
 def _from_ranges(ranges: list[list[int]]) -> tuple[int, ...]:
+    for first, last in ranges:
+        _check_numbers(first, last, whole=True)
+        if last > MAX_TASKS:
+            raise ValueError("a task's index is too large")
     return tuple(index for first, last in ranges for index in range(first, last + 1))
