End the term when its progress cannot be written

Seen: after an error of an unexpected kind in an append or in the encoding of a job's progress, the thread that writes progress and heartbeats ended. The instance remained an owner that could not act and did not give up; callers waited until another instance counted it as silent.

Cause: the thread handles errors of the log only.

Evidence: tests.unit.cluster.test_odd_records.ProgressWriterTest failed before (nothing within 10 s), and passes now.

Why it works: the thread reports whatever ends it as the loss of ownership, with the error as the reason, so that the term ends and the next one begins at once.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/progress.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/progress.py
@@ -6,7 +6,7 @@
 import traceback
 from collections.abc import Callable
 
-from azurecleat_base import Clock
+from azurecleat_base import Clock, describe
 from azurecleat_base.exceptions import FencedError, LogError
 
 from azurecleat_cluster._internal.metrics import Metrics
@@ -38,7 +38,8 @@
     :param start_horizon: Published with the records, and as the heartbeat.
     :param on_recorded: Called with each record once it is in the log.
     :param on_proof: Called after each successful append with the time at which it was sent.
-    :param on_fenced: Called with the reason when the log has seen a writer with a higher epoch.
+    :param on_fenced: Called with the reason when the log has seen a writer with a higher epoch,
+        or nothing more can be written.
     """
 
     def __init__(
@@ -113,6 +114,14 @@
             self._changed.notify_all()
 
     def _run(self) -> None:
+        try:
+            self._write_all()
+        except Exception as error:
+            # Without heartbeats this instance would neither act nor give up ownership.
+            traceback.print_exc()
+            self._on_fenced(f"progress cannot be written: {describe(error)}")
+
+    def _write_all(self) -> None:
         while True:
             with self._changed:
                 if not self._commit_callbacks and not self._records and not self._stopping:
--- a/tests/unit/cluster/test_odd_records.py
+++ b/tests/unit/cluster/test_odd_records.py
@@ -6,12 +6,16 @@
 import json
 import threading
 import unittest
+from contextlib import redirect_stderr
 from typing import Any
 
 from azurecleat_base import ManualClock
 from azurecleat_base.exceptions import DocumentError
 from azurecleat_cluster import EventLog
+from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.owner.claim_order import ClaimOrder
+from azurecleat_cluster._internal.owner.progress import ProgressWriter
+from azurecleat_cluster._internal.owner.start_horizon import StartHorizon
 from azurecleat_cluster._internal.owner.term_runner import TermRunner
 from azurecleat_cluster._internal.replica import records
 from azurecleat_cluster._internal.replica.follower import Follower
@@ -173,5 +177,30 @@
             records.decode_progress(progress)
 
 
+class ProgressWriterTest(unittest.TestCase):
+    """The thread that writes progress, and a record that cannot be written."""
+
+    # The thread ended, and the instance remained an owner that neither acted nor gave up.
+    def test_ownership_is_given_up(self) -> None:
+        lost: list[str] = []
+        clock, ended = ManualClock(), threading.Event()
+        writer = ProgressWriter(
+            KeyedMemoryLog(),
+            1,
+            clock,
+            Metrics(),
+            StartHorizon(1, lambda: 0, lambda: 0.0, clock),
+            lambda record: None,
+            lambda sent_at: None,
+            lambda reason: (lost.append(reason), ended.set()),
+        )
+        writer.put("key", lambda: 1 / 0)
+        with redirect_stderr(io.StringIO()):
+            writer.start()
+            self.assertTrue(ended.wait(WAIT_S))
+            writer.stop(WAIT_S)
+        self.assertIn("ZeroDivisionError", lost[0])
+
+
 if __name__ == "__main__":
     unittest.main()
