Answer malformed requests of instances with 400, and shorten log lines

Seen: a request on the port for other instances that is a list, a number, nested too deeply, or whose value is no text, failed with AttributeError or RecursionError in the handler, which the server answers with its own page for status 500. A line of the log about an odd record quoted all of it: 2 MB for a record of 1 MB.

Cause: the handler expected an object with texts; the log wrote fields as they are.

Evidence: OddRequestsTest (4 of its bodies) and EventLogTest (2,000,112 characters) of tests.unit.cluster.test_odd_records failed before.

Why it works: requests and answers of instances are parsed as an object with the bounds of the other documents; a text in a line has at most 1,000 characters.

--- a/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/eventlog.py
@@ -30,6 +30,10 @@
 """Lines per write. A write of up to 4 KiB to a pipe is atomic, so lines are not split."""
 
 
+MAX_TEXT_CHARS = 1_000
+"""Length to which a field's text is shortened."""
+
+
 class LogEvent(NamedTuple):
     """A type of log line: a stable number, a name and the names of its fields."""
 
@@ -116,8 +120,13 @@
 
 
 def _plain(value: Any) -> Any:
-    """Converts tuples such as task ids to text, because JSON would write them as lists."""
-    return str(value) if isinstance(value, tuple) else value
+    """Converts errors, and tuples such as task ids, to text: JSON would write tuples as lists.
+
+    Shortens texts, which may quote a document of another writer.
+    """
+    text = str(value) if isinstance(value, tuple | Exception) else value
+    is_long = isinstance(text, str) and len(text) > MAX_TEXT_CHARS
+    return f"{text[:MAX_TEXT_CHARS]}..." if is_long else text
 
 
 LINES_LEFT_OUT = LogEvent(700, "log.lines_left_out", "total")
--- a/libs/cluster/src/azurecleat_cluster/_internal/peers.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/peers.py
@@ -14,9 +14,16 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import Any, Protocol
 
-from azurecleat_base import AnswerLostError, Clock, HttpClient, NotSentError
+from azurecleat_base import (
+    AnswerLostError,
+    Clock,
+    HttpClient,
+    NotSentError,
+    parse_json_object,
+)
 from azurecleat_base.exceptions import (
     AzurecleatError,
+    DocumentError,
     LogUnavailableError,
     PeerAnswerLostError,
     PeerNotSentError,
@@ -29,6 +36,7 @@
 from azurecleat_cluster._internal.ports import Adviser
 from azurecleat_cluster._internal.replica.appender import GroupAppender
 from azurecleat_cluster._internal.replica.jobs import JobReplica
+from azurecleat_cluster._internal.replica.records import is_key
 from azurecleat_cluster._internal.values import JobState
 
 REQUEST_TIMEOUT_S = 0.4
@@ -58,9 +66,6 @@
 
 MAX_BODY_BYTES = 1 << 20
 
-MAX_KEY_BYTES = 255
-"""Length of a record's key that the log allows."""
-
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
@@ -94,8 +99,8 @@
         if answer.status != 200:
             raise PeerStatusError(f"answered {answer.status}", step=step, peer=self._address)
         try:
-            return json.loads(answer.body)
-        except (ValueError, RecursionError) as error:
+            return parse_json_object(answer.body, "answer")
+        except DocumentError as error:
             raise PeerAnswerLostError(str(error), step=step, peer=self._address) from error
 
     def close(self) -> None:
@@ -295,9 +300,9 @@
     def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
         try:
             length = min(int(environ.get("CONTENT_LENGTH") or 0), MAX_BODY_BYTES)
-            fields = json.loads(environ["wsgi.input"].read(length) or b"{}")
+            fields = parse_json_object(environ["wsgi.input"].read(length) or b"{}", "request")
             answer = self._answer(environ["PATH_INFO"], fields)
-        except (ValueError, KeyError, TypeError):
+        except (DocumentError, ValueError, KeyError, TypeError, AttributeError, OverflowError):
             return _respond(start, "400 Bad Request", {})
         except AzurecleatError as error:
             return _respond(start, "503 Service Unavailable", {"error": str(error)})
@@ -341,7 +346,7 @@
         :param append_id: Id that the other instance gave the append; empty if that instance is of
             an earlier version, which names only the key.
         """
-        if not isinstance(key, str) or len(key.encode()) > MAX_KEY_BYTES:
+        if not isinstance(key, str) or not is_key(key):
             raise ValueError("a key is a text of limited length")
         if self._is_log_lost():
             return AppendOutcome.NOT_SENT
--- a/tests/unit/cluster/test_odd_records.py
+++ b/tests/unit/cluster/test_odd_records.py
@@ -12,11 +12,13 @@
 from azurecleat_base import ManualClock
 from azurecleat_base.exceptions import DocumentError
 from azurecleat_cluster import EventLog
+from azurecleat_cluster._internal.eventlog import RECORD_UNREADABLE
 from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.owner.claim_order import ClaimOrder
 from azurecleat_cluster._internal.owner.progress import ProgressWriter
 from azurecleat_cluster._internal.owner.start_horizon import StartHorizon
 from azurecleat_cluster._internal.owner.term_runner import TermRunner
+from azurecleat_cluster._internal.peers import PeerApplication
 from azurecleat_cluster._internal.replica import records
 from azurecleat_cluster._internal.replica.follower import Follower
 from azurecleat_cluster._internal.replica.jobs import JobReplica
@@ -202,5 +204,37 @@
         self.assertIn("ZeroDivisionError", lost[0])
 
 
+class OddRequestsTest(unittest.TestCase):
+    """Requests on the port for other instances."""
+
+    # The handler failed with an error that the server answers with a page of its own.
+    def test_malformed_request_is_answered_as_such(self) -> None:
+        application = PeerApplication(JobReplica(), None, None, None, lambda: False)
+        bodies = [b"[]", b"7", b"\xff", b"[" * 100_000, b'{"key":"k","value":7}', b'{"value":"v"}']
+        bodies += [b'{"key":%s,"value":"v"}' % each.encode() for each in (NESTED, "7", '"\\ud800"')]
+        for body in bodies:
+            environ = {
+                "PATH_INFO": "/append",
+                "CONTENT_LENGTH": str(len(body)),
+                "wsgi.input": io.BytesIO(body),
+            }
+            statuses: list[str] = []
+            with self.subTest(body=body[:60]):
+                application(environ, lambda status, _, statuses=statuses: statuses.append(status))
+                self.assertEqual(statuses, ["400 Bad Request"])
+
+
+class EventLogTest(unittest.TestCase):
+    """Lines about odd records."""
+
+    def test_long_text_is_shortened(self) -> None:
+        output = io.StringIO()
+        events = EventLog("test", output)
+        events.start()
+        events.write(RECORD_UNREADABLE, stream="s", key="k" * 10**6, error=ValueError("x" * 10**6))
+        events.stop()
+        self.assertLess(len(output.getvalue()), 4_000)
+
+
 if __name__ == "__main__":
     unittest.main()
