Read the good entries of an instance list beside odd ones

Seen (the core without the users' platform): one entry of the instance list with an unknown kind, a missing field or an odd capacity failed each read of the list, so that no later target was ever used. An answer of the log or of a target that could not be read raised errors that their callers do not handle as those of a dependency.

Why it works: an entry that cannot be used is left out, or replaced by the last good one of its name; addresses and numbers are checked where it is decoded. A whole answer that cannot be read counts as one that was not received.

--- a/libs/platform/src/azurecleat_platform/_internal/http_log.py
+++ b/libs/platform/src/azurecleat_platform/_internal/http_log.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import base64
-import json
+from typing import Any
 
 from azurecleat_base import (
     AnswerLostError,
     HttpClient,
     HttpResponse,
     NotSentError,
+    describe,
+    parse_json_object,
 )
 from azurecleat_coordination import ReadResult
 from azurecleat_model.exceptions import (
     AppendUnknownError,
+    DocumentError,
     LogUnavailableError,
     OffsetForgottenError,
 )
@@ -22,6 +25,9 @@
 STATUS_GONE = 410
 STATUS_UNAVAILABLE = 503
 
+DECODE_ERRORS = (DocumentError, KeyError, TypeError, ValueError, OverflowError)
+"""Exceptions that decoding a malformed answer may raise."""
+
 
 class HttpLog:
     """The platform's log, accessed over HTTP.
@@ -58,7 +64,12 @@
                 step="log.append",
                 peer=self._client.address,
             )
-        return int(json.loads(response.body)["offset"])
+        try:
+            return int(_parse(response)["offset"])
+        except DECODE_ERRORS as error:
+            raise AppendUnknownError(
+                describe(error), step="log.append", peer=self._client.address
+            ) from None
 
     def read(self, offset: int, limit: int) -> ReadResult:
         """Reads up to ``limit`` entries, starting at an offset.
@@ -73,13 +84,19 @@
                 step="log.read",
                 peer=self._client.address,
             )
-        value = json.loads(response.body)
-        entries = tuple((at, base64.b64decode(data)) for at, data in value["entries"])
-        return ReadResult(entries, value["tail"])
+        try:
+            value = _parse(response)
+            entries = tuple((int(at), base64.b64decode(data)) for at, data in value["entries"])
+            return ReadResult(entries, int(value["tail"]))
+        except DECODE_ERRORS as error:
+            raise self._unavailable("log.read", describe(error)) from None
 
     def first_offset(self) -> int:
         """Returns the oldest offset that is still retained."""
-        return int(json.loads(self._get("/first").body)["first"])
+        try:
+            return int(_parse(self._get("/first"))["first"])
+        except DECODE_ERRORS as error:
+            raise self._unavailable("log.read", describe(error)) from None
 
     def close(self) -> None:
         """Closes idle connections."""
@@ -98,3 +115,7 @@
         return LogUnavailableError(
             f"the log is not available: {error}", step=step, peer=self._client.address
         )
+
+
+def _parse(response: HttpResponse) -> dict[str, Any]:
+    return parse_json_object(response.body, "answer")
--- a/libs/platform/src/azurecleat_platform/_internal/http_targets.py
+++ b/libs/platform/src/azurecleat_platform/_internal/http_targets.py
@@ -3,11 +3,21 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterable
 from typing import Any
 
-from azurecleat_base import AnswerLostError, HttpClient, HttpResponse, NotSentError
+from azurecleat_base import (
+    AnswerLostError,
+    HttpClient,
+    HttpResponse,
+    NotSentError,
+    describe,
+    parse_json_object,
+    split_address,
+)
 from azurecleat_model import Resources, to_plain
 from azurecleat_model.exceptions import (
+    DocumentError,
     FencedError,
     LogUnavailableError,
     NotRunError,
@@ -27,6 +37,14 @@
 STATUS_NOT_MODIFIED = 304
 CONTROL_TIMEOUT_S = 2.0
 
+MAX_NUMBER = 1 << 53
+"""Largest amount of a target, and the largest number that every JSON implementation keeps exact."""
+
+MAX_TEXT_CHARS = 1_000
+
+DECODE_ERRORS = (DocumentError, KeyError, TypeError, ValueError, AttributeError, OverflowError)
+"""Exceptions that decoding a malformed answer may raise."""
+
 
 class HttpTarget:
     """A runner or worker, accessed over HTTP.
@@ -42,8 +60,12 @@
     def control(self, request: ControlRequest) -> ControlReply:
         """Renews the lease and sends commands; see :meth:`TargetClient.control`."""
         body = json.dumps(_without_defaults(request), separators=(",", ":")).encode()
-        response = self._call("/control", body, {}, CONTROL_TIMEOUT_S, "target.control")
-        return _decode_reply(json.loads(response.body))
+        step = "target.control"
+        response = self._call("/control", body, {}, CONTROL_TIMEOUT_S, step)
+        try:
+            return _decode_reply(parse_json_object(response.body, "answer"))
+        except DECODE_ERRORS as error:
+            raise OutcomeUnknownError(describe(error), step=step, peer=self._name) from None
 
     def run(self, request_id: str, epoch: int, body: bytes, timeout_s: float) -> bytes:
         """Runs one request and returns its complete answer; see :meth:`RunnerClient.run`."""
@@ -69,7 +91,10 @@
             case 200:
                 return response
             case 409:
-                epoch = int(json.loads(response.body)["epoch"])
+                try:
+                    epoch = int(parse_json_object(response.body, "answer")["epoch"])
+                except DECODE_ERRORS as error:
+                    raise OutcomeUnknownError(describe(error), step=step, peer=self._name) from None
                 detail = f"epoch {epoch} has control"
                 raise FencedError(detail, epoch=epoch, step=step, peer=self._name)
             case 503:
@@ -90,6 +115,9 @@
     def targets(self) -> list[Target]:
         """Returns the runners and workers currently listed.
 
+        An entry that cannot be used names no target, and a target that was listed before keeps its
+        last entry while its name is listed.
+
         Most reads find the list unchanged; an entity tag keeps such a read to a few bytes.
         """
         headers = {"If-None-Match": self._etag} if self._etag else {}
@@ -103,7 +131,11 @@
             return self._listed
         if response.status != STATUS_OK:
             raise self._unavailable(f"status {response.status}")
-        self._listed = [target_from_plain(value) for value in json.loads(response.body)["targets"]]
+        try:
+            values = parse_json_object(response.body, "list")["targets"]
+            self._listed = list(self._usable(values))
+        except (DocumentError, KeyError, TypeError) as error:
+            raise self._unavailable(describe(error)) from None
         self._etag = response.headers.get("ETag", "")
         return self._listed
 
@@ -111,6 +143,16 @@
         """Closes idle connections."""
         self._client.close()
 
+    def _usable(self, values: Iterable[Any]) -> Iterable[Target]:
+        known = {target.name: target for target in self._listed}
+        for value in values:
+            try:
+                yield target_from_plain(value)
+            except DocumentError:
+                name = value.get("name") if isinstance(value, dict) else None
+                if isinstance(name, str) and name in known:
+                    yield known[name]
+
     def _unavailable(self, problem: str) -> LogUnavailableError:
         return LogUnavailableError(
             f"the instance list is not available: {problem}",
@@ -120,11 +162,25 @@
 
 
 def target_from_plain(value: dict[str, Any]) -> Target:
-    """Creates a target from its JSON value."""
-    fields = dict(value)
-    fields["kind"] = TargetKind(fields["kind"])
-    fields["capacity"] = Resources(**fields["capacity"])
-    return Target(**fields)
+    """Creates a target from its JSON value.
+
+    :raises DocumentError: The value describes no target that can be used.
+    """
+    try:
+        fields = dict(value)
+        fields["kind"] = TargetKind(fields["kind"])
+        fields["capacity"] = Resources(**fields["capacity"])
+        target = Target(**fields)
+        split_address(target.address)
+        for text in (target.name, target.zone, target.rack):
+            if not isinstance(text, str) or len(text) > MAX_TEXT_CHARS:
+                raise ValueError("a text is of another type or too long")
+        for number in (*target.capacity, target.slots, target.connections):
+            if not isinstance(number, int) or not 0 <= number <= MAX_NUMBER:
+                raise ValueError("a number is of another type or out of range")
+    except DECODE_ERRORS as error:
+        raise DocumentError(f"target: {describe(error)}", step="list.decode") from None
+    return target
 
 
 def _without_defaults(request: ControlRequest) -> dict[str, Any]:
