Go on after a log entry that is nested deeply or cannot be applied

Every replica stayed there.

Cause: decoding expected fewer kinds of errors than there are, and an error while an entry is applied left the position before it.

Why it works: entries are parsed with the bounds of the other documents, all errors of decoding are DocumentError, and the position moves on in any case. The same entry is skipped on every replica, as the outcome depends on the entry and the state only.

--- a/libs/coordination/src/azurecleat_coordination/_internal/records.py
+++ b/libs/coordination/src/azurecleat_coordination/_internal/records.py
@@ -10,6 +10,7 @@
 import zlib
 from typing import Any, NamedTuple, get_args
 
+from azurecleat_base import describe, parse_json
 from azurecleat_model import Job, KeyHash, Quota, to_plain
 from azurecleat_model.exceptions import DocumentError
 from pydantic import TypeAdapter, ValidationError
@@ -19,6 +20,18 @@
 _COMPRESSED_MARKER = b"Z"
 
 
+DECODE_ERRORS = (
+    DocumentError,
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    zlib.error,
+    ValidationError,
+)
+"""Exceptions that decoding a malformed entry may raise."""
+
+
 class Promote(NamedTuple):
     """Puts an environment document in force if ``base`` is still the version in force."""
 
@@ -226,10 +239,14 @@
     """
     try:
         text = zlib.decompress(data[1:]) if data[:1] == _COMPRESSED_MARKER else data[1:]
-        writer, sequence, events = json.loads(text)
+        writer, sequence, events = parse_json(text, "log entry")
         decoded = tuple(_decode_event(event) for event in events)
-    except (ValueError, KeyError, TypeError, zlib.error, ValidationError) as error:
-        raise DocumentError(f"log entry cannot be decoded: {error}", step="log.decode") from None
+    except DECODE_ERRORS as error:
+        raise DocumentError(
+            f"log entry cannot be decoded: {describe(error)}", step="log.decode"
+        ) from None
+    if not isinstance(writer, str) or not isinstance(sequence, int):
+        raise DocumentError("log entry names no writer and sequence", step="log.decode")
     return Entry(writer, sequence, decoded)
 
 
--- a/libs/coordination/src/azurecleat_coordination/_internal/replica.py
+++ b/libs/coordination/src/azurecleat_coordination/_internal/replica.py
@@ -86,7 +86,7 @@
 
     @property
     def undecodable(self) -> int:
-        """Number of entries skipped because they cannot be decoded."""
+        """Number of entries skipped because they cannot be decoded or applied."""
         return self._undecodable
 
     @property
@@ -189,7 +189,11 @@
             self._position = offset + 1
             return
         with self._lock:
-            results = self._apply_entry(offset, entry)
+            try:
+                results = self._apply_entry(offset, entry)
+            except Exception:  # One entry must not keep the later ones from being applied.
+                self._undecodable += 1
+                results = None
             self._position = offset + 1
         if results is not None:
             for listener in self._listeners:
--- a/libs/daemon/src/azurecleat_daemon/_internal/http_api.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/http_api.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
+from azurecleat_base import parse_json
 from azurecleat_model import ExecutionStatus, KeyHash, RequestSpec, validate
 from azurecleat_model.events import COMPONENT_FAILED, log_event
 from azurecleat_model.exceptions import AzurecleatError, DocumentError
@@ -72,8 +73,8 @@
         :raises RefusalError: The body is not JSON.
         """
         try:
-            return json.loads(self.body)
-        except (ValueError, RecursionError):
+            return parse_json(self.body, "the body")
+        except DocumentError:
             raise RefusalError("bad-request", "the body is not JSON", status=400) from None
 
 
--- a/tests/unit/coordination/test_replica.py
+++ b/tests/unit/coordination/test_replica.py
@@ -13,6 +13,7 @@
     GiveKey,
     Intend,
     Promote,
+    SnapshotChunk,
     Transfer,
     WithdrawKey,
     encode_entry,
@@ -252,6 +253,19 @@
         self.assertEqual(self.one.replica.undecodable, 1)
         self.assertIn("k9", self.one.replica.fleet.configuration.withdrawn)
 
+    # One entry of another writer kept all instances from reading the later ones.
+    def test_odd_entries_are_counted_and_skipped(self) -> None:
+        chunk = SnapshotChunk("fleet", "odd", 0, 0, 1, "not a snapshot")
+        odd = [b"J" + b"[" * 100_000, b'J["x",1,[[]]]', b'J["x",1,[7]]', b'J["x","1",[]]']
+        odd += [b'J["x",1e400,[]]', b"J[{},1,[]]", b"Zx", b"", b"J\xff"]
+        odd.append(encode_entry(Entry("odd", 1, (chunk,))))
+        for data in odd:
+            self.log.append(data)
+        self.log.append(encode_entry(Entry("x", 1, (WithdrawKey("k9"),))))
+        self.one.replica.catch_up()
+        self.assertEqual(self.one.replica.undecodable, len(odd))
+        self.assertIn("k9", self.one.replica.fleet.configuration.withdrawn)
+
     def test_read_from_a_lagging_log_replica_does_not_count_as_reaching_the_tail(self) -> None:
         before = self.one.replica.reached_tail_at
         self.log.faults = Faults(read_lag=3)
