Treat an instance's answer that cannot be read as none

Seen: an answer of another instance without the expected field, or with another state, raised KeyError or ValueError through the front to its caller.

Why it works: such a state or count is taken from the replica, as without an answer, and such an append counts as unknown, since it may have been made.

--- a/libs/cluster/src/azurecleat_cluster/_internal/peers.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/peers.py
@@ -157,12 +157,16 @@
         self._backoff = backoff or BackOff(clock)
 
     def state(self, job: str) -> JobState | None:
-        answer = self._request_owner("state", {"job": job}, REQUEST_TIMEOUT_S)
-        return JobState(answer["state"]) if answer and answer["state"] else None
+        answer = self._request_owner("state", {"job": job}, REQUEST_TIMEOUT_S) or {}
+        try:
+            return JobState(answer["state"]) if answer.get("state") else None
+        except ValueError:
+            return None  # The caller of this method falls back on the replica.
 
     def pending(self, queue: str) -> int | None:
         answer = self._request_owner("pending", {"queue": queue}, REQUEST_TIMEOUT_S)
-        return answer["count"] if answer else None
+        count = answer.get("count") if answer else None
+        return count if isinstance(count, int) else None
 
     def append(
         self, key: str, value: bytes, timeout_s: float, should_give_up: Callable[[], bool]
@@ -219,7 +223,10 @@
         self, address: str, operation: str, fields: dict[str, str], timeout_s: float
     ) -> AppendOutcome:
         answer = self._request(address, operation, fields, timeout_s)
-        return decode_append_outcome(answer, fields["id"])
+        try:
+            return decode_append_outcome(answer, fields["id"])
+        except (KeyError, ValueError):
+            return AppendOutcome.UNKNOWN
 
     def batcher_address(self) -> str | None:
         """Returns the batching instance's address, None if that is this instance or there is none.
--- a/tests/unit/cluster/test_peers.py
+++ b/tests/unit/cluster/test_peers.py
@@ -67,6 +67,18 @@
         peer = ScriptedPeer(PeerNotSentError("connection refused"))
         self.assertEqual(self.append(peer), AppendOutcome.NOT_SENT)
 
+    # The error passed on to the caller of the instance.
+    def test_answer_that_cannot_be_read_counts_as_none(self) -> None:
+        replica = JobReplica()
+        claim = records.Claim(1, "b#1", BATCHER)
+        replica.apply_job(LogRecord(records.claim_key(claim), records.encode_claim(claim), 0))
+        client = PeerOwnerClient("a", "10.0.0.3:1", replica, ManualClock())
+        for odd in ({}, {"outcome": 7, "state": "odd", "count": "7"}, {"outcome": [], "state": []}):
+            with self.subTest(odd=odd):
+                client._peers[BATCHER] = ScriptedPeer(odd, odd)
+                self.assertEqual((client.state("job"), client.pending("q")), (None, None))
+                self.assertIs(self.append(ScriptedPeer(odd)), AppendOutcome.UNKNOWN)
+
     # Guards against a rejection of a job that runs: the record is queued at the batching instance
     # when that instance refuses the connection for the next request.
     def test_outcome_of_a_queued_append_is_unknown_after_any_failure(self) -> None:
