--- a/tests/unit/adapter/test_documents.py
+++ b/tests/unit/adapter/test_documents.py
@@ -140,6 +140,15 @@
         self.assertEqual([(each.key, each.value) for each in page.records], records)
         self.assertEqual(page.next_offset, 4 + len(records))
 
+    # The read of a record without a key failed again and again, so that no later one was read.
+    def test_record_without_a_key_is_passed(self) -> None:
+        for odd in (b"", b"\x09short"):
+            body = bytes(16) + len(odd).to_bytes(4, "big") + odd + _encode_record("key", b"value")
+            page = _decode_page(body, 5)
+            with self.subTest(odd=odd):
+                self.assertEqual([each.key for each in page.records], ["", "key"])
+                self.assertEqual((page.records[0].value, page.next_offset), (None, 7))
+
     def test_truncated_answer_is_rejected_at_each_length(self) -> None:
         whole = bytes(16) + _encode_record("key", b"value")
         for size in range(len(whole)):
@@ -170,12 +179,26 @@
             ("max_hold_ms = 10000", "max_hold_ms = -1", "bounds.max_hold_ms"),
             ("max_hold_ms = 10000", "", "bounds.max_hold_ms"),
             ("[7420, 7422]", "[7420]", "port_range"),
+            ("max_hold_ms = 10000", "max_hold_ms = inf", "bounds.max_hold_ms"),
+            ("max_hold_ms = 10000", "max_hold_ms = nan", "bounds.max_hold_ms"),
+            ("memory_mb = 300", f"memory_mb = {10**400}", "limits.memory_mb"),
+            ("memory_mb = 300", "memory_mb = inf", "limits.memory_mb"),
+            ('node = "n"', f"node = {'[' * 900}{']' * 900}", "cannot be read|node"),
+            ('node = "n"', f"node = {'[' * 9000}{']' * 9000}", "cannot be read"),
             ("[platform]", "[store]", "platform.address"),
             ("[listen]", "[listen", "cannot be read"),
         ):
             with self.subTest(new=new), self.assertRaisesRegex(SettingsError, named):
                 self.read(good.replace(old, new))
 
+    # The thread that watches the file ended.
+    def test_file_that_is_not_text(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "boot.toml"
+            path.write_bytes(b"node = \xff")
+            with self.assertRaises(SettingsError):
+                read_settings(str(path))
+
 
 class FolderTest(unittest.TestCase):
     """Separation of the folder ``platform`` from the standard library and from the core."""
