Show on the program that odd jobs and configurations leave it running

Seen before the bounds of parsed documents: a caller's job with a value nested about 900 levels deep ended the process that it was sent to (its front refused the next connection), and a configuration record of that kind ended both. Four jobs whose "image" was a list were accepted.

--- a/tests/functional/test_odd_entries.py
+++ b/tests/functional/test_odd_entries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import tempfile
 import time
@@ -10,7 +11,13 @@
 
 from tests.lib.fake_platform import FakePlatform
 from tests.lib.instance_process import InstanceProcess, wait_for
-from tests.lib.odd_documents import odd_target_entries
+from tests.lib.odd_documents import (
+    EXTREME_DEPTH,
+    HUGE_NUMBERS,
+    nested_values,
+    odd_target_entries,
+    with_field,
+)
 
 ENTRY = {
     "service": "pool",
@@ -54,6 +61,9 @@
             event for each in self.instances for event in each.events() if event["name"] == name
         ]
 
+    def front(self, number: int) -> tuple[str, int]:
+        return "127.0.0.1", self.instances[number].ports[0]
+
     def check_later_target_is_used(self, odd: list[tuple[str, bytes]]) -> None:
         for key, value in odd:
             self.platform.log.append("keyed.servers", [(key, value)], 1.0)
@@ -84,6 +94,44 @@
     def test_odd_entries_under_the_id_of_a_known_target(self) -> None:
         self.check_later_target_is_used([("i-0", value) for value in odd_target_entries(ENTRY)])
 
+    # A caller's job with a nested value ended the process that it was sent to.
+    def test_odd_jobs_of_callers(self) -> None:
+        good = {"spec": "payload", "steps": [{"count": 1, "cpu": 1, "image": "i"}]}
+        odd = [
+            with_field(good, path, text)
+            for text in nested_values()
+            for path in ("spec", "steps", "steps.0.cpu", "steps.0.image", "steps.0.count")
+        ]
+        odd += [
+            with_field(good, path, number)
+            for number in HUGE_NUMBERS
+            for path in ("steps.0.count", "steps.0.cpu")
+        ]
+        odd += [b"\xff", b"[" * EXTREME_DEPTH]
+        for number, body in enumerate(odd):
+            connection = http.client.HTTPConnection(*self.front(0), timeout=5.0)
+            headers = {"Host": "h.example", "Api-Key": "key"}
+            connection.request("POST", f"/jobs/{number:016x}", body, headers)
+            with self.subTest(body=body[:90]):
+                self.assertEqual(connection.getresponse().status, 400)
+            connection.close()
+        self.check_later_target_is_used([])
+
+    # A nested value ended all processes, as each of them reads the configuration.
+    def test_odd_configurations(self) -> None:
+        good = json.loads(self.platform.log.newest("keyed.op").records[0].value)
+        paths = ("version", "routes", "routes.0.name", "routes.0.stretch", "tenants.0.api_keys")
+        odd = [with_field(good, path, text) for text in nested_values() for path in paths]
+        odd += [with_field(good, "version", number) for number in HUGE_NUMBERS]
+        for value in odd:
+            self.platform.log.append("keyed.op", [("config", value)], 1.0)
+        self.platform.configure(2, keys=("key", "new"))
+        wait_for(
+            lambda: self.instances[0].call("GET", "/jobs/", key="new")[0] == 200,
+            "the next version is in force",
+        )
+        self.check_later_target_is_used([])
+
     # The record of a target in use got a key longer than the log allows; writing progress ended.
     def test_ids_that_cannot_be_written_to_the_log_or_sent(self) -> None:
         value = with_address("127.0.0.1:9")
