--- a/libs/base/src/azurecleat_base/_internal/documents.py
+++ b/libs/base/src/azurecleat_base/_internal/documents.py
@@ -21,6 +21,7 @@
 _LABEL = "[A-Za-z0-9_]([A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?"
 _ADDRESS = re.compile(rf"(?P<host>{_LABEL}(\.{_LABEL})*):(?P<port>[0-9]{{1,5}})")
 _IS_NUMERIC = re.compile("[0-9.]+")
+_CONTAINERS = (list, dict)
 MAX_HOST_CHARS = 253
 
 
@@ -84,14 +85,14 @@
 
 
 def _is_nested_too_deeply(value: Any) -> bool:
-    level = [value] if isinstance(value, list | dict) else []
-    for _ in range(MAX_DEPTH + 1):
+    level = [value] if type(value) in _CONTAINERS else []
+    for _ in range(MAX_DEPTH):
+        if not level:
+            return False
         level = [
             inner
             for each in level
-            for inner in (each.values() if isinstance(each, dict) else each)
-            if isinstance(inner, list | dict)
+            for inner in (each.values() if type(each) is dict else each)
+            if type(inner) in _CONTAINERS
         ]
-        if not level:
-            return False
-    return True
+    return bool(level)
