--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/placement.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/placement.py
@@ -7,7 +7,7 @@
 
 from azurecleat_cluster._internal.objectives import MAX_LATE_OBJECTIVES
 from azurecleat_cluster._internal.owner.assignment import Room, assign, assign_anywhere
-from azurecleat_cluster._internal.owner.model import StepInfo, TargetInfo
+from azurecleat_cluster._internal.owner.model import JobInfo, StepInfo, TargetInfo
 from azurecleat_cluster._internal.values import TargetState
 
 UNREGISTERED_GRACE_S = 3.0
@@ -290,9 +290,7 @@
             kind_costs[kind] = _kind_cost(step, kind, preferences)
         group = groups[target.id] = (kind_costs[kind], target.entry.zone)
         capacity_by_group[group] = capacity_by_group.get(group, 0) + count
-    occupied_zones = {
-        run.target.entry.zone for each in step.job.steps.values() for run in each.active.values()
-    }
+    occupied_zones = _occupied_zones(step.job, {zone for _, zone in capacity_by_group})
 
     def group_cost(group: tuple[tuple, str]) -> tuple:
         return (
@@ -321,6 +319,16 @@
     return sorted(candidates, key=cost)
 
 
+def _occupied_zones(job: JobInfo, zones: set[str]) -> set[str]:
+    """Returns those of some zones in which a job has runs."""
+    occupied: set[str] = set()
+    for step in job.steps.values():
+        occupied.update(run.target.entry.zone for run in step.active.values())
+        if zones <= occupied:  # Jobs may have thousands of steps.
+            break
+    return occupied & zones
+
+
 def _kind_cost(step: StepInfo, kind: str, preferences: Preferences) -> tuple:
     """Prefers the slowest kind that is fast enough, so that faster ones stay free."""
     slowness = round(preferences.slowness(kind), 1)
