Name the owner's events where the test of odd entries finds another owner

One run of test_odd_entries_of_unknown_targets failed, beside other tests on a busy machine, and its message was not kept; 21 later runs passed.

--- a/tests/functional/test_odd_entries.py
+++ b/tests/functional/test_odd_entries.py
@@ -80,7 +80,12 @@
         )
         self.assertIn(later, [event["target"] for event in self.names("run.started")])
         self.assertEqual(self.platform.checker.violations, [])
-        self.assertEqual(len(self.names("owner.serving")), 1, "the owner has changed")
+        changes = [
+            event
+            for name in ("owner.claimed", "owner.slow", "owner.ended", "component.failed")
+            for event in self.names(name)
+        ]
+        self.assertEqual(len(self.names("owner.serving")), 1, f"the owner has changed: {changes}")
         targets = {event["target"] for event in self.names("target.added")}
         self.assertEqual(targets, set(self.platform.targets), "an odd entry names a target")
         self.assertEqual(self.names("target.gone"), [])
