Let a target that is made suspect again keep its one probe

Callers saw (simulation): a target that stays slow, and is therefore made suspect anew in each evaluation, got 7 overdue tasks in 2.8 s, where one at a time is meant to be tried there.

Cause: begin_probation forgot the probes. That was harmless while a suspect target got no tasks; now the next overdue task starts beside the one that is tried.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -664,9 +664,11 @@
         return self._isolated_run is not None
 
     def begin_probation(self, now: float) -> None:
-        """Begins probation, or begins it anew: the runs started until now are no evidence."""
+        """Begins probation, or begins it anew: the runs started until now are no evidence.
+
+        Those started on probation keep further starts away as before.
+        """
         self._probation_began_at = now
-        self.probes.clear()
 
     def end_probation(self) -> None:
         """Lets the target get any number of runs again."""
--- a/tests/unit/cluster/test_advice_waits.py
+++ b/tests/unit/cluster/test_advice_waits.py
@@ -135,6 +135,15 @@
         self.simulation.wait(MAX_WAIT_S)
         self.assertEqual(sum(len(self.simulation.runs(f"more{n}")) for n in range(5)), 1)
 
+    # A target that stays slow was made suspect anew every 0.2 s, each time with one more task.
+    def test_target_that_stays_suspect_gets_one_task_at_a_time(self) -> None:
+        for number in range(10):
+            self.simulation.add(f"more{number}", STANDING, LASTING)
+        for _ in range(14):
+            self.make_suspect()
+            self.simulation.wait(0.2)
+        self.assertLessEqual(sum(len(self.simulation.runs(f"more{n}")) for n in range(10)), 2)
+
     def refuse_starts(self, reason: str, seconds: float) -> int:
         """Lets the target refuse all starts for a while; returns how many there were."""
         term, session = self.simulation.harness.term, self.simulation.harness.session("t0")
