Count no full target as a last resort

Callers saw (simulation): while all targets are full and one of them is suspect, 36 of 100 steps asked for advice in 10 s, where as many ask as there are workers (8); their tickets lapse unused, as before.

Cause: each suspect target of the pool counted as a last resort of each step that had waited for 1 s, whether it had room and the step's label or not.

Evidence: the new test counted 36 steps before and at most 8 now.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -26,6 +26,7 @@
 from azurecleat_cluster._internal.owner.placement import (
     IGNORE_EXPIRY,
     Preferences,
+    has_label,
     is_kept_back,
     place,
     place_gang,
@@ -551,7 +552,13 @@
         failures = max((len(step.failures.get(index, ())) for index in step.pending), default=0)
         if has_runs or failures + 1 >= max(1, step.job.queue.attempts):
             return []
-    return [target for target in kept_back if target.id not in step.advice.denied]
+    return [
+        target
+        for target in kept_back
+        if target.id not in step.advice.denied
+        and has_label(step, target)
+        and step.spec.allocation.fits_in(target.free)
+    ]
 
 
 def _is_overdue(step: StepInfo, now: float) -> bool:
--- a/tests/unit/cluster/test_advice_waits.py
+++ b/tests/unit/cluster/test_advice_waits.py
@@ -256,6 +256,22 @@
         asking = {request.step.name for request in simulation.advice.requests[count:]}
         self.assertLessEqual(len(asking), ADVICE_WORKERS)
 
+    # Any suspect target, full as well, let all steps that had waited for 1 s ask.
+    def test_only_the_first_steps_ask_while_a_full_target_is_suspect(self) -> None:
+        simulation = Simulation(4, lambda step, target: True)
+        for number in range(4):
+            simulation.add(f"full{number}", URGENT, WHOLE_TARGET)
+        simulation.wait(3.0)
+        for number in range(100):
+            simulation.add(f"w{number}x", WIDE, SHORT)
+        count = len(simulation.advice.requests)
+        for _ in range(10):
+            target, now = simulation.target("t0"), simulation.clock.monotonic()
+            self.assertTrue(simulation.harness.term.health._suspect(target, "slow", now))
+            simulation.wait(1.0)
+        asking = {request.step.name for request in simulation.advice.requests[count:]}
+        self.assertLessEqual(len(asking), ADVICE_WORKERS)
+
     # Tickets for one target at a time had lapsed, or their room was gone, when they came.
     def test_tickets_for_full_targets_come_with_those_that_are_needed(self) -> None:
         simulation = Simulation(6, lambda step, target: True)
