Choose last resorts that a task does not avoid

Callers saw (simulation): a lasting task that had failed on a suspect target was started there again although three other suspect targets could take it.

Cause: the targets kept back were offered one by one, and where a task avoids all targets offered, any is better than none.

Evidence: the new test ran on the avoided target before. All targets kept back are now offered together, and the first task chosen for each is started.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -448,15 +448,15 @@
         startable = step.startable(self._is_takeover_complete)
         indices = sorted(startable - step.suspects_among(startable))
         indices = indices[: self._count_within_limit(step, len(indices))]
-        started = 0
-        for target in kept_back:
-            for index, _ in place(step, indices, [target], now, self._preferences)[:1]:
-                _begin_probation(target, now)
-                run = self._term.allocate_run(step, index, target, step.last_run + 1)
-                self._term.send_start(run)
-                indices.remove(index)
-                started += 1
-        return started
+        used: set[str] = set()
+        for index, target in place(step, indices, kept_back, now, self._preferences):
+            if target.id in used:
+                continue  # The others wait for what becomes of the first one there.
+            used.add(target.id)
+            _begin_probation(target, now)
+            run = self._term.allocate_run(step, index, target, step.last_run + 1)
+            self._term.send_start(run)
+        return len(used)
 
     def _place_isolated(
         self,
--- a/tests/unit/cluster/test_advice_waits.py
+++ b/tests/unit/cluster/test_advice_waits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from azurecleat_base import Resources
 from azurecleat_cluster._internal.owner.model import Run, StepInfo, TargetInfo
@@ -180,6 +180,28 @@
         self.assertLess(self.simulation.target("t0").suspect_until, now)
 
 
+class LastResortTest(unittest.TestCase):
+    """Steps that have waited for long, and several suspect targets."""
+
+    def make_suspect(self, simulation: Simulation, names: Iterable[str]) -> None:
+        now = simulation.clock.monotonic()
+        for name in names:
+            simulation.target(name).suspect_until = now + 10.0
+            simulation.target(name).begin_probation(now)
+
+    # A task went back to the target on which it had failed, though others could take it.
+    def test_last_resort_is_no_target_that_the_task_avoids(self) -> None:
+        simulation = Simulation(4, lambda step, target: True)
+        simulation.add("lasts", STANDING, LASTING)
+        simulation.wait(3.0)
+        simulation.step("lasts").avoided[0] = {"t0"}
+        self.make_suspect(simulation, ("t0", "t1", "t2", "t3"))
+        simulation.fail("lasts")
+        simulation.wait(MAX_WAIT_S)
+        self.assertNotIn("t0", [run.target.id for run in simulation.runs("lasts")])
+        self.assertTrue(simulation.runs("lasts"))
+
+
 class BusyServiceTest(unittest.TestCase):
     """More steps ask than the service can answer; the targets have room for all tasks."""
 
