Count the targets that a request names beside the needed ones

Cause: add_cheap_targets sorted the whole pool for each request, also where the request could not grow, outside the budget of the round and the excerpt of large pools.

Evidence: the new test counted 19,530 looks before and at most 6,000 now. Pools of up to 400 targets are looked at in whole, as before, within the budget.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/advice_requests.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/advice_requests.py
@@ -135,6 +135,9 @@
     max_cost_s = cost_s * (1.0 + MAX_EXTRA_COST)
     if cost_s <= SHORT_REQUEST_S:
         max_cost_s = min(max_cost_s, SHORT_REQUEST_S)
+    max_count = MAX_TARGETS if step.spec.gang else TARGETS_PER_REQUEST
+    if len(names) >= max_count or terms.cost_s(len(names) + 1) > max_cost_s:
+        return names
     named = set(names)
     candidates = [
         target
@@ -150,7 +153,6 @@
         )
     )
     result = list(names)
-    max_count = MAX_TARGETS if step.spec.gang else TARGETS_PER_REQUEST
     for target in candidates:
         if len(result) >= max_count or terms.cost_s(len(result) + 1) > max_cost_s:
             break
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -35,7 +35,11 @@
 from azurecleat_cluster._internal.owner.ranking import Ranking
 from azurecleat_cluster._internal.owner.stalls import StallReporter
 from azurecleat_cluster._internal.owner.term import OwnerTerm
-from azurecleat_cluster._internal.owner.usable_pools import UsablePool, UsablePools
+from azurecleat_cluster._internal.owner.usable_pools import (
+    MAX_ADVISABLE_TARGETS,
+    UsablePool,
+    UsablePools,
+)
 
 MAX_IDLE_S = 0.25
 """Longest pause between two dispatch rounds, for tasks that become startable by time alone."""
@@ -398,8 +402,10 @@
         )
         requests = split_into_requests(step, names) if names else []
         if len(requests) == 1:
-            others = [*(() if pool is None else pool.targets), *last_resorts]
-            requests = [add_cheap_targets(step, names, others)]
+            if pool is not None and len(pool.targets) <= MAX_ADVISABLE_TARGETS:
+                targets = pool.targets  # Full ones as well, which a larger pool has too many of.
+                self._targets_left -= len(targets)
+            requests = [add_cheap_targets(step, names, [*targets, *last_resorts])]
         return requests
 
     def rank(self, step: StepInfo, now: float) -> tuple:
--- a/tests/unit/cluster/test_advice_waits.py
+++ b/tests/unit/cluster/test_advice_waits.py
@@ -7,7 +7,8 @@
 from unittest import mock
 
 from azurecleat_base import Resources
-from azurecleat_cluster._internal.owner import placement
+from azurecleat_cluster._internal.owner import advice_requests, placement
+from azurecleat_cluster._internal.owner.dispatch import MAX_EXAMINED_TARGETS
 from azurecleat_cluster._internal.owner.model import Run, StepInfo, TargetInfo
 from azurecleat_cluster._internal.owner.start_attempts import StartOutcome
 from azurecleat_cluster.ports import StartResult
@@ -275,6 +276,21 @@
         self.assertLess(self.simulation.seconds_until_run("urgent", 10.0), MAX_WAIT_S)
 
 
+class LargePoolTest(unittest.TestCase):
+    """1,800 targets, and more steps that ask at once than the service has workers."""
+
+    # Each request looked at all targets to name a few more, beyond the budget of the round.
+    def test_targets_named_beside_the_needed_ones_count_for_the_budget_of_a_round(self) -> None:
+        simulation = Simulation(1_800, lambda step, target: True)
+        for number in range(30):
+            simulation.add(f"w{number}x", WIDE, SHORT)
+        looks = mock.Mock(wraps=advice_requests.capacity_for)
+        with mock.patch.object(advice_requests, "capacity_for", looks):
+            simulation.harness.dispatch()
+        self.assertEqual(len(simulation.advice.requests), ADVICE_WORKERS + 1)
+        self.assertLessEqual(looks.call_count, MAX_EXAMINED_TARGETS)
+
+
 class FullPoolTest(unittest.TestCase):
     """Steps that wait for room, not for advice."""
 
