Go on from an instance that fails although another one hangs

Callers saw (test with real threads): of a request's instances one hangs and three fail at once; the step waited for the hanging call, 4.0 s, though a sound instance was idle.

Cause: a failed sending waited like one that hangs while another was in flight, and counted for the most that one request is sent.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
@@ -190,7 +190,7 @@
                 eventlog.ADVICE_FAILED, step=step.name, adviser=worker.name, error=error
             )
             with self._lock:
-                self._queue.note_failed(request)
+                self._queue.note_failed(request, sent_at)
                 self._assign()
             return False
         now = self._clock.monotonic()
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/advice_queue.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/advice_queue.py
@@ -60,6 +60,7 @@
     def __init__(self) -> None:
         self.sends = 0
         self.in_flight = 0
+        self.last_sent_at = float("-inf")
         self.is_waiting = True
         self.due = float("inf")
         """When the request is overdue, counted from when it was last sent."""
@@ -118,6 +119,7 @@
         if state is not None:
             state.sends += 1
             state.in_flight += 1
+            state.last_sent_at = now
             state.due = now + request.cost_s + OVERDUE_MARGIN_S
 
     def close(self, request: Request) -> bool:
@@ -130,14 +132,16 @@
             self._of(request).remove(request)
         return True
 
-    def note_failed(self, request: Request) -> None:
-        """Lets a request wait again that a worker could not send."""
+    def note_failed(self, request: Request, sent_at: float) -> None:
+        """Lets a request wait again that a worker could not send, unless one sent later may still
+        be answered."""
         state = self._open.get(request.number)
         if state is None:
             return
+        state.sends -= 1
         state.in_flight -= 1
-        if not state.is_waiting and not state.in_flight:
-            state.sends = 0
+        is_last = sent_at >= state.last_sent_at
+        if not state.is_waiting and (is_last or not state.in_flight):
             self._wait_again(request, state)
 
     def retry_overdue(self, now: float) -> int:
--- a/tests/unit/cluster/test_advice.py
+++ b/tests/unit/cluster/test_advice.py
@@ -13,6 +13,7 @@
 from azurecleat_cluster import EventLog
 from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.owner.advice import AdviceClient
+from azurecleat_cluster._internal.owner.advice_queue import Request, RequestQueue
 from azurecleat_cluster._internal.owner.model import StepInfo
 from azurecleat_cluster.values import AdviceTerms
 
@@ -126,6 +127,36 @@
             time.sleep(0.02)
         self.assertLess(time.monotonic() - began_at, 3.0)
 
+    # Instances that fail at once were waited for like those that hang, and used up the sends.
+    def test_request_goes_on_at_once_from_instances_that_fail_while_one_hangs(self) -> None:
+        hanging = SlowAdviser()
+        hanging.advise = lambda step, targets, timeout_s: (time.sleep(4.0), {})[1]
+        self.client.add_worker("hangs", lambda: hanging)
+        self.submit("long0")
+        for number in range(3):
+            failing = SlowAdviser(fails=9)
+            self.client.add_worker(f"fails{number}", lambda a=failing: a)
+        sound = SlowAdviser()
+        self.client.add_worker("sound", lambda: sound)
+        began_at = time.monotonic()
+        while not self.answers and time.monotonic() - began_at < 4.0:
+            self.client.retry_overdue(time.monotonic())
+            time.sleep(0.02)
+        self.assertLess(time.monotonic() - began_at, 2.0)
+
+    def test_request_is_not_sent_again_when_one_that_is_overdue_fails(self) -> None:
+        request = Request(0, make_step("s", 1), ("t1",), 0.7, 2.0, 0.0)
+        queue = RequestQueue()
+        queue.push(request)
+        for sent_at in (0.0, 1.0):
+            queue.pop(may_take_long=True)
+            queue.note_sent(request, sent_at)
+            queue.retry_overdue(sent_at + 0.95)
+        queue.pop(may_take_long=True)
+        queue.note_sent(request, 1.95)
+        queue.note_failed(request, 0.0)
+        self.assertFalse(queue.has_long)
+
     def test_request_that_was_answered_is_not_sent_again(self) -> None:
         slow, sound = SlowAdviser(), SlowAdviser()
         answer = slow.advise
