Keep the pause of advice workers short while all of them fail

Callers saw (test with real threads): 3.2 s after the start of an outage of the advice service it was back, and no step got advice for 3.8 s more; up to 8 s are possible, where the users' rules allow 3 s.

Cause: each worker doubles its pause with each failure, up to 8 s. That suits an instance that fails while others get answers, but in an outage of the service all workers pause, and nothing ends a pause.

Evidence: the new test waited 3.8 s before, and less than 1.5 s now that the pause stays at 1 s while all workers that take requests of any cost fail.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
@@ -27,8 +27,8 @@
 
 FAILURE_BACKOFF_S = 1.0
 MAX_FAILURE_BACKOFF_S = 8.0
-"""Pause of a worker after its first failed request in a row, and the longest such pause; it doubles
-with each failure."""
+"""Pause of a worker after its first failed request in a row, and the longest such pause. It doubles
+with each failure while other workers get answers; otherwise the service itself may be out."""
 
 TICKET_MARGIN_S = 0.4
 """Subtracted from the validity of tickets: the time until a command with one reaches its target."""
@@ -44,10 +44,6 @@
         """Requests that have failed since the last answer."""
         self.inbox: Future[Request | None] = Future()
 
-    @property
-    def backoff_s(self) -> float:
-        return min(MAX_FAILURE_BACKOFF_S, FAILURE_BACKOFF_S * 2.0 ** (self.failures - 1))
-
 
 class AdviceClient:
     """Queues requests and assigns them to workers.
@@ -164,7 +160,14 @@
                 worker.failures = 0
             else:
                 worker.failures += 1
-                threading.Event().wait(worker.backoff_s)
+                threading.Event().wait(self._backoff_s(worker))
+
+    def _backoff_s(self, worker: _Worker) -> float:
+        """Returns the pause of a worker after a failed request."""
+        others = [each for each in list(self._workers.values()) if not each.short_only]
+        if all(each.failures for each in others):
+            return FAILURE_BACKOFF_S
+        return min(MAX_FAILURE_BACKOFF_S, FAILURE_BACKOFF_S * 2.0 ** (worker.failures - 1))
 
     def _next_request(self, worker: _Worker) -> Request | None:
         with self._lock:
--- a/tests/unit/cluster/test_advice.py
+++ b/tests/unit/cluster/test_advice.py
@@ -157,6 +157,26 @@
         queue.note_failed(request, 0.0)
         self.assertFalse(queue.has_long)
 
+    # After an outage of the service all workers paused for up to 8 s, and no step got advice.
+    def test_workers_ask_again_soon_after_an_outage_of_the_service(self) -> None:
+        ends_at = time.monotonic() + 3.2
+        adviser = SlowAdviser()
+        answer = adviser.advise
+
+        def advise(step: str, targets: Sequence[str], timeout_s: float) -> dict[str, str]:
+            if time.monotonic() < ends_at:
+                raise TargetError("no answer", step="advise")
+            return answer(step, targets, timeout_s)
+
+        adviser.advise = advise
+        for name in ("a", "b"):
+            self.client.add_worker(name, lambda: adviser)
+        for number in range(4):
+            self.submit(f"short{number}")
+        while not self.answers and time.monotonic() < ends_at + 8.0:
+            time.sleep(0.05)
+        self.assertLess(time.monotonic() - ends_at, 1.5)
+
     def test_request_that_was_answered_is_not_sent_again(self) -> None:
         slow, sound = SlowAdviser(), SlowAdviser()
         answer = slow.advise
