Start isolated tasks on targets that are kept back as well

Cause: the last resorts left out the tasks that are started isolated.

Evidence: the new test waited 4.1 s before, and less than 3 s now.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -429,7 +429,7 @@
             return self._place_gang(step, targets, now)
         startable = step.startable(self._is_takeover_complete)
         suspects = step.suspects_among(startable)
-        started = self._place_isolated(step, sorted(suspects), pool, targets, now)
+        started = self._place_isolated(step, sorted(suspects), pool.targets, targets, now)
         others = startable - suspects
         indices = sorted(others)[: self._count_within_limit(step, len(others))]
         chosen = place(step, indices, targets, now, self._preferences)
@@ -456,7 +456,10 @@
             usable = [] if pool is None else pool.with_room(step, now)
             return self._place_gang(step, usable + kept_back, now)
         startable = step.startable(self._is_takeover_complete)
-        indices = sorted(startable - step.suspects_among(startable))
+        suspects = step.suspects_among(startable)
+        pool_targets = [*([] if pool is None else pool.targets), *kept_back]
+        started = self._place_isolated(step, sorted(suspects), pool_targets, kept_back, now)
+        indices = sorted(startable - suspects)
         indices = indices[: self._count_within_limit(step, len(indices))]
         used: set[str] = set()
         for index, target in place(step, indices, kept_back, now, self._preferences):
@@ -466,26 +469,32 @@
             _begin_probation(target, now)
             run = self._term.allocate_run(step, index, target, step.last_run + 1)
             self._term.send_start(run)
-        return len(used)
+        return started + len(used)
 
     def _place_isolated(
         self,
         step: StepInfo,
         suspects: list[int],
-        pool: UsablePool,
+        pool_targets: list[TargetInfo],
         targets: list[TargetInfo],
         now: float,
     ) -> int:
-        """Starts tasks that may crash their target, each on a target that starts nothing else."""
+        """Starts tasks that may crash their target, each on a target that starts nothing else.
+
+        :param pool_targets: The targets of which a share may be isolated.
+        :param targets: Those on which the tasks may be started.
+        """
         if not suspects:
             return 0
-        isolated = sum(target.is_isolated for target in pool.targets)
+        isolated = sum(target.is_isolated for target in pool_targets)
         max_count = min(
-            max(1, int(len(pool.targets) * MAX_ISOLATED_SHARE)) - isolated,
+            max(1, int(len(pool_targets) * MAX_ISOLATED_SHARE)) - isolated,
             self._count_within_limit(step, len(suspects)),
         )
         chosen = place_isolated(step, suspects, targets, max_count, now)
         for index, target in chosen:
+            if is_kept_back(target, now):
+                _begin_probation(target, now)
             run = self._term.allocate_run(step, index, target, step.last_run + 1)
             target.isolate(run)
             self._term.send_start(run)
--- a/tests/unit/cluster/test_advice_waits.py
+++ b/tests/unit/cluster/test_advice_waits.py
@@ -112,6 +112,14 @@
         self.simulation.fail("lasts")
         self.assertLess(self.simulation.seconds_until_run("lasts", 10.0), MAX_WAIT_S)
 
+    # Isolated starts left out the targets that are kept back, so that the wait was 4 s and more.
+    def test_task_that_may_crash_its_target_runs_again_in_time_as_well(self) -> None:
+        self.make_suspect()
+        self.simulation.step("lasts").crash_history.suspects.add(0)
+        self.simulation.fail("lasts")
+        self.assertLess(self.simulation.seconds_until_run("lasts", 10.0), MAX_WAIT_S)
+        self.assertTrue(self.simulation.target("t0").is_isolated)
+
     def test_suspect_target_gets_one_task_at_a_time_as_a_last_resort(self) -> None:
         self.make_suspect()
         for number in range(5):
