Measure progress by the time per percentage point

Even tasks of 60 s were moved as slow.

Cause: percentages are whole numbers, and both the stall detection and the two rates behind the detection of slow targets read them as if they were exact. A run counted as stalled after 1.2 s at one percentage, whatever its length, and a rate was taken over 0.35 s, in which a task of 60 s shows no point or one. The floor of 0.001 a second for the expected rate also made even tasks of 2,500 s and more look slow.

Now a run counts as stalled after three times its own time for a point, 1.2 s at least; that time follows from its earlier points or from its step on other targets. Before either is known, ten points of the expected duration are allowed, as estimates are off by up to ten times. From its third move on, a task may stand still twice as long each time, so that one with a far too low estimate gets to its first point; moves are now counted, not targets, as a task that only one target can run comes back to it. Rates are measured over four points at least. Where a long task stands still beside a stalled one, only the stalled one moves.

Stalled and four times slower targets are found within a bound from the time per point. Fourteen mutations of the new conditions each fail a test.

The existing test on moves keeps its meaning; slow_on holds a list now.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -131,8 +131,8 @@
         for run in self.health.evaluate(targets, now):
             if run.step.active.get(run.task.index) is not run:
                 continue
-            for targets in (run.step.avoided, run.step.slow_on):
-                targets.setdefault(run.task.index, set()).add(run.target.id)
+            run.step.avoided.setdefault(run.task.index, set()).add(run.target.id)
+            run.step.slow_on.setdefault(run.task.index, []).append(run.target.id)
             if not self.demote_to_backup(run):
                 self.stop_run(run, "target is slow")
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
@@ -2,8 +2,9 @@
 
 Declared run times are too inaccurate to detect slow targets. The progress of a run is even, so its
 rate is compared with its own earlier rate, or with the rates of the same step's runs on other
-targets. A job that fails everywhere does not point to a faulty target; several different jobs that
-fail on one target do.
+targets. Percentages are whole numbers, so that a long task shows the same one for seconds: what
+its reports can show depends on the time that it takes for one point. A job that fails everywhere
+does not point to a faulty target; several different jobs that fail on one target do.
 """
 
 from __future__ import annotations
@@ -14,7 +15,13 @@
 
 from azurecleat_cluster._internal import eventlog
 from azurecleat_cluster._internal.eventlog import EventLog
-from azurecleat_cluster._internal.owner.model import Run, RunState, StepInfo, TargetInfo
+from azurecleat_cluster._internal.owner.model import (
+    MIN_POINTS,
+    Run,
+    RunState,
+    StepInfo,
+    TargetInfo,
+)
 from azurecleat_cluster._internal.owner.placement import Preferences
 from azurecleat_cluster._internal.values import EndKind
 
@@ -28,14 +35,22 @@
 """How long a suspect target gets no new tasks before it is tried again."""
 
 PROBE_S = 2.0
-"""Longest time for which one run on probation keeps further starts away: a run that stalls has been
-detected by then."""
+"""Longest time for which one run on probation keeps further starts away: a run of a task of some
+seconds that stalls has been detected by then."""
 
 MAX_SUSPECT_SHARE = 0.25
 """Share of a pool's targets that may be suspect at one time; one may be in any pool."""
 
 STALL_S = 1.2
-"""Time without progress after which a run counts as stalled: two reports."""
+"""Shortest time without progress after which a run counts as stalled: two reports."""
+
+STALL_POINTS = 3.0
+"""The same in multiples of the time that the run takes for one percentage point: one is even
+progress."""
+
+UNKNOWN_STALL_POINTS = 10.0
+"""The same while that time is known from the expected duration alone, which is off by up to ten
+times."""
 
 MIN_AGE_S = 0.35
 """Age from which a run's progress rate is meaningful: one report."""
@@ -48,7 +63,8 @@
 """Fewest runs on other targets that a run is compared with."""
 
 MIN_RATE = 0.001
-"""Progress rate assumed for a stalled run, in shares of its work per second."""
+"""Progress rate from which the rest of a stalled run is estimated, in shares of its work per
+second."""
 
 MIN_SAMPLES = 2
 """Number of a target's runs from which ``SLOW_RATIO`` applies."""
@@ -57,7 +73,7 @@
 """The same ratio for a single run; lower, as one task in fifty of a step takes twice as long."""
 
 MAX_MOVES = 2
-"""Most targets that a task is moved away from because it was slow there."""
+"""Number of moves from which a task that was slow each time is taken to be long in itself."""
 
 MOVE_COST_S = 0.5
 """Duration of a stop and a new start."""
@@ -114,9 +130,10 @@
             runs = [run for run in target.runs.values() if _has_measured_rate(run)]
             if not runs or not target.responsive:
                 continue
-            stalled = [run for run in runs if run.reported_at - run.progressed_at >= STALL_S]
-            if len(stalled) == len(runs):
-                if self._suspect(target, f"{len(runs)} runs have stalled", now):
+            stalled = _stalled_runs(runs, rates)
+            if stalled:
+                reason = f"{len(stalled)} of {len(runs)} runs have stalled"
+                if self._suspect(target, reason, now):
                     runs_to_move.extend(stalled)
                 continue
             ratios = [ratio for run in runs if (ratio := _relative_rate(run, rates)) is not None]
@@ -212,23 +229,45 @@
 
 
 RatesByStep = dict[StepInfo, list[tuple[str, float]]]
+"""Target and progress rate of the runs of each step that are over or measured well enough."""
 
 
 def _rates_by_step(targets: list[TargetInfo]) -> RatesByStep:
-    rates: RatesByStep = defaultdict(list)
-    steps = set()
+    runs: dict[StepInfo, list[Run]] = defaultdict(list)
     for target in targets:
         for run in target.runs.values():
-            steps.add(run.step)
+            measured = runs[run.step]
             if _has_measured_rate(run):
-                rates[run.step].append((target.id, _rate(run)))
-    for step in steps:
-        rates[step].extend(
-            (name, 1.0 / max(took_s, 0.01)) for name, took_s in step.durations_by_target
-        )
+                measured.append(run)
+    rates: RatesByStep = defaultdict(list)
+    for step, measured in runs.items():
+        rates[step] = [(name, 1.0 / max(took_s, 0.01)) for name, took_s in step.durations_by_target]
+        known = [run for run in measured if _has_points(run)]
+        rates[step].extend((run.target.id, _rate(run)) for run in known)
+        if len(known) < len(measured) and rates[step]:
+            # Runs that should have as many points by now are slow, and count as well.
+            usual = median(rate for _, rate in rates[step])
+            late = [run for run in measured if not _has_points(run) and _is_resolved(run, usual)]
+            rates[step].extend((run.target.id, _rate(run)) for run in late)
     return rates
 
 
+def _has_points(run: Run) -> bool:
+    """Whether a run has made enough progress for its rate to be measured."""
+    return run.percent - run.first_percent >= MIN_POINTS
+
+
+def _is_resolved(run: Run, rate: float) -> bool:
+    """Whether a run at this rate would show enough progress by now."""
+    return rate * (run.reported_at - run.began_at) * 100.0 >= MIN_POINTS
+
+
+def _rate_elsewhere(run: Run, rates: RatesByStep) -> float | None:
+    """Returns the median rate of the step's runs on other targets, None if there are too few."""
+    others = [rate for name, rate in rates[run.step] if name != run.target.id]
+    return median(others) if len(others) >= MIN_PEERS else None
+
+
 def _relative_rate(run: Run, rates: RatesByStep) -> float | None:
     """Returns the ratio of a run's progress rate to the expected one, None if that is unknown.
 
@@ -237,16 +276,49 @@
     """
     if run.previous_rate > 0:
         return run.current_rate / run.previous_rate
-    others = [rate for name, rate in rates[run.step] if name != run.target.id]
-    if len(others) < MIN_PEERS:
+    expected = _rate_elsewhere(run, rates)
+    if expected is None or not _is_resolved(run, expected):
         return None
-    return _rate(run) / max(median(others), MIN_RATE)
+    return _rate(run) / expected
+
+
+def _still_s(run: Run) -> float:
+    """Returns for how long a run has reported the same percentage."""
+    return run.reported_at - run.progressed_at
+
+
+def _stalled_runs(runs: list[Run], rates: RatesByStep) -> list[Run]:
+    """Returns the stalled ones of a target's runs; none if any of them proceeds.
+
+    A long task that stands still beside a stalled one may be between two points.
+    """
+    if any(_still_s(run) < STALL_S for run in runs):
+        return []
+    return [run for run in runs if _still_s(run) >= _stall_s(run, rates)]
+
+
+def _stall_s(run: Run, rates: RatesByStep) -> float:
+    """Returns the time without progress after which a run counts as stalled.
+
+    It follows from the time for one percentage point: that of the run itself, of its step on other
+    targets, or as expected. The time doubles with each move after the first ``MAX_MOVES``: a task
+    of which too little is known then stays where it is for long enough to show a point.
+    """
+    point_s = run.max_point_s
+    if point_s is not None:
+        allowed_s = STALL_POINTS * point_s
+    elif rate := _rate_elsewhere(run, rates):
+        allowed_s = STALL_POINTS / 100.0 / rate
+    else:
+        allowed_s = UNKNOWN_STALL_POINTS * run.step.expected_s / 100.0
+    moves = len(run.step.slow_on.get(run.task.index, ()))
+    return max(STALL_S, allowed_s) * 2.0 ** max(0, moves - MAX_MOVES + 1)
 
 
 def _should_move(run: Run, ratio: float) -> bool:
     """Whether a run would end sooner if it were started again at the expected progress rate.
 
-    A task that was slow on ``MAX_MOVES`` targets is long in itself and is not moved again.
+    A task that was moved ``MAX_MOVES`` times is long in itself and is not moved again.
     """
     if len(run.step.slow_on.get(run.task.index, ())) >= MAX_MOVES:
         return False
