Count no saved work as progress of a resumed run

Found by reading while looking for false suspicions, and shown by a test only: a run that resumes from a checkpoint at 40 percent made its target suspect at its second or third report, and was moved.

Cause: the answer to the start sets when the run began, with 0 percent done. The first report then showed 40 points in half a second, and the even progress after it looked ten times slower. The remaining time was underestimated for the same reason.

The first report of a resumed run now sets when it began and how much was done then. The test failed before, with a run moved.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -136,7 +136,8 @@
 
     def update_progress(self, percent: float, now: float) -> None:
         """Records the percentage that a report gives for the run."""
-        if not self.began_at:
+        if not self.began_at or (self.is_resumed and not self.progressed_at):
+            # The answer to a start does not tell how much of a resumed run is done.
             self.began_at, self.first_percent = now, percent
         if percent != self.percent or not self.progressed_at:
             self.progressed_at = now
--- a/tests/unit/cluster/test_target_health.py
+++ b/tests/unit/cluster/test_target_health.py
@@ -132,6 +132,15 @@
             self.assertEqual(self.evaluate({run: int(9.99 + now / 36.0)}, now), [])
         self.assertEqual(self.suspects(9.5), [])
 
+    # The saved work of a resumed run counted as done since its start, and its target looked slow.
+    def test_saved_work_of_a_resumed_run_is_no_progress(self) -> None:
+        run = start(make_step("resumed", 1), 0, self.targets[0], START_S)
+        run.is_resumed = run.has_known_start = True
+        for number in range(1, 8):
+            self.assertEqual(self.evaluate({run: 40 + 5 * number}, 0.5 * number), [])
+        self.assertEqual(self.suspects(3.5), [])
+        self.assertAlmostEqual(run.remaining_s(START_S + 3.5), 2.5)
+
     # Of a step on slow targets only, the few fast runs would set what is expected.
     def test_slow_targets_are_expected_where_most_are_slow(self) -> None:
         step = make_step("wide", 8)
