--- a/libs/daemon/src/azurecleat_daemon/_internal/request_dispatcher.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/request_dispatcher.py
@@ -237,8 +237,7 @@
         """Drains a runner that the instance list shows as leaving."""
         with self._lock:
             if session.target.name in self._scheduler.workers:
-                is_closed = session.target.leaving or session.is_unresponsive
-                self._scheduler.set_draining(session.target.name, is_closed)
+                self._scheduler.set_draining(session.target.name, session.target.leaving)
 
     def on_running(
         self, session: TargetSession, running: tuple[RunningTask, ...], sent_at: float
@@ -277,9 +276,7 @@
         """Does nothing: runners receive no starts through their session."""
 
     def on_unresponsive(self, session: TargetSession) -> None:
-        """Grants no further slots of a silent runner."""
-        with self._lock:
-            self._assign_slots()
+        """Does nothing: requests are sent beside the session while the runner honours the lease."""
 
     def on_lost(self, session: TargetSession) -> None:
         """Removes a runner whose lease lapsed."""
@@ -529,8 +526,7 @@
             session = self._sessions.get(name)
             if session is not None and name in self._scheduler.workers:
                 tripped = breaker.state.value == "open"
-                is_closed = session.target.leaving or session.is_unresponsive
-                self._scheduler.set_draining(name, is_closed or tripped)
+                self._scheduler.set_draining(name, session.target.leaving or tripped)
 
     def _adopt(self, request_id: str, runner: str, now: float) -> None:
         """Assigns its slot to a request that a previous owner dispatched."""
