Start tasks elsewhere once a worker is unresponsive

What callers saw: in the embedded daemon, tasks waited for the end of a silent worker's lease, 4.8 s with a lease of 3 s, while other workers had room.

Cause: half a lease after the last answer a session stops sending anything to the target, until the lease has lapsed. The scheduler was not told: it went on to place tasks there, and those queued for the session stayed. They are certain not to have reached the worker. So are starts of exchanges that were not sent at all, as of a refused connection, but those counted as sent.

Fix: an unresponsive worker is drained, and the starts that were never sent to it are queued again. An exchange that was not sent leaves its starts unsent. Runners are left as they are: requests are sent beside the session, and as long as the lease holds they are mostly served.

Evidence: with a lease of 3 s, a task whose worker refuses connections, and one that is placed while a worker is silent. Before, they waited for 4.8 s and 3.0 s; now for at most 3 s and until the next exchange. A third test shows that a task whose start may have arrived still waits for the lease.

Not solved: a worker is unresponsive after half a lease only, 7.5 s with the default of 15 s.

--- a/libs/daemon/src/azurecleat_daemon/_internal/request_dispatcher.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/request_dispatcher.py
@@ -275,6 +275,9 @@
     def on_start_unknown(self, session: TargetSession, tasks: tuple[str, ...]) -> None:
         """Does nothing: runners receive no starts through their session."""
 
+    def on_unresponsive(self, session: TargetSession) -> None:
+        """Does nothing: requests are sent beside the session while the runner honours the lease."""
+
     def on_lost(self, session: TargetSession) -> None:
         """Removes a runner whose lease lapsed."""
         with self._lock:
--- a/libs/daemon/src/azurecleat_daemon/_internal/target_session.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/target_session.py
@@ -69,6 +69,12 @@
         earlier exchange, or may still run it if that exchange arrives late.
         """
 
+    def on_unresponsive(self, session: TargetSession) -> None:
+        """Called when the session has stopped renewing the lease of a target that is silent.
+
+        Nothing is sent to the target until its lease has lapsed.
+        """
+
     def on_lost(self, session: TargetSession) -> None:
         """Called when the target's lease has certainly lapsed, which ends all that it ran."""
 
@@ -110,12 +116,15 @@
         self._lock = threading.Lock()
         self._starts: dict[str, TaskStart] = {}
         self._sent_starts: set[str] = set()
+        self._first_sent: set[str] = set()
+        """Starts that the last exchange was the first to contain."""
         self._unanswered_starts: dict[str, float] = {}
         self._stops: dict[str, TaskStop] = {}
         self._acknowledge: dict[str, None] = {}
         self._last_version = -1
         self._granted = False
         self._lost = False
+        self._is_silence_reported = False
         self._last_sent_at: float | None = None
         self._last_answer_at = clock.monotonic()
         self._created_at = clock.monotonic()
@@ -133,6 +142,11 @@
         """Whether the target granted control to this owner, as far as known."""
         return self._granted
 
+    @property
+    def is_unresponsive(self) -> bool:
+        """Whether nothing is sent to the target until its lease has lapsed."""
+        return self._is_unresponsive(self._clock.monotonic())
+
     @property
     def has_commands(self) -> bool:
         with self._lock:
@@ -186,6 +200,9 @@
         if self._lease.is_revoked:
             return
         if self._is_unresponsive(now):
+            if self._granted and not self._is_silence_reported:
+                self._is_silence_reported = True
+                self._listener.on_unresponsive(self)
             self._check_lapse(now)
             return
         request = self._request()
@@ -195,6 +212,8 @@
         except FencedError as error:
             self._on_fenced(error)
         except NotRunError as error:
+            with self._lock:
+                self._sent_starts -= self._first_sent
             self._on_failure(error)
         except OutcomeUnknownError as error:
             with self._lock:
@@ -223,7 +242,8 @@
             # target decides by itself whether to grant it.
             may_act = self._lease.is_valid()
             starts = tuple(self._starts.values()) if may_act and self._granted else ()
-            self._sent_starts.update(start.task for start in starts)
+            self._first_sent = {start.task for start in starts} - self._sent_starts
+            self._sent_starts |= self._first_sent
             return ControlRequest(
                 *self._settings,
                 start=starts,
@@ -248,6 +268,7 @@
     def _on_reply(self, request: ControlRequest, reply: ControlReply, sent_at: float) -> None:
         self._lease.renew(self._target.name, sent_at)
         self._last_answer_at = self._clock.monotonic()
+        self._is_silence_reported = False
         self._last_version = reply.version
         with self._lock:
             unknown = tuple(task for task in reply.refused if task in self._unanswered_starts)
--- a/libs/daemon/src/azurecleat_daemon/_internal/task_manager.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/task_manager.py
@@ -236,8 +236,9 @@
         """Drains a worker that the instance list shows as leaving."""
         with self._lock:
             if session.target.name in self._scheduler.workers:
-                self._scheduler.set_draining(session.target.name, session.target.leaving)
-                if session.target.leaving:
+                is_closed = session.target.leaving or session.is_unresponsive
+                self._scheduler.set_draining(session.target.name, is_closed)
+                if is_closed:
                     self._cancel_unsent_starts(session)
 
     def on_running(
@@ -279,6 +280,14 @@
                 if self._current_attempts.get(name.key) == name:
                     self._finish(*name.key, TaskResult.LOST)
 
+    def on_unresponsive(self, session: TargetSession) -> None:
+        """Starts nothing on a silent worker, and requeues what was not sent to it yet."""
+        with self._lock:
+            if session.target.name in self._scheduler.workers:
+                self._scheduler.set_draining(session.target.name, True)
+                self._cancel_unsent_starts(session)
+        self._wake()
+
     def on_lost(self, session: TargetSession) -> None:
         """Requeues the tasks of a worker whose lease lapsed; those not repeatable end as lost."""
         name = session.target.name
--- a/tests/lib/task_manager_fixture.py
+++ b/tests/lib/task_manager_fixture.py
@@ -35,15 +35,21 @@
 
 
 class HeldConnection:
-    """A connection to a worker that can hold a request back until after later requests."""
+    """A connection to a worker that can hold a request back until after later requests.
+
+    ``error`` is raised instead of sending a request.
+    """
 
     def __init__(self, worker: FakeWorker) -> None:
         self._worker = worker
         self._held: ControlRequest | None = None
         self.holds_next = False
+        self.error: Exception | None = None
 
     def control(self, request: ControlRequest) -> ControlReply:
         """Sends one control request, or holds it back without an answer."""
+        if self.error is not None:
+            raise self.error
         if self.holds_next:
             self.holds_next = False
             self._held = request
@@ -84,8 +90,9 @@
         backoff = Backoff(0.001, 0.001, random.Random(1))
         self.appender = Appender(self.log, self.replica, self.clock, "one", backoff)
         self.history: list[Observation] = []
-        target = Target("w1", TargetKind.WORKER, "hobart", "w1", capacity=Resources(1000, 1000, 0))
-        self.worker = FakeWorker(target, self.clock, self.history)
+        self._names = ["w1"]
+        self._lease = ControlLease(self.clock, ("w1",), LEASE_S)
+        self.worker = self._make_worker("w1")
         self.connection = HeldConnection(self.worker)
         self._commit_job(repeatable, run_s)
         self.tasks = TaskManager(
@@ -98,11 +105,7 @@
             Metrics(),
             lambda: None,
         )
-        lease = ControlLease(self.clock, ("w1",), LEASE_S)
-        settings = SessionSettings(PARTITION, EPOCH, "one", LEASE_S)
-        self.session = TargetSession(
-            target, self.connection, settings, lease, self.clock, self.tasks
-        )
+        self.session = self._make_session(self.worker, self.connection)
         self.tasks.set_team(ENVIRONMENT.teams[0], Quota(tasks=10))
         self.tasks.load()
         self.session.exchange()
@@ -136,11 +139,31 @@
             self.schedule()
             self.session.exchange()
 
+    def add_worker(self) -> TargetSession:
+        """Adds a worker that grants control; returns the session with it."""
+        self._names.append(f"w{len(self._names) + 1}")
+        self._lease.set_targets(tuple(self._names))
+        worker = self._make_worker(self._names[-1])
+        session = self._make_session(worker, HeldConnection(worker))
+        session.exchange()
+        return session
+
     def fill_worker(self) -> None:
         """Starts a task on the worker that leaves no room for another one."""
         start = TaskStart("hobart-0.0.0-1", Resources(1000, 1000, 0), 60.0)
         self.worker.control(ControlRequest(PARTITION, EPOCH, "one", LEASE_S, start=(start,)))
 
+    def _make_worker(self, name: str) -> FakeWorker:
+        capacity = Resources(1000, 1000, 0)
+        target = Target(name, TargetKind.WORKER, "hobart", name, capacity=capacity)
+        return FakeWorker(target, self.clock, self.history)
+
+    def _make_session(self, worker: FakeWorker, connection: HeldConnection) -> TargetSession:
+        settings = SessionSettings(PARTITION, EPOCH, "one", LEASE_S)
+        return TargetSession(
+            worker.target, connection, settings, self._lease, self.clock, self.tasks
+        )
+
     def _commit_job(self, repeatable: bool, run_s: float) -> None:
         size = TaskSize(1000, 1000)
         spec = JobSpec("check", JobKind.BATCH, size, run_s=run_s, repeatable=repeatable)
--- a/tests/unit/daemon/test_task_manager.py
+++ b/tests/unit/daemon/test_task_manager.py
@@ -5,12 +5,19 @@
 import unittest
 
 from azurecleat_coordination.records import BeginTask, CancelJob, Claim, Entry, encode_entry
-from azurecleat_daemon._internal.target_session import LATE_ARRIVAL_S
+from azurecleat_daemon._internal.target_session import (
+    CONTROL_RETRY_S,
+    LATE_ARRIVAL_S,
+)
 from azurecleat_fakes import Faults
+from azurecleat_model.exceptions import NotRunError, OutcomeUnknownError
 from azurecleat_platform import ControlRequest
 
 from tests.lib.task_manager_fixture import JOB_ID, LEASE_S, PARTITION, TaskManagerFixture
 
+MAX_UNSTARTED_S = 3.0
+"""Longest time for which a task may stay unstarted while there is capacity for it."""
+
 
 class RefusedStartTest(unittest.TestCase):
     """Starts that the worker refuses."""
@@ -63,6 +70,48 @@
         self.assertEqual(reply.ended, ())
 
 
+class SilentWorkerTest(unittest.TestCase):
+    """Tasks placed on a worker that is silent, while others have room."""
+
+    def setUp(self) -> None:
+        self.fixture = TaskManagerFixture(repeatable=True, run_s=1.0)
+        self.others = [self.fixture.add_worker() for _ in range(2)]
+
+    def pass_time(self) -> None:
+        """Lets sessions make an exchange as often as they do with a target that is silent."""
+        self.fixture.clock.advance(CONTROL_RETRY_S)
+        for session in (self.fixture.session, *self.others):
+            session.exchange()
+
+    def began_after_s(self) -> float:
+        """Returns how long the task waits."""
+        began_at = self.fixture.clock.monotonic()
+        for _ in range(100):
+            self.fixture.tasks.step()
+            self.pass_time()
+            if self.fixture.starts[(JOB_ID, 0)]:
+                break
+        return self.fixture.clock.monotonic() - began_at
+
+    # Starts that a worker certainly never received waited until its lease had lapsed.
+    def test_task_that_was_never_sent_starts_elsewhere(self) -> None:
+        self.fixture.connection.error = NotRunError("connection refused", step="control")
+        self.assertLessEqual(self.began_after_s(), MAX_UNSTARTED_S)
+
+    # Tasks were placed on a silent worker, where nothing is sent, until its lease had lapsed.
+    def test_no_task_is_placed_on_an_unresponsive_worker(self) -> None:
+        self.fixture.connection.error = OutcomeUnknownError("no answer", step="control")
+        while not self.fixture.session.is_unresponsive:
+            self.pass_time()
+        self.pass_time()
+        self.assertLessEqual(self.began_after_s(), CONTROL_RETRY_S + 0.01)
+
+    # Guards against a second start of a task that the silent worker may have received.
+    def test_task_that_may_have_been_sent_waits_for_the_end_of_the_lease(self) -> None:
+        self.fixture.connection.error = OutcomeUnknownError("no answer", step="control")
+        self.assertGreater(self.began_after_s(), LEASE_S)
+
+
 class BegunTaskTest(unittest.TestCase):
     """Tasks that are not repeatable, whose begin is recorded before they are sent."""
 
