Pause between checks for the end of a silent worker's lease

What was seen: a session with a queued command and a silent worker had no pause between two exchanges, found by reading. While a session is unresponsive an exchange only checks for the end of the lease, so that its thread ran without pause for half a lease or more.

Cause: a queued command asks for an exchange at once, whether anything may be sent or not.

Fix: an unresponsive session pauses as it does before its target grants control.

What the loop cost other threads was not measured.

--- a/libs/daemon/src/azurecleat_daemon/_internal/target_session.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/target_session.py
@@ -186,7 +186,7 @@
 
     def next_exchange_delay_s(self) -> float:
         """Returns the seconds until the next exchange is due."""
-        if not self._granted:
+        if not self._granted or self.is_unresponsive:
             return CONTROL_RETRY_S
         if self.has_commands:
             return 0.0
--- a/tests/unit/daemon/test_task_manager.py
+++ b/tests/unit/daemon/test_task_manager.py
@@ -106,6 +106,15 @@
         self.pass_time()
         self.assertLessEqual(self.began_after_s(), CONTROL_RETRY_S + 0.01)
 
+    # Exchanges with a silent worker followed each other without pause, although nothing was sent.
+    def test_exchanges_pause_while_nothing_is_sent(self) -> None:
+        self.fixture.connection.error = OutcomeUnknownError("no answer", step="control")
+        self.fixture.tasks.step()
+        while not self.fixture.session.is_unresponsive:
+            self.pass_time()
+        self.assertTrue(self.fixture.session.has_commands)
+        self.assertEqual(self.fixture.session.next_exchange_delay_s(), CONTROL_RETRY_S)
+
     # Guards against a second start of a task that the silent worker may have received.
     def test_task_that_may_have_been_sent_waits_for_the_end_of_the_lease(self) -> None:
         self.fixture.connection.error = OutcomeUnknownError("no answer", step="control")
