Answer each append by its own deadline

What callers saw: in the embedded daemon, a request that reserves its single run within 2 s could wait for up to 30 s while the log gave no answer.

Cause: an entry that may be in the log stays as it is until a read shows it or all deadlines of its events have passed, and only then were their callers answered. Results of tasks have a deadline of 30 s. Events queued behind such an entry were not looked at either, whatever their deadlines.

Fix: an event of such an entry is reported as unknown when its own deadline passes, and the entry counts as open from then on, so that its late outcome is still found. A queued event that expires is certain not to be in the log and is reported so at once.

Evidence: two tests, an event of 2 s in one entry with one of 30 s, and one behind such an entry. Neither had an outcome after 3 s before; both have now. The first also follows the entry until it is applied late: the listener of the event is told, and the outcome is applied.

--- a/libs/coordination/src/azurecleat_coordination/_internal/appender.py
+++ b/libs/coordination/src/azurecleat_coordination/_internal/appender.py
@@ -193,8 +193,10 @@
         """Tries once to append the next batch; returns whether nothing is left to append.
 
         A batch that is certainly not in the log drops its expired events. A batch that may be in
-        the log stays unchanged until a read shows it or all its deadlines have passed.
+        the log stays unchanged until a read shows it or all its deadlines have passed; the outcome
+        of an event whose own deadline has passed is reported as unknown before.
         """
+        self._fail_expired_queued()
         if self._batch is None:
             with self._wakeup:
                 batch = self._queue[:MAX_EVENTS_PER_ENTRY]
@@ -261,15 +263,24 @@
             for pending, result in zip(batch.pending, results, strict=True):
                 _report(pending, result)
 
+    def _fail_expired_queued(self) -> None:
+        """Fails events that expired behind a batch that is not decided yet."""
+        now = self._clock.monotonic()
+        with self._wakeup:
+            expired = [pending for pending in self._queue if pending.deadline <= now]
+            if expired:
+                self._queue = [pending for pending in self._queue if pending.deadline > now]
+        for pending in expired:
+            _resolve(pending.future.set_exception, _not_reached_in_time())
+
     def _fail_expired(self, batch: _Batch) -> None:
         now = self._clock.monotonic()
-        expired = [pending for pending in batch.pending if pending.deadline <= now]
+        expired = [p for p in batch.pending if p.deadline <= now and not p.future.done()]
         if not batch.may_be_in_log:
-            error = LogUnavailableError("the log was not reached in time", step="log.append")
             for pending in expired:
-                _resolve(pending.future.set_exception, error)
+                _resolve(pending.future.set_exception, _not_reached_in_time())
             batch.pending = [pending for pending in batch.pending if not pending.future.done()]
-        elif len(expired) == len(batch.pending):
+        elif expired:
             self._undecided[batch.sequence] = batch
             unknown = AppendUnknownError(
                 "no answer in time",
@@ -296,6 +307,10 @@
         self._counts = AppendCounts(**{k: v + increments.get(k, 0) for k, v in values.items()})
 
 
+def _not_reached_in_time() -> LogUnavailableError:
+    return LogUnavailableError("the log was not reached in time", step="log.append")
+
+
 def _report(pending: _PendingEvent, result: ApplyResult) -> None:
     # The deadline may pass at the same time in another thread. Only one of the two resolves the
     # future, so that its caller and ``on_late`` never both get the result.
--- a/tests/unit/coordination/test_replica.py
+++ b/tests/unit/coordination/test_replica.py
@@ -5,7 +5,14 @@
 import random
 import unittest
 
-from azurecleat_coordination import Appender, AppendOutcome, Backoff, Replica, to_chunks
+from azurecleat_coordination import (
+    Appender,
+    AppendOutcome,
+    ApplyResult,
+    Backoff,
+    Replica,
+    to_chunks,
+)
 from azurecleat_coordination.records import (
     AcceptJob,
     Claim,
@@ -33,6 +40,9 @@
 )
 from azurecleat_model.exceptions import AppendUnknownError, LogUnavailableError
 
+MAX_WAIT_S = 3.0
+"""Longest wait of a caller whose own deadline is shorter."""
+
 DOCUMENT = to_plain(Environment("test", (Team("crew", 1.0, Quota(tasks=10)),)))
 
 
@@ -139,6 +149,42 @@
         self.one.appender.step()
         self.assertIsInstance(future.exception(), AppendUnknownError)
 
+    # Guards against a caller that waits for the longest deadline of all events in its entry:
+    # results of tasks have 30 s, the reservation of a request 2 s.
+    def test_event_with_a_short_deadline_does_not_wait_for_others_of_its_entry(self) -> None:
+        late: list[ApplyResult] = []
+        short = self.one.appender.submit(Intend("k1", 0.0), 2.0, late.append)
+        long = self.one.appender.submit(Intend("k2", 0.0), 30.0)
+        self.log.faults = Faults(lose_answers=1, read_lag=10)
+        self.one.appender.step()
+        self.log.faults = Faults(down=True)
+        self.one.clock.advance(MAX_WAIT_S)
+        self.assertFalse(self.one.appender.step())
+        self.assertIsInstance(short.exception(0.0), AppendUnknownError)
+        sequence = short.exception().sequence
+        self.assertEqual(self.one.appender.outcome(sequence), AppendOutcome.OPEN)
+        self.assertFalse(long.done())
+        self.log.faults = Faults()
+        self.one.appender.step()
+        self.assertTrue(long.result(0.0).accepted)
+        self.assertEqual([result.accepted for result in late], [True])
+        self.assertEqual(self.one.appender.outcome(sequence), AppendOutcome.APPLIED)
+
+    # Guards against a caller that waits for the deadlines of events in the entry before its own.
+    def test_event_with_a_short_deadline_does_not_wait_for_those_before_it(self) -> None:
+        self.log.faults = Faults(lose_answers=1, read_lag=10)
+        self.one.appender.submit(Intend("k1", 0.0), 30.0)
+        self.one.appender.step()
+        queued = self.one.appender.submit(Intend("k2", 0.0), 2.0)
+        self.log.faults = Faults(down=True)
+        self.one.clock.advance(MAX_WAIT_S)
+        self.one.appender.step()
+        self.assertIsInstance(queued.exception(0.0), LogUnavailableError)
+        self.log.faults = Faults()
+        while not self.one.appender.step():
+            pass
+        self.assertNotIn("k2", self.one.replica.fleet.intents)
+
     def test_late_result_is_reported_to_the_listener_of_its_event_only(self) -> None:
         late = []
         self.log.faults = Faults(lose_answers=1, read_lag=10)
