Serve forwarded operations beside each other

What callers saw: in the embedded daemon, submissions that reached another instance than the owner were accepted one after another, and heartbeats between the two got no answer meanwhile.

Cause: a peer's connection has one thread, which answers everything but forwarded requests in order. A forwarded submission or cancellation waits there for its append: 0.1 s on a fast log, up to 5 s without one. Appends of one peer were therefore never committed together, and whatever followed on the connection, such as a heartbeat with 1 s, waited for all of them.

Fix: operations run in a bounded pool of their own, as requests do. Local callers' operations have always run beside each other.

Evidence: five operations whose log gives no answer, and a heartbeat on the same connection.

--- a/libs/peers/src/azurecleat_peers/_internal/server.py
+++ b/libs/peers/src/azurecleat_peers/_internal/server.py
@@ -1,4 +1,4 @@
-"""Server for calls of other instances, with one thread per connection and a bounded pool."""
+"""Server for calls of other instances, with one thread per connection and bounded pools."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 
 from azurecleat_model import ExecutionStatus
 from azurecleat_model.events import BAD_FRAME, COMPONENT_FAILED, log_event
@@ -13,22 +14,64 @@
 
 from azurecleat_peers._internal.codec import Envelope, decode, encode
 from azurecleat_peers._internal.framing import receive_frame, send_frame
-from azurecleat_peers._internal.messages import Hello, Message, RefusalAnswer, RunRequest
+from azurecleat_peers._internal.messages import (
+    Hello,
+    Message,
+    Operation,
+    RefusalAnswer,
+    RunRequest,
+)
 
 MAX_FORWARDED_REQUESTS = 256
 """Limit on concurrent forwarded requests; requests above it are refused as not run."""
 
+MAX_FORWARDED_OPERATIONS = 256
+"""Limit on concurrent forwarded operations, which wait for the log."""
+
 MAX_CONNECTIONS = 256
 HELLO_TIMEOUT_S = 5.0
 
 Handler = Callable[[Message], Message]
 
 
+class _BoundedPool:
+    """Threads for the calls of one kind. A call above the limit is rejected, not queued."""
+
+    def __init__(self, limit: int, name: str) -> None:
+        self._executor = ThreadPoolExecutor(limit, thread_name_prefix=name)
+        self._slots = threading.BoundedSemaphore(limit)
+
+    def submit(self, call: Callable[[], None]) -> bool:
+        """Runs a call; returns False if there is no slot.
+
+        :raises RuntimeError: The pool has been shut down.
+        """
+        if not self._slots.acquire(blocking=False):
+            return False
+
+        def run() -> None:
+            try:
+                call()
+            finally:
+                self._slots.release()
+
+        try:
+            self._executor.submit(run)
+        except RuntimeError:
+            self._slots.release()
+            raise
+        return True
+
+    def shutdown(self) -> None:
+        """Waits for the calls in progress."""
+        self._executor.shutdown(wait=True)
+
+
 class PeerServer:
     """Accepts connections and answers calls.
 
-    Forwarded requests may take long, so they run in a pool. All other messages are answered in
-    order on the thread of their connection.
+    Forwarded requests and operations may take long, so each kind runs in a pool of its own. All
+    other messages are answered in order on the thread of their connection.
 
     :param address: ``ip:port`` to listen on; port 0 selects a free port.
     :param handler: Returns the answer to a message.
@@ -38,8 +81,10 @@
         host, _, port = address.rpartition(":")
         self._handler = handler
         self._listener = socket.create_server((host, int(port)), backlog=128)
-        self._pool = ThreadPoolExecutor(MAX_FORWARDED_REQUESTS, thread_name_prefix="peer-call")
-        self._slots = threading.BoundedSemaphore(MAX_FORWARDED_REQUESTS)
+        self._pools = {
+            RunRequest: _BoundedPool(MAX_FORWARDED_REQUESTS, "peer-call"),
+            Operation: _BoundedPool(MAX_FORWARDED_OPERATIONS, "peer-operation"),
+        }
         self._connections: set[socket.socket] = set()
         self._lock = threading.Lock()
         self._stopping = False
@@ -62,7 +107,8 @@
         except OSError:
             pass
         self._listener.close()
-        self._pool.shutdown(wait=True)
+        for pool in self._pools.values():
+            pool.shutdown()
         with self._lock:
             connections = list(self._connections)
         for connection in connections:
@@ -95,8 +141,9 @@
             connection.settimeout(None)
             while (data := receive_frame(connection)) is not None:
                 envelope = decode(data)
-                if isinstance(envelope.message, RunRequest):
-                    self._submit(connection, write_lock, envelope)
+                pool = self._pools.get(type(envelope.message))
+                if pool is not None:
+                    self._submit(pool, connection, write_lock, envelope)
                 else:
                     self._answer(connection, write_lock, envelope)
         except FrameError as error:
@@ -113,28 +160,21 @@
         if data is None or not isinstance(decode(data).message, Hello):
             raise FrameError("the first frame is not a hello", step="peer.hello")
 
-    def _submit(self, connection: socket.socket, lock: threading.Lock, envelope: Envelope) -> None:
-        if not self._slots.acquire(blocking=False):
-            busy = RefusalAnswer(
-                "peer-busy", "too many forwarded calls", ExecutionStatus.NOT_RUN.value, 1.0
-            )
-            self._send(connection, lock, Envelope(envelope.id, busy))
-            return
-
-        def run() -> None:
-            try:
-                self._answer(connection, lock, envelope)
-            finally:
-                self._slots.release()
-
+    def _submit(
+        self,
+        pool: _BoundedPool,
+        connection: socket.socket,
+        lock: threading.Lock,
+        envelope: Envelope,
+    ) -> None:
+        not_run = ExecutionStatus.NOT_RUN.value
         try:
-            self._pool.submit(run)
+            if pool.submit(partial(self._answer, connection, lock, envelope)):
+                return
+            refusal = RefusalAnswer("peer-busy", "too many forwarded calls", not_run, 1.0)
         except RuntimeError:
-            self._slots.release()
-            stopping = RefusalAnswer(
-                "stopping", "instance stops", ExecutionStatus.NOT_RUN.value, 1.0
-            )
-            self._send(connection, lock, Envelope(envelope.id, stopping))
+            refusal = RefusalAnswer("stopping", "instance stops", not_run, 1.0)
+        self._send(connection, lock, Envelope(envelope.id, refusal))
 
     def _answer(self, connection: socket.socket, lock: threading.Lock, envelope: Envelope) -> None:
         try:
--- a/tests/unit/peers/test_network.py
+++ b/tests/unit/peers/test_network.py
@@ -17,14 +17,20 @@
     Envelope,
     Hello,
     Message,
+    Operation,
+    OperationAnswer,
     RefusalAnswer,
     RunAnswer,
     RunRequest,
+    Status,
     Withdraw,
     decode,
     encode,
 )
 
+MAX_WAIT_S = 3.0
+"""Longest wait for a service that has capacity."""
+
 HELLO = Hello("me", "1", "hobart")
 
 
@@ -150,6 +156,37 @@
         server = self.server(lambda message: Acknowledged())
         self.assertEqual(self.network.call(server.address, Withdraw("k"), 5.0), Acknowledged())
 
+    # Forwarded submissions, each of which waits for the log, were answered one after another, and
+    # the heartbeat behind them on the same connection got no answer in time.
+    def test_operations_that_wait_for_the_log_delay_no_other_call(self) -> None:
+        is_log_back, waiting = threading.Event(), threading.Semaphore(0)
+        self.addCleanup(is_log_back.set)
+
+        def handle(message: Message) -> Message:
+            if isinstance(message, Operation):
+                waiting.release()
+                is_log_back.wait(10.0)
+                return OperationAnswer(message.subject)
+            return Acknowledged()
+
+        server, answers = self.server(handle), []
+
+        def submit(number: int) -> None:
+            operation = Operation("hobart", "submit", "crew", str(number), "{}")
+            answers.append(self.network.call(server.address, operation, 10.0))
+
+        threads = [threading.Thread(target=submit, args=(number,)) for number in range(5)]
+        for thread in threads:
+            thread.start()
+        for _ in threads:
+            self.assertTrue(waiting.acquire(timeout=MAX_WAIT_S))
+        answer = self.network.call(server.address, Status("me", "1"), MAX_WAIT_S)
+        self.assertEqual(answer, Acknowledged())
+        is_log_back.set()
+        for thread in threads:
+            thread.join()
+        self.assertEqual({answer.body for answer in answers}, set("01234"))
+
     def test_refused_connection_has_its_own_error(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as free:
             address = f"127.0.0.1:{free.getsockname()[1]}"
