Poll members that answer ahead of silent ones

What callers would see: in the embedded daemon, an instance whose own reads of the log fail refuses keyed work although a peer with a fresh view answers. Found by reading; seen in a test only.

Cause: members are polled one after another, each silent one for the whole time limit of 1 s. With eight silent ones, the others were polled every 8.5 s. An answer proves that keys are fresh for 5 s.

Fix: a member that missed two polls is silent. Silent members come last in a step, the one polled longest ago first, and after one that gives no answer the others wait for the next step.

Evidence: eleven members, eight of them silent. The others were polled every 8.5 s before and are polled at least every 3 s now. Each silent one is still polled at least every 16 s, and all are found to be back within 3 s.

--- a/libs/daemon/src/azurecleat_daemon/_internal/membership.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/membership.py
@@ -4,7 +4,8 @@
 
 import json
 import threading
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 
 from azurecleat_coordination import (
@@ -42,6 +43,9 @@
 JOIN_DEADLINE_S = 30.0
 NOTIFICATION_THREADS = 4
 
+MAX_MISSED_POLLS = 2
+"""Consecutive polls without an answer after which a member counts as silent."""
+
 
 class Membership:
     """This instance's membership in the fleet, and what it knows of the other members.
@@ -75,6 +79,8 @@
         self._last_answered_at: dict[str, float] = {}
         self._last_polled_at: dict[str, float] = {}
         self._first_seen_at: dict[str, float] = {}
+        self._missed_polls: Counter[str] = Counter()
+        """Consecutive polls of each member without an answer."""
         self._withdrawals = Withdrawals(replica, appender, clock)
         self._evictions = Evictions(settings.instance, timing.key_bound_s, appender, network, clock)
         self._departed: dict[str, str] = {}
@@ -148,9 +154,7 @@
         """Joins, polls the members that are due, and advances evictions and withdrawals."""
         self._join()
         members = self.members()
-        for member in members.values():
-            if member.instance != self._settings.instance and self._is_poll_due(member):
-                self._poll_member(member)
+        self._poll_members(members)
         log_is_reachable = self._proof is Proof.LOG
         if log_is_reachable:
             self._evictions.step(members, self._silence_s)
@@ -220,6 +224,28 @@
 
     # Polling members.
 
+    def _poll_members(self, members: Mapping[str, Member]) -> None:
+        """Polls the members that are due, the silent ones last and in turn.
+
+        A silent member takes the whole time limit of a call. After one without an answer, the other
+        silent ones are left for the next step, so that they do not delay the polls of the others.
+        """
+        own = self._settings.instance
+        due = [
+            each for each in members.values() if each.instance != own and self._is_poll_due(each)
+        ]
+        silent = [each for each in due if self._is_silent(each)]
+        for member in due:
+            if member not in silent:
+                self._poll_member(member)
+        for member in sorted(silent, key=lambda each: self._last_polled_at[each.instance]):
+            self._poll_member(member)
+            if self._is_silent(member):
+                break
+
+    def _is_silent(self, member: Member) -> bool:
+        return self._missed_polls[member.instance] >= MAX_MISSED_POLLS
+
     def _is_poll_due(self, member: Member) -> bool:
         last_polled_at = self._last_polled_at.get(member.instance)
         if last_polled_at is None:
@@ -244,10 +270,13 @@
             self._freshness.on_stopped(member.instance, sent_at)
             # A process that has ended need not know this instance.
             self._acknowledged_by.add(member.instance)
+            self._missed_polls.pop(member.instance, None)
             return
         except PeerError:
             self._metrics.retries.labels("peer.status", "no-answer").inc()
+            self._missed_polls[member.instance] += 1
             return
+        self._missed_polls.pop(member.instance, None)
         if not isinstance(answer, StatusAnswer) or answer.status.instance != member.instance:
             return
         self._last_answered_at[member.instance] = self._clock.monotonic()
