Pause a target after a refusal only while it is kept back; clearer names

A pause of 1 s after each refusal held for all targets at once, so that a pool whose targets all refuse for a moment was closed. It now holds only for a target that is suspect, of which a pool has a quarter at most. The rest are remarks of the review on names and comments, and a property that only a test used; the test now counts all waiting requests.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/advice_queue.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/advice_queue.py
@@ -24,7 +24,7 @@
 
 
 class RequestState(Enum):
-    """What became of a step's last request for advice."""
+    """State of a step's open request for advice."""
 
     NONE = ""
     """None is open: there was none, or it has been answered."""
@@ -86,12 +86,8 @@
     def has_short(self) -> bool:
         return bool(self._short)
 
-    @property
-    def has_long(self) -> bool:
-        return bool(self._long)
-
     def accepts(self, cost_s: float, workers: int) -> bool:
-        """Whether a request of this cost would be sent soon.
+        """Whether a request of this cost would be sent soon: there is a worker or a place to wait.
 
         :param workers: Number of workers that take short requests.
         """
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -75,7 +75,7 @@
 """Most overdue steps of each kind checked in one round: many of them turn out to need no advice."""
 
 OVERDUE_REQUEST_PAUSE_COSTS = 1.0
-"""The same pause for overdue tasks that last, which ask again as soon as they have an answer."""
+"""``REQUEST_PAUSE_COSTS`` of overdue steps that last: they ask again as soon as they may."""
 
 MAX_BUSY_SHARE = 0.3
 """Share of the time that may be spent on dispatching; processing reports needs the rest."""
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/model.py
@@ -228,7 +228,7 @@
         self.checked_at = float("-inf")
         """When the step was last checked for missing advice."""
         self.attended_at = float("-inf")
-        """When the step last made a request, got its answer, or was found to need none."""
+        """When the step last had its turn: it made a request, got the answer, or needed none."""
 
     @property
     def has_answers(self) -> bool:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/runs.py
@@ -12,6 +12,7 @@
     StepInfo,
     TargetInfo,
 )
+from azurecleat_cluster._internal.owner.placement import is_kept_back
 from azurecleat_cluster._internal.owner.preemption_outcomes import LOST, PREEMPTION_REASON
 from azurecleat_cluster._internal.owner.start_attempts import StartOutcome
 from azurecleat_cluster._internal.owner.state import TermState
@@ -31,7 +32,7 @@
 reports have arrived."""
 
 REFUSAL_PAUSE_S = 1.0
-"""How long a target that refused a task for another reason gets no task at all."""
+"""How long a target that is kept back gets no task at all after it refused one."""
 
 
 class RunTransitions(TermState):
@@ -245,9 +246,10 @@
                 target.suspect_until = max(target.suspect_until, now + NO_CAPACITY_PAUSE_S)
                 target.refused_until = max(target.refused_until, now + NO_CAPACITY_PAUSE_S)
             case _:
-                run.target.refused_until = max(run.target.refused_until, now + REFUSAL_PAUSE_S)
                 step.avoided.setdefault(run.task.index, set()).add(run.target.id)
                 self.health.note_refusal(run.target, reason, now)
+                if is_kept_back(run.target, now):  # Not if too many others refuse as well.
+                    run.target.refused_until = now + REFUSAL_PAUSE_S
         self._stop_gang(run, "another task of the gang was refused")
         self.wake()
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_health.py
@@ -36,7 +36,7 @@
 
 PROBE_S = 2.0
 """Longest time for which one run on probation keeps further starts away: a run of a task of some
-seconds that stalls has been detected by then. One that lasts does so until it is at work."""
+seconds that stalls has been detected by then. A lasting run that is at work ends that sooner."""
 
 MAX_SUSPECT_SHARE = 0.25
 """Share of a pool's targets that may be suspect at one time; one may be in any pool."""
--- a/tests/unit/cluster/test_advice.py
+++ b/tests/unit/cluster/test_advice.py
@@ -155,7 +155,7 @@
         queue.pop(may_take_long=True)
         queue.note_sent(request, 1.95)
         queue.note_failed(request, 0.0)
-        self.assertFalse(queue.has_long)
+        self.assertEqual(len(queue), 0)
 
     # After an outage of the service all workers paused for up to 8 s, and no step got advice.
     def test_workers_ask_again_soon_after_an_outage_of_the_service(self) -> None:
