Contain lasting tasks under which targets crash; never give them up

No run had ended as failed.

RULES.md sets no limit to those ("Tasks that last have no such limit"), and a job may be shown as failed only for ends `failed`.

Now a lasting task never fails its job. It is contained: after the second crash under it, it waits for 0.5 s before it starts again, then 1 s, then 2 s; from the third crash on it is always isolated and put on an empty target, even one that it has crashed, rather than beside other runs. The pause is bounded so that it runs again within 3 s. Its target is open to others once it has been at work for 2 s, as they may have no other and must not wait for 3 s. It does not wait for the record of its crashes, as it has no budget that a change of owner could forget; the last five count. The tasks of a lasting gang only wait. Tasks that end are given up as before.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/crash_history.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/crash_history.py
@@ -28,8 +28,15 @@
         """Returns the crashes under a task."""
         return self._crashes.get(index, frozenset())
 
-    def add(self, index: int, crash: Crash, now: float) -> None:
-        self._crashes.setdefault(index, set()).add(crash)
+    def add(self, index: int, crash: Crash, now: float, max_count: int | None = None) -> None:
+        """Counts a crash under a task.
+
+        :param max_count: Number of crashes to keep, the last ones; None to keep all.
+        """
+        crashes = self._crashes.setdefault(index, set())
+        crashes.add(crash)
+        if max_count is not None and len(crashes) > max_count:
+            crashes.remove(min(crashes))
         self.last_at = now
 
     def forget(self, index: int) -> None:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/crash_tracking.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/crash_tracking.py
@@ -5,10 +5,13 @@
 from azurecleat_cluster._internal import eventlog
 from azurecleat_cluster._internal.owner.crashes import (
     COINCIDENCE_S,
+    LASTING_ISOLATION_S,
+    MAX_EXPOSURES,
     STABLE_S,
     describe_tasks,
     is_crash_loop,
     needs_strict_isolation,
+    pause_s,
     runs_being_started,
     suspect_runs,
 )
@@ -47,13 +50,20 @@
                 self._count_crash(run, run in suspicion.runs, is_clear, now)
 
     def _count_crash(self, run: Run, is_suspected: bool, is_clear: bool, now: float) -> None:
-        """Counts a crash under a run's task, and gives the task up if it is in a crash loop."""
+        """Counts a crash under a run's task, and gives the task up if it is in a crash loop.
+
+        A lasting task is contained instead.
+        """
         index, job, history = run.task.index, run.step.job, run.step.crash_history
         crash = Crash(run.number, run.target.entry.address, bool(run.began_at), is_suspected)
-        history.add(index, crash, now)
+        is_lasting = run.step.spec.long_running
+        history.add(index, crash, now, MAX_EXPOSURES if is_lasting else None)
         crashes = history.of(index)
         if (is_suspected and not run.has_survived_start) or needs_strict_isolation(crashes):
             history.suspects.add(index)
+        if is_lasting:
+            self._contain(run, is_crash_loop(crashes, is_clear), now)
+            return
         if is_crash_loop(crashes, is_clear):
             self._events.write(
                 eventlog.JOB_GIVEN_UP, job=job.id, task=run.task, crashes=len(crashes)
@@ -68,6 +78,25 @@
         history.unrecorded.add(index)
         self.record(job, lambda: self._on_crashes_recorded(run.step, index))
 
+    def _contain(self, run: Run, is_looping: bool, now: float) -> None:
+        """Keeps a lasting task from crashing target after target at full speed.
+
+        It has no limit of attempts, so that it need not wait until the log has its crashes.
+        """
+        index, step = run.task.index, run.step
+        crashes = step.crash_history.of(index)
+        if is_looping:
+            self._events.write(
+                eventlog.TASK_CONTAINED,
+                job=step.job.id,
+                task=run.task,
+                crashes=len(crashes),
+                pause_s=pause_s(crashes),
+            )
+        if step.spec.gang:  # Its tasks start together, and none of them is isolated.
+            step.not_before = max(step.not_before, now + pause_s(crashes))
+        self.record(step.job)
+
     def _on_crashes_recorded(self, step: StepInfo, index: int) -> None:
         with self.lock:
             step.crash_history.unrecorded.discard(index)
@@ -82,3 +111,5 @@
         if not needs_strict_isolation(history.of(index)):
             history.suspects.discard(index)
             target.end_isolation(run)
+        elif run.step.spec.long_running and now - run.began_at >= LASTING_ISOLATION_S:
+            target.end_isolation(run)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/crashes.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/crashes.py
@@ -2,7 +2,8 @@
 
 A crash ends all runs on a target without a report, so the task that caused it looks like the tasks
 beside it. Only what had just been started there is suspected; a suspected task is then started
-isolated, so that the next crash tells it apart from its neighbours.
+isolated, so that the next crash tells it apart from its neighbours. A task that goes on crashing
+its targets is given up; one that lasts is contained instead, as only its caller may end it.
 """
 
 from __future__ import annotations
@@ -34,6 +35,18 @@
 STRICT_EXPOSURES = 3
 """Crashes under a task from which it stays isolated until its run ends."""
 
+LASTING_ISOLATION_S = 2.0
+"""The same for a lasting task, in time at work: it is never given up, and other jobs, which must
+not wait for three seconds, may have no other target with their label."""
+
+FIRST_PAUSE_S = 0.5
+"""How long a lasting task waits after the second crash under it; twice as long after each further
+one."""
+
+MAX_PAUSE_S = 2.0
+"""Longest such wait: a lasting task has to run again within three seconds, and it takes up to half
+a second until a crash is noticed."""
+
 MAX_ISOLATED_SHARE = 0.5
 """Share of the targets that may be isolated at one time; the others accept all tasks."""
 
@@ -109,6 +122,37 @@
     )
 
 
+def pause_s(crashes: Collection[Crash]) -> float:
+    """Returns how long a lasting task waits after the last of these crashes."""
+    if len(crashes) < MIN_CONFIRMED_CRASHES:
+        return 0.0
+    return min(MAX_PAUSE_S, FIRST_PAUSE_S * 2.0 ** (len(crashes) - MIN_CONFIRMED_CRASHES))
+
+
+def _is_paused(step: StepInfo, index: int, now: float) -> bool:
+    """Whether a task still waits after the last crash under it.
+
+    A new owner does not know when that was.
+    """
+    if not step.spec.long_running:
+        return False
+    returned_at = step.returned_at.get(index, float("-inf"))
+    return now - returned_at < pause_s(step.crash_history.of(index))
+
+
+def _isolation_order(
+    target: TargetInfo, crashed_addresses: Collection[str], is_contained: bool
+) -> tuple:
+    """Returns the order in which targets are chosen for a suspected task.
+
+    :param is_contained: Whether the task goes on crashing targets: it had better crash one that it
+        has crashed before than one with other runs.
+    """
+    has_crashed = target.entry.address in crashed_addresses
+    has_runs = is_contained and bool(target.runs)
+    return has_runs, has_crashed, len(target.runs), target.id
+
+
 def place_isolated(
     step: StepInfo,
     indices: Sequence[int],
@@ -116,11 +160,12 @@
     max_count: int,
     now: float,
 ) -> list[tuple[int, TargetInfo]]:
-    """Chooses a target of its own for each suspected task of a step.
+    """Chooses a target of its own for each suspected task of a step that does not pause.
 
     The targets with the fewest runs come first, as a crash would end these runs, and those that
-    have crashed under the task come last. Where nothing else is being started, a crash has one
-    suspect; if no such target comes free, any other is better than waiting.
+    have crashed under the task come last; a lasting task under which several have crashed rather
+    goes to one of these than beside other runs. Where nothing else is being started, a crash has
+    one suspect; if no such target comes free, any other is better than waiting.
 
     :param max_count: Number of targets that may still be isolated.
     :returns: Pairs of a task index and its target.
@@ -132,11 +177,15 @@
     if not free and now - step.crash_history.last_at >= MAX_CLEAR_WAIT_S:
         free = usable
     chosen: list[tuple[int, TargetInfo]] = []
-    for index in indices[: max(0, max_count)]:
-        if not free:
+    for index in indices:
+        if not free or len(chosen) >= max_count:
             break
-        crashed = {crash.address for crash in step.crash_history.of(index)}
-        best = min(free, key=lambda each: (each.entry.address in crashed, len(each.runs), each.id))
+        if _is_paused(step, index, now):
+            continue
+        crashes = step.crash_history.of(index)
+        addresses = {crash.address for crash in crashes}
+        is_contained = step.spec.long_running and needs_strict_isolation(crashes)
+        best = min(free, key=lambda each: _isolation_order(each, addresses, is_contained))
         free.remove(best)
         chosen.append((index, best))
     return chosen
