Separate the requests for advice and the last resorts from the dispatcher

Which step asks next is now decided in AdviceRequester, which steps may use targets that are kept back in last_resort; the dispatcher places tasks. No decision changes. The simulation of preemption passes its workers to the pool simulation instead of replacing its client.

--- a/tests/lib/pool_simulation.py
+++ b/tests/lib/pool_simulation.py
@@ -146,6 +146,7 @@
     :param slowness: How many times longer tasks take by kind of target; 1 for other kinds.
     :param teams: Accounts of the configuration.
     :param queues: Queues of the configuration.
+    :param advice_workers: Numbers of workers for advice of any cost, and for short requests.
     """
 
     def __init__(
@@ -158,6 +159,7 @@
         slowness: Mapping[str, float] | None = None,
         teams: Iterable[Team] = (TEAM,),
         queues: Iterable[Queue] = (QUEUE,),
+        advice_workers: tuple[int, int] = (ADVICE_WORKERS, 0),
     ) -> None:
         self.clock = ManualClock()
         self._start = self.clock.monotonic()
@@ -168,7 +170,7 @@
         self._factors: dict[str, float] = {}
         """Ratio of durations to estimates by job."""
         self._replica = JobReplica(self.clock.monotonic)
-        self.advice = AdviceStandIn(self.clock, self.is_allowed)
+        self.advice = AdviceStandIn(self.clock, self.is_allowed, *advice_workers)
         self.harness = TermHarness(
             self.clock,
             self._replica,
--- a/tests/lib/preemption_simulation.py
+++ b/tests/lib/preemption_simulation.py
@@ -9,7 +9,7 @@
 from azurecleat_cluster._internal.owner.model import Run
 from azurecleat_cluster.values import EndKind, RunStatus, TargetEntry, TargetReport
 
-from tests.lib.pool_simulation import AdviceStandIn, PoolSimulation
+from tests.lib.pool_simulation import PoolSimulation
 
 GENERAL_WORKERS = 28
 SHORT_WORKERS = 8
@@ -33,10 +33,8 @@
         seed: int,
         features: Features,
     ) -> None:
-        super().__init__(entries, allowed_share, seed, features=features)
-        self.advice = self.harness.dispatcher._advice = AdviceStandIn(
-            self.clock, self.is_allowed, GENERAL_WORKERS, SHORT_WORKERS
-        )
+        workers = (GENERAL_WORKERS, SHORT_WORKERS)
+        super().__init__(entries, allowed_share, seed, features=features, advice_workers=workers)
         self.harness.term._share_limiter.exceeds_share = lambda *_: False
         self.stopped: list[Run] = []
         self._chance = random.Random(seed)
--- a/tests/unit/cluster/test_advice_waits.py
+++ b/tests/unit/cluster/test_advice_waits.py
@@ -8,7 +8,7 @@
 
 from azurecleat_base import Resources
 from azurecleat_cluster._internal.owner import advice_requests, placement
-from azurecleat_cluster._internal.owner.dispatch import MAX_EXAMINED_TARGETS
+from azurecleat_cluster._internal.owner.advice_requester import MAX_EXAMINED_TARGETS
 from azurecleat_cluster._internal.owner.model import Run, StepInfo, TargetInfo
 from azurecleat_cluster._internal.owner.start_attempts import StartOutcome
 from azurecleat_cluster.ports import StartResult
@@ -306,7 +306,7 @@
         simulation.wait(3.0)
         simulation.add("lasts", STANDING, LASTING)
         simulation.wait(40.0)
-        self.assertLess(simulation.harness.dispatcher._allowed_shares.of(STANDING.name), 0.2)
+        self.assertLess(simulation.harness.dispatcher._requester.allowed_share(STANDING.name), 0.2)
 
 
 class LargePoolTest(unittest.TestCase):
--- a/tests/unit/cluster/test_probation.py
+++ b/tests/unit/cluster/test_probation.py
@@ -6,7 +6,7 @@
 import unittest
 
 from azurecleat_base import ManualClock, Resources
-from azurecleat_cluster._internal.owner.dispatch import OVERDUE_S
+from azurecleat_cluster._internal.owner.last_resort import OVERDUE_S
 from azurecleat_cluster._internal.owner.model import Run, TargetInfo
 from azurecleat_cluster._internal.owner.target_health import (
     OUTCOME_WINDOW_S,
