review: case 8, a progress record above the log's limit stops everything for good

Cause: the checkpoint of one member of a gang is written for all its members; a record that the store refuses for its size is sent again for ever, and the end that made it is read again by each next owner.

--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -12,6 +12,7 @@
 import base64
 import json
 import os
+import shutil
 import signal
 import socket
 import struct
@@ -31,15 +32,23 @@
 HEARTBEAT_S = 1.5
 STOP_S = 0.1
 MAX_HOLD_MS = 10_000
+RECORD_BYTES = 262_144
+CALL_BYTES = 2_097_152
 KEY = "key-of-the-tenant"
 
 Handler = Callable[[str, str, dict, dict, bytes], Awaitable[tuple[int, bytes] | None]]
 
 
+_ports: set[int] = set()
+
+
 def free_port() -> int:
-    """Returns a free port below the range that the system assigns by itself."""
+    """Returns a free port below the range that the system assigns by itself, each one once."""
     while True:
         port = 15_000 + int.from_bytes(os.urandom(2)) % 15_000
+        if port in _ports:
+            continue
+        _ports.update((port, port + 1))
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
@@ -174,13 +183,35 @@
         print(line, flush=True)
 
 
+class Signal:
+    """Wakes all tasks that wait for a change."""
+
+    def __init__(self) -> None:
+        self._waiters: set[asyncio.Future] = set()
+
+    def notify(self) -> None:
+        for waiter in self._waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+        self._waiters.clear()
+
+    async def wait_until(self, condition: Callable[[], Any], timeout_s: float) -> None:
+        """Waits until a condition holds after a change, or for ``timeout_s``."""
+        deadline = time.monotonic() + timeout_s
+        while not condition() and (left_s := deadline - time.monotonic()) > 0:
+            waiter = asyncio.get_running_loop().create_future()
+            self._waiters.add(waiter)
+            await asyncio.wait({waiter}, timeout=left_s)
+            self._waiters.discard(waiter)
+
+
 class Topic:
     def __init__(self) -> None:
         self.records: list[tuple[str, bytes]] = []
         self.newest: dict[str, tuple[int, bytes]] = {}
         self.producers: dict[str, tuple[int, int, dict[int, bytes]]] = {}
         self.lock = asyncio.Lock()
-        self.changed = asyncio.Condition()
+        self.changed = Signal()
 
 
 class Store:
@@ -202,8 +233,7 @@
             if value:
                 topic.newest[key] = (len(topic.records), value)
             topic.records.append((key, value))
-        async with topic.changed:
-            topic.changed.notify_all()
+        topic.changed.notify()
         return offset
 
     def serve(self, shown: dict[str, str]) -> Handler:
@@ -228,13 +258,7 @@
                 return await self._serve_append(topic, query, body, from_instance)
             if path == "/log-read":
                 start, wait_s = int(query["from"]), int(query.get("wait_ms", 0)) / 1000.0
-                async with topic.changed:
-                    try:
-                        await asyncio.wait_for(
-                            topic.changed.wait_for(lambda: len(topic.records) > start), wait_s
-                        )
-                    except TimeoutError:
-                        pass
+                await topic.changed.wait_until(lambda: len(topic.records) > start, wait_s)
                 page = struct.pack(">QQ", len(topic.records), 0)
                 for key, value in topic.records[start : start + 2000]:
                     content = bytes([len(key.encode())]) + key.encode() + to_instance(value)
@@ -269,6 +293,8 @@
             size = content[0]
             records.append((content[1 : 1 + size].decode(), decode(content[1 + size :])))
             position += 4 + length
+        if any(len(value) > RECORD_BYTES for _, value in records) or len(body) > CALL_BYTES:
+            return to_json(400, {})
         async with topic.lock:
             await asyncio.sleep(APPEND_S)
             if "producer" not in query:
@@ -322,7 +348,7 @@
         self._life = 0
         self.is_up = False
         self.server = HttpServer(self._serve)
-        self._changed = asyncio.Condition()
+        self._changed = Signal()
 
     async def start(self) -> None:
         if not self.server.address:
@@ -391,10 +417,19 @@
         run.ended, run.how = self._platform.record.now(), how
         self._platform.record.note(f"ended: {run}")
         self._finished[run.task] = max(run.run, self._finished.get(run.task, 0))
-        self._ended.append([self._next_end, run.task, run.run, how, ""])
+        saved = "" if how == "done" else self._platform.saved(run)
+        self._ended.append([self._next_end, run.task, run.run, how, saved])
         self._next_end += 1
-        async with self._changed:
-            self._changed.notify_all()
+        self._changed.notify()
+
+    async def fail_gang(self, run: RunnerRun) -> None:
+        """Ends a member of a gang as failed, and the others here as broken."""
+        step = run.task.rpartition(".")[0]
+        others = [each for each in self.runs.values() if each.task.rpartition(".")[0] == step]
+        await self._end(run, "failed")
+        for other in others:
+            if other is not run and other.run == run.run:
+                await self._end(other, "broken")
 
     async def _finish(self, run: RunnerRun, after_s: float, life: int) -> None:
         await asyncio.sleep(after_s)
@@ -465,20 +500,14 @@
         self._hold_until(fields)
         self._ended = [each for each in self._ended if each[0] > fields["last_seen"]]
         if not self._ended and fields.get("wait_ms"):
-            async with self._changed:
-                try:
-                    await asyncio.wait_for(
-                        self._changed.wait_for(lambda: self._ended), fields["wait_ms"] / 1000.0
-                    )
-                except TimeoutError:
-                    pass
+            await self._changed.wait_until(lambda: self._ended, fields["wait_ms"] / 1000.0)
         now = self._platform.record.now()
         running = []
         for run in self.runs.values():
             duration_s = self._platform.duration_s(run.task)
             at_work_s = now - run.began
             percent = 100 if duration_s is None else int(100 * min(0.99, at_work_s / duration_s))
-            running.append([run.task, run.run, "", percent, 0])
+            running.append([run.task, run.run, self._platform.saved(run), percent, 0])
         return self._answer(200, running=running, ended=self._ended[:500])
 
     def _answer(self, status: int, **fields: Any) -> tuple[int, bytes]:
@@ -508,19 +537,26 @@
         if is_in_records:
             self.shown[target] = link.address
 
-    def start(self) -> None:
+    def start(self, path: str | None = None) -> None:
+        """Starts the process.
+
+        :param path: Replaces the variable PATH, and so decides which ``python3`` runs.
+        """
         platform = self._platform
         settings = platform.folder / f"{self.node}.toml"
         settings.write_text(platform.settings(self), encoding="utf-8")
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text(encoding="utf-8"))
         role = deploy["roles"]["instance"]
+        command, *arguments = role["run"].split()
         kept = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
+        if path is not None:
+            kept["PATH"] = path
         env = {**kept, "PYTHONPATH": str(ROOT / "target/deps"), **role.get("env", {})}
         self.starts += 1
         self._log = platform.folder / f"{self.node}-{self.starts}.log"
         with self._log.open("wb") as output:
             self.process = subprocess.Popen(
-                role["run"].split(),
+                [shutil.which(command, path=kept["PATH"]) or command, *arguments],
                 cwd=ROOT,
                 env=env | {"AZURECLEAT_SETTINGS": str(settings)},
                 stdout=output,
@@ -555,6 +591,7 @@
     :param lines: Gets the lines of the record.
     :param duration_s: Returns the duration of a task; None if it lasts.
     :param advice: The ``advice`` of the route in the configuration, if it has any.
+    :param saved: Returns the checkpoint of a run.
     """
 
     def __init__(
@@ -564,10 +601,12 @@
         advice: dict | None = None,
         limit: dict | None = None,
         attempts: int = 3,
+        saved: Callable[[RunnerRun], str] = lambda run: "",
     ) -> None:
         self.record = Record(lines)
         self.duration_s = duration_s
         self.advised = advice is not None
+        self.saved = saved
         self._advice, self._limit, self._attempts = advice, limit or {}, attempts
         self.store = Store()
         self.runners: list[Runner] = []
@@ -580,12 +619,16 @@
         self.folder = Path(self._temporary.name)
 
     async def start(
-        self, zones: list[str], runners: list[tuple[str, int, list[str]]]
+        self,
+        zones: list[str],
+        runners: list[tuple[str, int, list[str]]],
+        path: str | None = None,
     ) -> None:
         """Starts everything and waits until all instances are ready.
 
         :param zones: Zone of each instance.
         :param runners: Zone, processor capacity and labels of each runner.
+        :param path: See :meth:`Instance.start`.
         """
         await self.store.put("keyed.op", "config", json.dumps(self._configuration()).encode())
         for number, (zone, cpu, labels) in enumerate(runners):
@@ -611,7 +654,7 @@
                         f"peer-{other.number}", other.peer_address, is_in_records=True
                     )
         for instance in self.instances:
-            instance.start()
+            instance.start(path)
         await self.wait_for(lambda: any(each.is_owner for each in self.instances), 20, "an owner")
         for instance in self.instances:
             await self._wait_ready(instance)
@@ -776,8 +819,8 @@
 form = "log"
 parts = 16
 append_ms = 3.0
-record_bytes = 262144
-call_bytes = 2097152
+record_bytes = {RECORD_BYTES}
+call_bytes = {CALL_BYTES}
 keep_s = 300
 [cloud]
 address = "{instance.links["cloud"].address}"
@@ -818,15 +861,31 @@
 
     Ends this process with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
     """
+
+    def interrupt(*arguments: object) -> None:
+        raise KeyboardInterrupt  # Lets the case end the processes that it has started.
+
+    signal.signal(signal.SIGTERM, interrupt)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     lines: list[str] = []
+
+    def end(code: int) -> None:
+        (folder / "record.txt").write_text("\n".join(lines) + "\n", encoding="utf-8")
+        print("\n".join(lines[-6:]), file=sys.stderr, flush=True)
+        os._exit(code)  # Without waiting for the connections that are still open.
+
+    async def run() -> None:
+        try:
+            async with asyncio.timeout(110.0):
+                breaks = await case(has_trouble, lines)
+        except (CannotRunError, TimeoutError, OSError) as error:
+            lines.append(f"could not run: {error!r}")
+            end(2)
+        lines.extend([f"broken: {each}" for each in breaks] or ["the rule held"])
+        end(1 if breaks else 0)
+
     try:
-        breaks = asyncio.run(asyncio.wait_for(case(has_trouble, lines), 110.0))
-        code = 1 if breaks else 0
-        lines += [f"broken: {each}" for each in breaks] or ["the rule held"]
-    except (CannotRunError, TimeoutError, OSError) as error:
-        lines.append(f"could not run: {error!r}")
-        code = 2
-    (folder / "record.txt").write_text("\n".join(lines) + "\n", encoding="utf-8")
-    print("\n".join(lines[-6:]), file=sys.stderr, flush=True)
-    os._exit(code)  # Streams that are still open would complain about the closed event loop.
+        asyncio.run(run())
+    except KeyboardInterrupt:
+        lines.append("could not run: it was interrupted")
+        end(2)
