Record that no earlier owner acts, and shorten a takeover's wait only then

Cause: a release, or a restart of the last owner under its node, counted for all owners before it. The wait for the leases of unreached targets then began at the claim and left out the 3 s for which an earlier owner may go on without the log. The same word came from a term that had failed before it served, as it releases as well.

Each owner now records in the progress stream, once it is so, that no earlier owner acts any more (`settled`): it has completed its takeover, or took over from an owner that had recorded it and is gone. A release or restart cuts the wait short only if the last owner's epoch has this record. Records of earlier versions lack it, so that the wait is the long one. The record comes before the release in the same stream of appends, so a planned stop of an owner that knew every run costs nothing more.

Evidence: E745 `owner.settled` is new.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
@@ -11,6 +11,11 @@
 A new owner that has reached a majority of the targets at time T therefore knows that the targets
 it has not reached stop their runs by T + ``PROOF_VALIDITY_S`` + lease, on the slowest clock allowed
 for.
+
+An owner that knows that no earlier owner acts any more records so. If it ends later by a release or
+with its process, its successor therefore waits for one lease only. Without that record the end of
+the last owner shows nothing about the owners before it: one of them may be cut off together with
+some targets, and still renew leases there.
 """
 
 from __future__ import annotations
@@ -119,11 +124,12 @@
     Guarded by the term's lock.
 
     :param targets: Ids of the targets that the previous owner used.
-    :param previous_owner_gone: The previous owner released ownership or its process has ended.
+    :param previous_owners_gone: No earlier owner acts any more, neither the previous one nor those
+        before it.
     """
 
     def __init__(
-        self, targets: set[str], authority: Authority, began_at: float, previous_owner_gone: bool
+        self, targets: set[str], authority: Authority, began_at: float, previous_owners_gone: bool
     ) -> None:
         self._unreached = set(targets)
         self._reached: set[str] = set()
@@ -132,7 +138,8 @@
         """Unreached targets that have answered, and whose leases this owner renews."""
         self._authority = authority
         self._leases_end_at: float | None = None
-        if previous_owner_gone:
+        self._previous_owners_gone = previous_owners_gone
+        if previous_owners_gone:
             self._leases_end_at = authority.lease_end(began_at)
 
     @property
@@ -180,6 +187,13 @@
         if len(self._reached) > len(self._unreached) and self._leases_end_at is None:
             self._leases_end_at = self._authority.lease_end(now + PROOF_VALIDITY_S)
 
+    def are_previous_owners_gone(self) -> bool:
+        """Whether no earlier owner sends commands or renews leases any more.
+
+        Leases that they gave may still be valid, but end within one lease from now.
+        """
+        return self._previous_owners_gone or self.is_complete()
+
     def is_complete(self) -> bool:
         """Whether every run of the previous owner is either known or certainly over."""
         if not self._unreached:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/dispatch.py
@@ -133,6 +133,7 @@
         self._ranking.begin_round(pools, term.usage, term.configuration.current, now)
         is_takeover_complete = term.takeover is None or term.takeover.is_complete()
         self._is_takeover_complete = is_takeover_complete
+        term.record_settled()
         self._possible_usage = {} if is_takeover_complete else self._estimate_possible_usage()
         waiting: list[tuple[tuple, StepInfo]] = []
         upcoming: list[tuple[tuple, StepInfo]] = []
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
@@ -141,6 +141,9 @@
         """When a target last crashed on which nothing was being started."""
         self._share_limiter = TeamShareLimiter()
         self._stopping = False
+        self._began_at = clock.monotonic()
+        self._is_settled = False
+        """Whether the record is written that no earlier owner acts any more."""
 
     @property
     def stopping(self) -> bool:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -53,7 +53,11 @@
         """
         now = self._clock.monotonic()
         with self.lock:
-            self.takeover = Takeover(set(targets), self.authority, now, previous_owner_gone)
+            # The end of the previous owner shows nothing about the owners before it.
+            is_settled = self._replica.settled_epoch >= self.authority.epoch - 1
+            gone = previous_owner_gone and is_settled
+            self.takeover = Takeover(set(targets), self.authority, now, gone)
+            self.record_settled()
             self.durations.restore(self._replica.durations, self.authority.epoch)
             horizon = self._previous_horizon()
             for job in self._replica.job_ids():
@@ -77,9 +81,26 @@
         if claim.epoch > self.authority.epoch:
             self.lose_ownership(f"epoch {claim.epoch} was claimed by {claim.instance}")
 
+    def record_settled(self) -> None:
+        """Records, as soon as it is so, that no earlier owner acts any more."""
+        with self.lock:
+            takeover = self.takeover
+            if self._is_settled or takeover is None or not takeover.are_previous_owners_gone():
+                return
+            self._is_settled = True
+            encoded = r.encode_settled(self.authority.epoch)
+            self._writer.put(r.SETTLED, lambda: encoded)
+            self._events.write(
+                eventlog.OWNER_SETTLED,
+                epoch=self.authority.epoch,
+                unreached=len(takeover.unreached),
+                after_s=round(self._clock.monotonic() - self._began_at, 3),
+            )
+
     def stop(self) -> None:
         """Stops sending commands and renewing leases."""
         with self.changed:
+            self.record_settled()
             self._stopping = True
             self.ending.set()
             sessions = list(self.sessions.values())
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/jobs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/jobs.py
@@ -33,6 +33,7 @@
         self._summaries: dict[str, tuple[bool, str]] = {}
         self._targets: dict[str, str] = {}
         self._heartbeat: records.Heartbeat | None = None
+        self._settled_epoch = 0
         self._durations: bytes | None = None
         self._load: load_record.ReceivedLoad | None = None
         self._claim = NO_CLAIM
@@ -68,6 +69,11 @@
         """The newest heartbeat of an owner; None if it is of an earlier version."""
         return self._heartbeat
 
+    @property
+    def settled_epoch(self) -> int:
+        """Epoch of the newest owner that knew that no earlier owner acts any more; 0 if none."""
+        return self._settled_epoch
+
     @property
     def durations(self) -> bytes | None:
         """What an owner last recorded of its learned durations, encoded; None if nothing."""
@@ -180,6 +186,9 @@
             if record.key == records.HEARTBEAT:
                 self._heartbeat = records.decode_heartbeat(record.value or b"")
                 return
+            if record.key == records.SETTLED:
+                self._settled_epoch = records.decode_settled(record.value or b"")
+                return
             if record.key == records.DURATIONS:
                 self._durations = record.value
                 return
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
@@ -44,6 +44,9 @@
 DURATIONS = "durations"
 """What the owner has learned about durations. Earlier versions leave out keys they don't know."""
 LOAD = "load"
+SETTLED = "settled"
+"""Epoch of the newest owner that knew, while it owned, that no earlier owner acts any more. Earlier
+versions leave out keys they don't know, and don't write it."""
 
 
 class Submission(NamedTuple):
@@ -246,6 +249,20 @@
         return None
 
 
+def encode_settled(epoch: int) -> bytes:
+    return dump({"epoch": epoch})
+
+
+def decode_settled(value: bytes) -> int:
+    """Decodes the epoch of a settled owner; 0 if the record is malformed."""
+    try:
+        epoch = load(value)["epoch"]
+        _check_numbers(epoch, whole=True)
+        return epoch
+    except (*DECODE_ERRORS, ValueError):
+        return 0
+
+
 def encode_progress(progress: Progress) -> bytes:
     steps = {
         f"{occurrence}.{step}": [
--- a/tests/lib/cluster_simulation.py
+++ b/tests/lib/cluster_simulation.py
@@ -25,6 +25,7 @@
 from azurecleat_cluster._internal.metrics import Metrics
 from azurecleat_cluster._internal.owner.advice import AdviceClient
 from azurecleat_cluster._internal.owner.authority import Authority
+from azurecleat_cluster._internal.owner.claim_order import node_of
 from azurecleat_cluster._internal.owner.dispatch import Dispatcher
 from azurecleat_cluster._internal.owner.model import Run, TargetInfo
 from azurecleat_cluster._internal.owner.start_attempts import StartAttempts
@@ -314,16 +315,13 @@
     def __init__(self, simulation: Simulation, name: str) -> None:
         self.simulation = simulation
         self.name = name
+        self._incarnation = 0
         self.log = NodeLog(simulation.log)
         self.paused_until = 0.0
         self.unreachable_targets: set[str] = set()
         self.events = _SilentEvents()
         self.metrics = Metrics()
-        self.replica = JobReplica()
-        self.jobs = Follower(self.log, JOBS, self.replica.apply_job, simulation.clock, self.events)
-        self.progress = Follower(
-            self.log, PROGRESS, self.replica.apply_progress, simulation.clock, self.events
-        )
+        self._load()
         self.configuration = ConfigurationView(simulation, self.events)
         self.configuration.apply(LogRecord("config", b"x", 0))
         self.term: OwnerTerm | None = None
@@ -335,6 +333,20 @@
     def is_paused(self) -> bool:
         return self.simulation.clock.monotonic() < self.paused_until
 
+    @property
+    def instance(self) -> str:
+        """Id of this incarnation of the instance."""
+        return f"{self.name}#{self._incarnation}"
+
+    def _load(self) -> None:
+        """Starts to follow the log, as a process does when it starts."""
+        clock = self.simulation.clock
+        self.replica = JobReplica()
+        self.jobs = Follower(self.log, JOBS, self.replica.apply_job, clock, self.events)
+        self.progress = Follower(
+            self.log, PROGRESS, self.replica.apply_progress, clock, self.events
+        )
+
     def step(self) -> None:
         if self.is_paused:
             return
@@ -367,16 +379,38 @@
             return
         try:
             self.jobs.poll()
-            claim = records.Claim(self.replica.claim.epoch + 1, self.name, "")
+            previous = self.replica.claim
+            claim = records.Claim(previous.epoch + 1, self.instance, "")
             self.log.append(JOBS, [(records.claim_key(claim), records.encode_claim(claim))], 1.0)
             self.jobs.catch_up()
             if self.replica.claim != claim:
                 return
-            self._begin(claim.epoch)
+            is_restarted = previous.instance != self.instance and (
+                node_of(previous.instance) == self.name
+            )
+            self._begin(claim.epoch, previous.released or is_restarted)
         except (LogError, FencedError):
             return
 
-    def _begin(self, epoch: int) -> None:
+    def release(self) -> None:
+        """Gives up ownership, as a process does that is stopped."""
+        epoch = self.term.authority.epoch
+        self.term.stop()
+        self.writer.flush()
+        self.end_term()
+        try:
+            self.log.append(JOBS, [(f"{records.RELEASE}{epoch}", b"1")], 1.0)
+        except LogError:
+            return
+
+    def restart(self) -> None:
+        """Ends the process without notice and starts its next incarnation."""
+        if self.term is not None:
+            self.end_term()
+        self._incarnation += 1
+        self._load()
+
+    def _begin(self, epoch: int, previous_owner_gone: bool) -> None:
         authority = Authority(epoch, LEASE_S, self.simulation.clock)
         self.writer = SimWriter(self, epoch)
         self.writer.fence()
@@ -402,7 +436,7 @@
         self._listener = lambda record: term.on_job_record(record.key)
         self.replica.subscribe(self._listener)
         previous_targets = self.replica.targets_in_use
-        term.take_over(previous_targets, previous_owner_gone=False)
+        term.take_over(previous_targets, previous_owner_gone)
         for entry in self.simulation.registry:
             term.on_target_entry(entry)
         for name in previous_targets:
--- a/tests/lib/term_harness.py
+++ b/tests/lib/term_harness.py
@@ -156,6 +156,7 @@
     :param features: The optional features of the term; by default none.
     :param teams: Accounts of the configuration.
     :param queues: Queues of the configuration.
+    :param previous_owner_gone: Whether the previous owner released ownership or has ended.
     """
 
     def __init__(
@@ -169,6 +170,7 @@
         features: Features = NO_FEATURES,
         teams: Iterable[Team] = (TEAM,),
         queues: Iterable[Queue] = (QUEUE,),
+        previous_owner_gone: bool = False,
     ) -> None:
         events = EventLog("test", io.StringIO())
         self.configuration = configuration = ConfigurationView(
@@ -200,7 +202,7 @@
             lambda reason: None,
             features,
         )
-        self.term.take_over(replica.targets_in_use, previous_owner_gone=False)
+        self.term.take_over(replica.targets_in_use, previous_owner_gone)
         if advice is None:
             advice = AdviceClient(clock, events, metrics, lambda step, answer: None)
         self.dispatcher = Dispatcher(self.term, advice, preferences, clock, events, metrics)
