Count a majority of targets against each earlier owner by the targets it used

A task could run twice (TWICE, by simulation): the first owner was cut off from the log with a majority of the targets that it used, the second one added new targets and ended, and the third one took those new targets for a part of the majority that stops the first owner. It then started the first owner's tasks again while that one still renewed their leases.

Cause: `Takeover` counted one set of targets, that of the last owner, for all owners before it. An owner that begins to use a target while an earlier one may still act now records its epoch under a key of its own (`e/`), and a takeover needs a majority of the targets of each owner that may still act. The record is not needed, and not written, once no earlier owner acts; older logs without it are read as before.

On the code before, test_added_targets_are_no_majority_against_an_owner_that_did_not_use_them failed in 12 of its 13 chains (all that have a third owner); 0 after.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/authority.py
@@ -20,6 +20,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from azurecleat_base import Clock
 
 PROOF_VALIDITY_S = 3.0
@@ -126,11 +128,20 @@
     :param targets: Ids of the targets that the previous owner used.
     :param previous_owners_gone: No earlier owner acts any more, neither the previous one nor those
         before it.
+    :param first_epochs: Epoch of the owner that first used a target, by target id; without one, all
+        earlier owners that may still act have used it.
     """
 
     def __init__(
-        self, targets: set[str], authority: Authority, began_at: float, previous_owners_gone: bool
+        self,
+        targets: set[str],
+        authority: Authority,
+        began_at: float,
+        previous_owners_gone: bool,
+        first_epochs: Mapping[str, int],
     ) -> None:
+        self._targets = frozenset(targets)
+        self._first_epochs = {name: first_epochs[name] for name in targets & first_epochs.keys()}
         self._unreached = set(targets)
         self._reached: set[str] = set()
         """Targets that accepted the new epoch and, as far as known, have not ended since."""
@@ -154,6 +165,10 @@
         """
         return self._leases_end_at
 
+    def is_previous(self, target: str) -> bool:
+        """Whether the previous owner used a target with this id."""
+        return target in self._targets
+
     def mark_reached(self, target: str, now: float) -> None:
         """Notes that a target accepted the new epoch and that all its runs are known."""
         if target in self._unreached:
@@ -181,12 +196,25 @@
     def _check_majority(self, now: float) -> None:
         """Notes when the leases end, once a majority of the targets has accepted the epoch.
 
+        Each earlier owner that may still act has to lack a majority of the targets that it used.
         Targets that have ended count neither way: the previous owner no longer needs them for a
         majority either.
         """
-        if len(self._reached) > len(self._unreached) and self._leases_end_at is None:
+        if self._leases_end_at is not None or len(self._reached) <= len(self._unreached):
+            return
+        if all(self._lacks_majority(epoch) for epoch in {0, *self._first_epochs.values()}):
             self._leases_end_at = self._authority.lease_end(now + PROOF_VALIDITY_S)
 
+    def _lacks_majority(self, epoch: int) -> bool:
+        """Whether an owner that uses the targets first used up to an epoch can't prove its own."""
+        if not self._first_epochs:
+            return True  # All owners used all targets, of which a majority is reached.
+        reached, unreached = (
+            sum(self._first_epochs.get(target, 0) <= epoch for target in targets)
+            for targets in (self._reached, self._unreached)
+        )
+        return not unreached or reached > unreached
+
     def are_previous_owners_gone(self) -> bool:
         """Whether no earlier owner sends commands or renews leases any more.
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/state.py
@@ -142,6 +142,8 @@
         self._share_limiter = TeamShareLimiter()
         self._stopping = False
         self._began_at = clock.monotonic()
+        self._first_used: set[str] = set()
+        """Targets for which this term has recorded that it is the first to use them."""
         self._is_settled = False
         """Whether the record is written that no earlier owner acts any more."""
 
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/target_lifecycle.py
@@ -130,10 +130,23 @@
         if is_recorded and entry.id not in self._deleted_targets:
             self._start_session(session)
         else:
+            self._record_first_epoch(entry.id)
             self._writer.put(
                 r.TARGET + entry.id, lambda: encoded, lambda: self._start_session(session)
             )
 
+    def _record_first_epoch(self, target: str) -> None:
+        """Records that no earlier owner has used a target, if one of them may still act.
+
+        A later owner must not count the target towards a majority against such an owner.
+        """
+        takeover = self.takeover
+        if takeover is None or takeover.are_previous_owners_gone() or takeover.is_previous(target):
+            return
+        self._first_used.add(target)
+        encoded = r.encode_epoch(self.authority.epoch)
+        self._writer.put(r.FIRST_EPOCH + target, lambda: encoded)
+
     def _stop_unconfirmed_run(self, run: Run, target: TargetInfo) -> None:
         """Stops, on a target's new incarnation, a run whose start was sent to the previous one.
 
@@ -210,6 +223,8 @@
             self.takeover.mark_ended(target.id, self._clock.monotonic())
         self._deleted_targets.add(target.id)
         self._writer.put(r.TARGET + target.id, lambda: None)
+        if target.id in self._first_used or target.id in self._replica.first_epochs:
+            self._writer.put(r.FIRST_EPOCH + target.id, lambda: None)
         session.stop()
 
     def _release_lost_runs(self, target: TargetInfo, reason: str) -> None:
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term.py
@@ -54,9 +54,12 @@
         now = self._clock.monotonic()
         with self.lock:
             # The end of the previous owner shows nothing about the owners before it.
-            is_settled = self._replica.settled_epoch >= self.authority.epoch - 1
-            gone = previous_owner_gone and is_settled
-            self.takeover = Takeover(set(targets), self.authority, now, gone)
+            settled = self._replica.settled_epoch
+            gone = previous_owner_gone and settled >= self.authority.epoch - 1
+            first_epochs = {
+                name: epoch for name, epoch in self._replica.first_epochs.items() if epoch > settled
+            }
+            self.takeover = Takeover(set(targets), self.authority, now, gone, first_epochs)
             self.record_settled()
             self.durations.restore(self._replica.durations, self.authority.epoch)
             horizon = self._previous_horizon()
@@ -88,7 +91,7 @@
             if self._is_settled or takeover is None or not takeover.are_previous_owners_gone():
                 return
             self._is_settled = True
-            encoded = r.encode_settled(self.authority.epoch)
+            encoded = r.encode_epoch(self.authority.epoch)
             self._writer.put(r.SETTLED, lambda: encoded)
             self._events.write(
                 eventlog.OWNER_SETTLED,
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/jobs.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/jobs.py
@@ -32,6 +32,7 @@
         self._progress: dict[str, bytes] = {}
         self._summaries: dict[str, tuple[bool, str]] = {}
         self._targets: dict[str, str] = {}
+        self._first_epochs: dict[str, int] = {}
         self._heartbeat: records.Heartbeat | None = None
         self._settled_epoch = 0
         self._durations: bytes | None = None
@@ -64,6 +65,12 @@
         with self._lock:
             return dict(self._targets)
 
+    @property
+    def first_epochs(self) -> dict[str, int]:
+        """Epoch of the owner that first used a target, by target id, where it is recorded."""
+        with self._lock:
+            return dict(self._first_epochs)
+
     @property
     def heartbeat(self) -> records.Heartbeat | None:
         """The newest heartbeat of an owner; None if it is of an earlier version."""
@@ -187,7 +194,7 @@
                 self._heartbeat = records.decode_heartbeat(record.value or b"")
                 return
             if record.key == records.SETTLED:
-                self._settled_epoch = records.decode_settled(record.value or b"")
+                self._settled_epoch = records.decode_epoch(record.value or b"")
                 return
             if record.key == records.DURATIONS:
                 self._durations = record.value
@@ -204,6 +211,10 @@
                     self._summaries[name] = records.outcome_of(record.value)
                 case records.TARGET:
                     _set_or_remove(self._targets, name, record.value)
+                case records.FIRST_EPOCH if record.value is None:
+                    self._first_epochs.pop(name, None)
+                case records.FIRST_EPOCH:
+                    self._first_epochs[name] = records.decode_epoch(record.value)
 
     def _apply_load(self, record: LogRecord) -> None:
         self._load = None
--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
@@ -40,6 +40,10 @@
 RELEASE = "x/"
 JOB = "j/"
 TARGET = "t/"
+FIRST_EPOCH = "e/"
+"""Epoch of the owner that first used a target, by target id, if an earlier owner might still act.
+It has its own key: earlier versions can't read a target's record with more fields."""
+
 HEARTBEAT = "heartbeat"
 DURATIONS = "durations"
 """What the owner has learned about durations. Earlier versions leave out keys they don't know."""
@@ -249,12 +253,12 @@
         return None
 
 
-def encode_settled(epoch: int) -> bytes:
+def encode_epoch(epoch: int) -> bytes:
     return dump({"epoch": epoch})
 
 
-def decode_settled(value: bytes) -> int:
-    """Decodes the epoch of a settled owner; 0 if the record is malformed."""
+def decode_epoch(value: bytes) -> int:
+    """Decodes the epoch of a settled owner, or of a target's first one; 0 if it is malformed."""
     try:
         epoch = load(value)["epoch"]
         _check_numbers(epoch, whole=True)
--- a/tests/lib/cluster_simulation.py
+++ b/tests/lib/cluster_simulation.py
@@ -595,6 +595,16 @@
         """Lets an owner place tasks. Tests replace this method to inject wrong decisions."""
         dispatcher.dispatch(self.clock.monotonic())
 
+    def add_targets(self, count: int) -> list[SimTarget]:
+        """Adds targets that register with the present owners."""
+        first = len(self.targets)
+        for number in range(first, first + count):
+            target = self._make_target(number, 0)
+            self.targets.append(target)
+            self.registry.append(target.entry)
+            self._announce(target)
+        return self.targets[first:]
+
     def crash_target(self, number: int) -> None:
         """Replaces a target by a new incarnation with another id at the same address."""
         old = self.targets[number]
--- a/tests/unit/cluster/test_owner_chains.py
+++ b/tests/unit/cluster/test_owner_chains.py
@@ -161,6 +161,59 @@
         self.assertEqual(chain.violations, [])
 
 
+class AddedTargetsTest(unittest.TestCase):
+    """Targets are added while the first owner still acts through those that it knows."""
+
+    def add_targets(self, chain: Chain, count: int) -> None:
+        for target in chain.simulation.add_targets(count):
+            target.duration = lambda task: 60.0
+            chain.simulation.nodes[0].unreachable_targets.add(target.id)
+
+    def cut_majority(self) -> Chain:
+        """Cuts off the first owner with a majority of the targets that it uses."""
+        chain = Chain()
+        chain.zone = {target.id for target in chain.simulation.targets[:4]}
+        chain.cut_zone()
+        chain.take_over()
+        self.add_targets(chain, 6)
+        chain.simulation.run(1.0)
+        return chain
+
+    # A task ran twice: targets that the second owner had added counted for the third one's majority
+    # against the first, which did not use them.
+    def test_added_targets_are_no_majority_against_an_owner_that_did_not_use_them(self) -> None:
+        for ends in itertools.chain.from_iterable(
+            itertools.product(("stopped", "killed", "restarted"), repeat=n) for n in (0, 1, 2)
+        ):
+            chain = self.cut_majority()
+            for how in ends:
+                chain.end(how)
+            chain.simulation.run(12.0)
+            with self.subTest(ends=ends):
+                self.assertTrue(chain.simulation.nodes[0].term.authority.may_act())
+                self.assertEqual(chain.violations, [])
+            chain.simulation.heal()
+            chain.simulation.run(4.0)
+            with self.subTest(ends=ends, healed=True):
+                self.assertTrue(chain.owner.term.takeover.is_complete())
+                self.assertEqual(chain.violations, [])
+
+    # The added targets count once an owner knew that no earlier one acts: it used them itself.
+    def test_added_targets_count_against_an_owner_that_used_them(self) -> None:
+        chain = self.cut_majority()
+        chain.simulation.heal()
+        chain.simulation.run(4.0)
+        self.add_targets(chain, 2)
+        chain.simulation.run(1.0)
+        used = chain.simulation.targets
+        chain.zone = {target.id for target in used[:5]}
+        chain.cut_zone()
+        chain.end("killed", served_s=0.0)
+        bound_s = PROOF_VALIDITY_S + LEASE_END_S + REACTION_S
+        self.assertLess(chain.seconds_until_complete(), bound_s)
+        self.assertEqual(chain.violations, [])
+
+
 class PlannedStopTest(unittest.TestCase):
     """An owner that knew of every run ends, and its successor can't reach some targets."""
 
@@ -197,11 +250,11 @@
         return TermHarness(ManualClock(), replica, 3, targets, previous_owner_gone=True)
 
     def test_release_of_an_owner_that_recorded_it_starts_the_wait(self) -> None:
-        self.assertIsNotNone(self.take_over(records.encode_settled(2)).term.takeover.leases_end_at)
+        self.assertIsNotNone(self.take_over(records.encode_epoch(2)).term.takeover.leases_end_at)
 
     # Logs of earlier versions lack the record; that of an earlier owner shows nothing.
     def test_release_without_the_record_starts_no_wait(self) -> None:
-        for values in ((), (records.encode_settled(1),), (b"7",), (b'{"epoch":true}',), (b"[",)):
+        for values in ((), (records.encode_epoch(1),), (b"7",), (b'{"epoch":true}',), (b"[",)):
             with self.subTest(values=values):
                 self.assertIsNone(self.take_over(*values).term.takeover.leases_end_at)
 
