Embedded daemon: release a partition only if all earlier work is known

An owner that left while it was still recovering recorded a release, and its successor took that for the end of all work of earlier owners: it served at once, and started tasks again that still ran on a worker it didn't reach. An owner that knows the earlier work releases as before; a successor of one that doesn't waits until the leases lapse.

--- a/libs/daemon/src/azurecleat_daemon/_internal/partition_owner.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/partition_owner.py
@@ -108,6 +108,7 @@
         self._clock = services.clock
         self._lease = ControlLease(services.clock, targets, services.lease_s, MAX_LIST_POLL_GAP_S)
         self._phase = Phase.RECOVERING
+        self._has_served = False
         self._began_at = self._clock.monotonic()
         self._sessions: dict[str, TargetSession] = {}
         self._threads: dict[str, Periodic] = {}
@@ -157,6 +158,11 @@
     def phase(self) -> Phase:
         return self._phase
 
+    @property
+    def knows_previous_work(self) -> bool:
+        """Whether all work that earlier owners started is known here or certainly over."""
+        return self._has_served or not self._previous_targets
+
     @property
     def lease(self) -> ControlLease:
         return self._lease
@@ -315,6 +321,7 @@
         if not self._knows_all_previous_work(controlled):
             return
         self._phase = Phase.SERVING
+        self._has_served = True
         self.tasks.open()
         self.requests.open()
         self._services.metrics.takeovers.inc()
--- a/libs/daemon/src/azurecleat_daemon/_internal/partitions.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/partitions.py
@@ -208,10 +208,8 @@
                 break
         local_owner.release_targets()
         try:
-            event = Release(partition, local_owner.epoch)
-            self._services.appender.commit(event, RELEASE_DEADLINE_S)
-            self._membership.notify_new_entries(self._settings.zone)
-            log_event(PARTITION_RELEASED, partition=partition, epoch=local_owner.epoch)
+            if local_owner.knows_previous_work:
+                self._commit_release(partition, local_owner)
         except LogError as error:
             # Without the record the next owner waits until the lease lapses; nothing is lost.
             log_event(PARTITION_LOST, partition=partition, epoch=local_owner.epoch, reason=error)
@@ -219,6 +217,13 @@
             self._local_owners.pop(partition, None)
         local_owner.stop()
 
+    def _commit_release(self, partition: str, local_owner: PartitionOwner) -> None:
+        """Records the release, which tells the next owner that all earlier work is known."""
+        event = Release(partition, local_owner.epoch)
+        self._services.appender.commit(event, RELEASE_DEADLINE_S)
+        self._membership.notify_new_entries(self._settings.zone)
+        log_event(PARTITION_RELEASED, partition=partition, epoch=local_owner.epoch)
+
     def _targets_of(self, partition: str) -> list[Target]:
         """Returns the targets that rendezvous hashing assigns to a partition of the zone."""
         partitions = list(self._settings.partitions)
