Keep advice workers free among those that answer, and let any send long requests

Cause: the owner's own worker, and the first quarter of the others by name, took short requests only, whoever was left. It took a long one only if no other worker had ever existed, and workers are created from the entries of instances, which are never deleted. The lost instance's worker took the request, failed, and gave it back once a second. The log tells this apart from a service that refuses, or steps that don't ask: E771 `advice.failed` 17 times with the adviser edge-b-1, never the own one.

What stays free for short requests is now a number, not certain workers: the same share as before, of the workers that are responsive, which means that the last request was answered and the one in flight is not overdue. The last responsive worker takes all requests. The others get what no responsive worker may take, once, so that an answer of theirs can show that their instance is back. Lost instances no longer count either in the number of short requests that may wait and of long ones in flight.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
@@ -1,9 +1,12 @@
 """Requests advice from the advice service: which targets a step may use.
 
 The service handles one request at a time per calling instance. The owner therefore sends its
-requests through all instances, with one worker thread for each. Some workers only take requests
-with a low cost, so that urgent short steps never wait behind long ones. An overdue request is sent
-again through another worker, because the first one's instance may be cut off from the network.
+requests through all instances, with one worker thread for each. Requests with a high cost leave a
+part of the workers free, so that urgent short steps never wait behind them. An overdue request is
+sent again through another worker, because the first one's instance may be cut off from the network.
+
+An instance may also be gone for good. Workers whose last request failed or is overdue are therefore
+left out of the count of which a part stays free, and the others go first, until an answer comes.
 """
 
 from __future__ import annotations
@@ -18,7 +21,12 @@
 from azurecleat_cluster._internal import eventlog
 from azurecleat_cluster._internal.eventlog import EventLog
 from azurecleat_cluster._internal.metrics import Metrics
-from azurecleat_cluster._internal.owner.advice_queue import Request, RequestQueue, RequestState
+from azurecleat_cluster._internal.owner.advice_queue import (
+    OVERDUE_MARGIN_S,
+    Request,
+    RequestQueue,
+    RequestState,
+)
 from azurecleat_cluster._internal.owner.model import Advice, StepInfo
 from azurecleat_cluster._internal.ports import Adviser
 
@@ -34,16 +42,39 @@
 """Subtracted from the validity of tickets: the time until a command with one reaches its target."""
 
 
+SHORT_WORKERS_SHARE = 0.25
+"""Share of the other instances' workers that long requests leave free, beside one more worker:
+after a change of owner all steps request advice at once, and a long request takes as long as a
+whole urgent task."""
+
+
 class _Worker:
     """A thread that sends requests through one instance, and the request assigned to it."""
 
-    def __init__(self, name: str, short_only: bool) -> None:
+    def __init__(self, name: str, is_own: bool) -> None:
         self.name = name
-        self.short_only = short_only
+        self.is_own = is_own
         self.failures = 0
         """Requests that have failed since the last answer."""
+        self.request: Request | None = None
+        """The request assigned to it, until it has been answered or has failed."""
+        self.due = float("inf")
+        """When the request in flight is overdue."""
         self.inbox: Future[Request | None] = Future()
 
+    @property
+    def has_long(self) -> bool:
+        return self.request is not None and not self.request.is_short
+
+    def is_responsive(self, now: float) -> bool:
+        """Whether its last request was answered, and the one in flight is not overdue."""
+        return not self.failures and now < self.due
+
+    def note_end(self, is_answered: bool) -> None:
+        """Notes that its request was answered or has failed."""
+        self.request, self.due = None, float("inf")
+        self.failures = 0 if is_answered else self.failures + 1
+
 
 class AdviceClient:
     """Queues requests and assigns them to workers.
@@ -71,8 +102,10 @@
 
     @property
     def general_worker_count(self) -> int:
-        """Number of workers that take requests of any cost."""
-        return sum(not worker.short_only for worker in list(self._workers.values()))
+        """Number of requests of any cost that may be in flight."""
+        with self._lock:
+            count = len(self._counted(self._clock.monotonic()))
+        return count - _reserved(count)
 
     def stop(self) -> None:
         with self._lock:
@@ -81,14 +114,16 @@
                 worker.inbox.set_result(None)
             self._idle.clear()
 
-    def add_worker(
-        self, name: str, connect: Callable[[], Adviser], short_only: bool = False
-    ) -> None:
-        """Starts a worker, unless there is one with that name."""
+    def add_worker(self, name: str, connect: Callable[[], Adviser], is_own: bool = False) -> None:
+        """Starts a worker, unless there is one with that name.
+
+        :param is_own: Whether it sends through the owner's own instance. Such a worker takes a long
+            request only if no other one is idle.
+        """
         with self._lock:
             if name in self._workers or self._stopping:
                 return
-            worker = self._workers[name] = _Worker(name, short_only)
+            worker = self._workers[name] = _Worker(name, is_own)
         threading.Thread(
             target=self._serve, args=(worker, connect()), name=f"advice-{name}", daemon=True
         ).start()
@@ -96,7 +131,7 @@
     def accepts(self, cost_s: float) -> bool:
         """Whether a request of this cost would be sent soon."""
         with self._lock:
-            return self._queue.accepts(cost_s, len(self._workers))
+            return self._queue.accepts(cost_s, len(self._counted(self._clock.monotonic())))
 
     def submit(self, step: StepInfo, targets: list[str], unasked_s: float = 0.0) -> None:
         """Queues a request. Requests are sent in the order in which they are submitted.
@@ -128,27 +163,42 @@
             retried = self._queue.retry_overdue(now)
             if retried:
                 self._metrics.retries.labels("advice_overdue").inc(retried)
-                self._assign()
+            # A worker whose request has become overdue changes what the others may take.
+            self._assign()
+
+    def _counted(self, now: float) -> list[_Worker]:
+        """Returns the responsive workers, or all if none is responsive."""
+        workers = list(self._workers.values())
+        return [worker for worker in workers if worker.is_responsive(now)] or workers
 
     def _assign(self) -> None:
-        """Assigns queued requests to idle workers, first to those that fail least."""
-        self._idle.sort(key=lambda worker: worker.failures)
-        while self._queue.has_short and self._idle:
-            # General workers stay free for long requests, which only they may take.
-            worker = next((each for each in self._idle if each.short_only), None)
-            if worker is None:
-                break
-            self._assign_to(worker)
+        """Assigns queued requests to idle workers."""
         while len(self._queue) and self._idle:
-            is_alone = len(self._workers) == 1
-            worker = next((each for each in self._idle if is_alone or not each.short_only), None)
-            if worker is None:
+            request, idle = self._take_request(self._clock.monotonic())
+            if request is None:
                 return
-            self._assign_to(worker, may_take_long=True)
+            worker = min(idle, key=lambda each: (each.failures, each.is_own != request.is_short))
+            self._idle.remove(worker)
+            worker.request = request
+            worker.inbox.set_result(request)
 
-    def _assign_to(self, worker: _Worker, may_take_long: bool = False) -> None:
-        self._idle.remove(worker)
-        worker.inbox.set_result(self._queue.pop(may_take_long))
+    def _take_request(self, now: float) -> tuple[Request | None, list[_Worker]]:
+        """Takes the next request from the queue; returns it and the workers that may send it."""
+        counted = set(self._counted(now))
+        long_left = len(counted) - _reserved(len(counted))
+        long_left -= sum(worker.has_long for worker in counted)
+        idle = [worker for worker in self._idle if worker in counted]
+        request = None
+        if idle:
+            # The workers that stay free for short requests take them at once, whatever their age.
+            is_short_next = self._queue.has_short and len(idle) > max(0, long_left)
+            request = self._queue.pop(may_take_long=long_left > 0 and not is_short_next)
+        if request is None:
+            # What no responsive worker may take shows whether the others answer again. A request
+            # that is in flight waits for a responsive one: the next might hang as well.
+            idle = [worker for worker in self._idle if worker not in counted]
+            request = self._queue.pop(may_take_long=True, is_unsent=True) if idle else None
+        return request, idle
 
     def _serve(self, worker: _Worker, adviser: Adviser) -> None:
         while (request := self._next_request(worker)) is not None:
@@ -156,16 +206,12 @@
                 with self._lock:
                     self._queue.close(request)
                 self._on_advice(request.step, None)
-            elif self._send(worker, adviser, request):
-                worker.failures = 0
-            else:
-                worker.failures += 1
+            elif not self._send(worker, adviser, request):
                 threading.Event().wait(self._backoff_s(worker))
 
     def _backoff_s(self, worker: _Worker) -> float:
         """Returns the pause of a worker after a failed request."""
-        others = [each for each in list(self._workers.values()) if not each.short_only]
-        if all(each.failures for each in others):
+        if all(each.failures for each in list(self._workers.values())):
             return FAILURE_BACKOFF_S
         return min(MAX_FAILURE_BACKOFF_S, FAILURE_BACKOFF_S * 2.0 ** (worker.failures - 1))
 
@@ -173,6 +219,7 @@
         with self._lock:
             if self._stopping:
                 return None
+            worker.request = None
             worker.inbox = Future()
             self._idle.append(worker)
             self._assign()
@@ -183,6 +230,7 @@
         step = request.step
         with self._lock:
             self._queue.note_sent(request, sent_at)
+            worker.due = sent_at + request.cost_s + OVERDUE_MARGIN_S
         try:
             tickets = adviser.advise(
                 step.name, list(request.targets), request.cost_s + TIMEOUT_MARGIN_S
@@ -193,11 +241,13 @@
                 eventlog.ADVICE_FAILED, step=step.name, adviser=worker.name, error=error
             )
             with self._lock:
+                worker.note_end(is_answered=False)
                 self._queue.note_failed(request, sent_at)
                 self._assign()
             return False
         now = self._clock.monotonic()
         with self._lock:
+            worker.note_end(is_answered=True)
             is_first = self._queue.close(request)
             queued = len(self._queue)
         if not is_first:
@@ -218,3 +268,8 @@
         valid_until = now + request.valid_s - TICKET_MARGIN_S
         self._on_advice(step, Advice(request.targets, tickets, valid_until))
         return True
+
+
+def _reserved(workers: int) -> int:
+    """Returns how many workers long requests leave free; a single one takes all requests."""
+    return 1 + int((workers - 1) * SHORT_WORKERS_SHARE) if workers > 1 else 0
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/advice_queue.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/advice_queue.py
@@ -89,7 +89,7 @@
     def accepts(self, cost_s: float, workers: int) -> bool:
         """Whether a request of this cost would be sent soon: there is a worker or a place to wait.
 
-        :param workers: Number of workers that take short requests.
+        :param workers: Number of workers.
         """
         if cost_s <= SHORT_REQUEST_S:
             return len(self._short) < max(1, workers)
@@ -100,13 +100,19 @@
         self._open[request.number] = _Open()
         self._of(request).append(request)
 
-    def pop(self, may_take_long: bool) -> Request | None:
-        """Takes the oldest request that a worker may send; None if there is none."""
+    def pop(self, may_take_long: bool, is_unsent: bool = False) -> Request | None:
+        """Takes the oldest request that a worker may send; None if there is none.
+
+        :param is_unsent: Only a request that no other worker has in flight.
+        """
         queues = [self._short, self._long] if may_take_long else [self._short]
-        heads = [queue for queue in queues if queue]
-        if not heads:
+        requests = [
+            request for queue in queues if (request := self._first(queue, is_unsent)) is not None
+        ]
+        if not requests:
             return None
-        request = min(heads, key=lambda queue: queue[0].queued_at).popleft()
+        request = min(requests, key=lambda each: each.queued_at)
+        self._of(request).remove(request)
         self._open[request.number].is_waiting = False
         return request
 
@@ -159,6 +165,10 @@
         is_waiting = any(each.step is step for each in (*self._short, *self._long))
         return RequestState.QUEUED if is_waiting else RequestState.SENT
 
+    def _first(self, queue: deque[Request], is_unsent: bool) -> Request | None:
+        allowed = (each for each in queue if not (is_unsent and self._open[each.number].in_flight))
+        return next(allowed, None)
+
     def _wait_again(self, request: Request, state: _Open) -> None:
         state.is_waiting = True
         state.due = float("inf")
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/term_runner.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/term_runner.py
@@ -57,10 +57,6 @@
 MAX_CLEAN_UP_JOBS = 500
 """Most jobs that one append deletes: the log limits the size of a call."""
 
-SHORT_WORKERS_SHARE = 0.25
-"""Share of the other instances that send only short advice requests: after a change of owner all
-steps request advice at once, and a long request takes as long as a whole urgent task."""
-
 FOLLOW_WAIT_S = 1.0
 """Longest wait of a read, as a connection may hang for good."""
 
@@ -403,15 +399,13 @@
             self._deleted_jobs.update(names)
 
     def _update_advice_workers(self) -> None:
-        """Starts an advice worker for each instance; some take only short requests."""
+        """Starts an advice worker for each instance."""
         dependencies = self._dependencies
         own = dependencies.ports.adviser
         if own is None:
             return
         peers = dependencies.replica.instances
-        self._advice.add_worker(dependencies.instance, lambda: own, short_only=True)
-        others = sorted(node for node in peers if node != node_of(dependencies.instance))
-        reserved = int(len(others) * SHORT_WORKERS_SHARE)
-        for number, node in enumerate(others):
+        self._advice.add_worker(dependencies.instance, lambda: own, is_own=True)
+        for node in sorted(peers.keys() - {node_of(dependencies.instance)}):
             connect = partial(dependencies.ports.connect_adviser, peers[node].address)
-            self._advice.add_worker(node, connect, short_only=number < reserved)
+            self._advice.add_worker(node, connect)
--- a/tests/unit/cluster/test_advice.py
+++ b/tests/unit/cluster/test_advice.py
@@ -71,7 +71,7 @@
     def test_short_requests_do_not_wait_behind_long_ones(self) -> None:
         for number in range(3):
             adviser = SlowAdviser()
-            self.client.add_worker(f"n{number}", lambda a=adviser: a, short_only=number == 0)
+            self.client.add_worker(f"n{number}", lambda a=adviser: a, is_own=number == 0)
         began_at = time.monotonic()
         for number in range(6):
             self.submit(f"long{number}")
