Bound the time for which an instance leaves the claim to others

After the loss of all instances but one, nobody owned the jobs for as long as the one left gave each instance ahead of it time to claim: 0.04 s each, more with a slow log, and the entries of lost instances stay in the log. With 96 of them and a log latency of 0.1 s that is 22 s, where 3 s is the most that a job may wait beside free capacity.

The wait for all of them is 1 s at most. Instances far back in the order may then claim at the same time, of which one wins.

test_only_instance_left_does_not_wait_for_each_that_is_gone failed before (no claim within 20 s).

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/service.py
@@ -50,6 +50,10 @@
 CLAIM_TURN_S = 0.03
 """Time that an instance has to claim before the next one may: two appends."""
 
+MAX_CLAIM_WAIT_S = 1.0
+"""Longest wait for all instances ahead: they may be gone, as the entries of instances stay in the
+log. Instances that would have to wait for longer may claim at the same time."""
+
 CLAIM_TIMEOUT_S = 2.5
 
 OWNER_SPEED_PERIOD_S = 0.25
@@ -263,7 +267,8 @@
         if not ahead:
             return True
         claim = self._replica.claim
-        self._stopping.wait(ahead * (CLAIM_TURN_S + 2 * self._dependencies.ports.log.latency_s()))
+        turn_s = CLAIM_TURN_S + 2 * self._dependencies.ports.log.latency_s()
+        self._stopping.wait(min(ahead * turn_s, MAX_CLAIM_WAIT_S))
         self._dependencies.jobs.poll()
         return self._replica.claim == claim
 
--- a/tests/unit/cluster/test_claim_after_restart.py
+++ b/tests/unit/cluster/test_claim_after_restart.py
@@ -19,6 +19,9 @@
 
 INSTANCES_AHEAD = 14
 
+MAX_IDLE_S = 3.0
+"""Longest time for which a job may have nothing running while there is capacity."""
+
 
 class SlowLog(KeyedMemoryLog):
     def latency_s(self) -> float:
@@ -28,13 +31,14 @@
 class ClaimAfterRestartTest(unittest.TestCase):
     """The owner's node and others of the same size have restarted; the node's turn is the last."""
 
-    def claim_after_s(self, previous_owner: str) -> float:
-        """Returns the time until this instance, ``n0#1``, claims."""
+    def claim_after_s(self, previous_owner: str, ahead: int = INSTANCES_AHEAD) -> float:
+        """Returns the time until this instance, ``n0#1``, claims.
+
+        :param ahead: Number of the other instances, of which none claims.
+        """
         log = SlowLog()
         claim = records.Claim(1, previous_owner, "address")
-        entries = [
-            (f"{records.INSTANCE}n{number}", float(number)) for number in range(INSTANCES_AHEAD + 1)
-        ]
+        entries = [(f"{records.INSTANCE}n{number}", float(number)) for number in range(ahead + 1)]
         for name, started in entries:
             entry = records.InstanceEntry("127.0.0.1:1", started)
             log.append(JOBS, [(name, records.encode_instance(entry))], 1.0)
@@ -56,6 +60,11 @@
         waited_s = self.claim_after_s("n3#0")
         self.assertGreater(waited_s, (INSTANCES_AHEAD - 1) * CLAIM_TURN_S)
 
+    # Each instance that was gone had its turn first: with 96 of them the only one left claimed after
+    # 22 s.
+    def test_only_instance_left_does_not_wait_for_each_that_is_gone(self) -> None:
+        self.assertLess(self.claim_after_s("n3#0", ahead=96), MAX_IDLE_S)
+
 
 if __name__ == "__main__":
     unittest.main()
