Record a checkpoint that tasks share once, and leave out those that don't fit

Cause: a gang's checkpoint is kept for each member, and was encoded for each. The record was above what the log takes for one, the log refused it, and the writer sends the records of a term in order and repeats each until it is in the log, heartbeat and horizon after it. The next owner read the same end and made the same record.

A text that several tasks share is now encoded once, with the ranges of their indices, in a field of its own: earlier versions ignore it. Of the others those are left out, the longest first, that would make the record larger than the log takes; a task without its checkpoint begins anew.

--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from azurecleat_base import Resources, describe, parse_json, split_address
@@ -26,6 +27,12 @@
 """Most tasks and steps of a job over all its occurrences, far above what is accepted now: an owner
 holds them in memory."""
 
+MAX_PROGRESS_BYTES = (1 << 18) - 1024
+"""Size of a job's progress: what the log takes for one record, less its key."""
+
+CHECKPOINT_FRAME_BYTES = 8
+"""Bytes around an encoded checkpoint."""
+
 SUBMISSION = "s/"
 CANCELLATION = "c/"
 INSTANCE = "i/"
@@ -268,23 +275,69 @@
 
 
 def encode_progress(progress: Progress) -> bytes:
-    steps = {
-        f"{occurrence}.{step}": [
-            _to_ranges(task.done),
-            task.failures,
-            task.checkpoints,
-            task.last_run,
-        ]
-        for (occurrence, step), task in progress.steps.items()
-    }
+    """Encodes a job's progress in at most ``MAX_PROGRESS_BYTES``, as far as checkpoints allow it.
+
+    The log refuses a larger record, and with it all later ones. Checkpoints that don't fit are left
+    out, the longest first: another owner starts their tasks from the beginning.
+    """
+    steps = {_step_name(key): task for key, task in progress.steps.items()}
+    groups = [
+        (name, text, indices)
+        for name, task in steps.items()
+        for text, indices in _indices_by_text(task.checkpoints).items()
+    ]
+    groups.sort(key=lambda group: len(group[1]))
+    kept: list[tuple[str, str, list[int]]] = []
+    left = MAX_PROGRESS_BYTES - len(dump(_progress_fields(progress, ())))
+    for name, text, indices in groups:
+        left -= _checkpoint_bytes(name, text, indices)
+        if left < 0:
+            break
+        kept.append((name, text, indices))
+    return dump(_progress_fields(progress, kept))
+
+
+def _progress_fields(
+    progress: Progress, checkpoints: Iterable[tuple[str, str, list[int]]]
+) -> dict[str, Any]:
+    """Returns the fields of a job's progress.
+
+    :param checkpoints: Name of the step, text and indices of the tasks, for each text.
+    """
+    own: dict[str, dict[int, str]] = {}
+    common: dict[str, list[tuple[str, list[list[int]]]]] = {}
+    for name, text, indices in checkpoints:
+        if len(indices) > 1:
+            common.setdefault(name, []).append((text, _to_ranges(tuple(indices))))
+        else:
+            own.setdefault(name, {})[indices[0]] = text
+    steps, crashes = {}, {}
+    for key, task in progress.steps.items():
+        name = _step_name(key)
+        steps[name] = [_to_ranges(task.done), task.failures, own.get(name, {}), task.last_run]
+        if task.crashes:
+            crashes[name] = task.crashes
     data = {"begun": progress.begun, "outcome": progress.outcome, "steps": steps}
-    # A field of its own: instances of earlier versions expect four values for each step.
-    crashes = {
-        f"{occurrence}.{step}": task.crashes
-        for (occurrence, step), task in progress.steps.items()
-        if task.crashes
-    }
-    return dump({**data, "crashes": crashes} if crashes else data)
+    # Fields of their own: instances of earlier versions expect four values for each step.
+    optional = {"crashes": crashes, "common_checkpoints": common}
+    return data | {name: value for name, value in optional.items() if value}
+
+
+def _step_name(key: tuple[int, int]) -> str:
+    return f"{key[0]}.{key[1]}"
+
+
+def _indices_by_text(checkpoints: dict[int, str]) -> dict[str, list[int]]:
+    """Groups tasks by their checkpoints: all members of a gang have the same one."""
+    groups: dict[str, list[int]] = {}
+    for index, text in checkpoints.items():
+        groups.setdefault(text, []).append(index)
+    return groups
+
+
+def _checkpoint_bytes(name: str, text: str, indices: list[int]) -> int:
+    """Returns at least the size of an encoded checkpoint."""
+    return len(dump([name, text, _to_ranges(tuple(indices))])) + CHECKPOINT_FRAME_BYTES
 
 
 def decode_progress(value: bytes) -> Progress:
@@ -296,12 +349,18 @@
         data = load(value)
         steps = {}
         crashes = data.get("crashes", {})
+        common = data.get("common_checkpoints", {})
         for name, (done, failures, checkpoints, last_run) in data["steps"].items():
             occurrence, step = name.split(".")
+            shared = {
+                index: _text(text)
+                for text, ranges in common.get(name, ())
+                for index in _from_ranges(ranges)
+            }
             steps[int(occurrence), int(step)] = TaskProgress(
                 _from_ranges(done),
                 {int(index): tuple(runs) for index, runs in failures.items()},
-                {int(index): text for index, text in checkpoints.items()},
+                shared | {int(index): text for index, text in checkpoints.items()},
                 last_run,
                 {
                     int(index): tuple(Crash(*each) for each in rows)
