--- a/libs/daemon/src/azurecleat_daemon/_internal/snapshot_writer.py
+++ b/libs/daemon/src/azurecleat_daemon/_internal/snapshot_writer.py
@@ -15,6 +15,7 @@
     The state is the same at every instance, so each may write a snapshot. The instance that ranks
     first for a section writes it after ``interval_entries`` entries. Each further instance in
     rank order waits for another ``interval_entries`` entries, in case the ones before it fail.
+    Instances that don't answer have no rank.
 
     :param interval_entries: Number of log entries between snapshots of a section.
     """
@@ -58,5 +59,6 @@
 
     def _rank(self, section: str) -> int:
         members = self._membership.members()
-        order = rank_candidates(section, members)
+        alive = [name for name in members if self._membership.is_alive(name)]
+        order = rank_candidates(section, alive)
         return order.index(self._instance) if self._instance in order else len(order)
