Contain a task whose only machine goes on crashing; don't give its job up

Crashes of one machine, under whatever address its incarnations share, don't show that the task is why.

Such a task is now contained as lasting ones are: it keeps its last five crashes, runs isolated, and waits up to 2 s after each.

test_task_whose_only_target_goes_on_crashing_is_not_given_up failed before with each of its three delays between start and crash.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/crash_tracking.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/crash_tracking.py
@@ -10,6 +10,7 @@
     STABLE_S,
     describe_tasks,
     is_crash_loop,
+    is_one_machine,
     needs_strict_isolation,
     pause_s,
     runs_being_started,
@@ -52,19 +53,20 @@
     def _count_crash(self, run: Run, is_suspected: bool, is_clear: bool, now: float) -> None:
         """Counts a crash under a run's task, and gives the task up if it is in a crash loop.
 
-        A lasting task is contained instead.
+        A lasting task is contained instead, and so is one that ran on a single machine.
         """
         index, job, history = run.task.index, run.step.job, run.step.crash_history
         crash = Crash(run.number, run.target.entry.address, bool(run.began_at), is_suspected)
-        is_lasting = run.step.spec.long_running
-        history.add(index, crash, now, MAX_EXPOSURES if is_lasting else None)
+        may_end = not run.step.spec.long_running and not is_one_machine({crash, *history.of(index)})
+        history.add(index, crash, now, None if may_end else MAX_EXPOSURES)
         crashes = history.of(index)
         if (is_suspected and not run.has_survived_start) or needs_strict_isolation(crashes):
             history.suspects.add(index)
-        if is_lasting:
-            self._contain(run, is_crash_loop(crashes, is_clear), now)
+        is_looping = is_crash_loop(crashes, is_clear)
+        if run.step.spec.long_running or (is_looping and not may_end):
+            self._contain(run, is_looping, now)
             return
-        if is_crash_loop(crashes, is_clear):
+        if is_looping:
             self._events.write(
                 eventlog.JOB_GIVEN_UP, job=job.id, task=run.task, crashes=len(crashes)
             )
@@ -79,9 +81,9 @@
         self.record(job, lambda: self._on_crashes_recorded(run.step, index))
 
     def _contain(self, run: Run, is_looping: bool, now: float) -> None:
-        """Keeps a lasting task from crashing target after target at full speed.
+        """Keeps a task that is never given up from crashing target after target at full speed.
 
-        It has no limit of attempts, so that it need not wait until the log has its crashes.
+        Its crashes end no job, so that it need not wait until the log has them.
         """
         index, step = run.task.index, run.step
         crashes = step.crash_history.of(index)
--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/crashes.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/crashes.py
@@ -3,7 +3,8 @@
 A crash ends all runs on a target without a report, so the task that caused it looks like the tasks
 beside it. Only what had just been started there is suspected; a suspected task is then started
 isolated, so that the next crash tells it apart from its neighbours. A task that goes on crashing
-its targets is given up; one that lasts is contained instead, as only its caller may end it.
+its targets is given up; one that lasts is contained instead, as only its caller may end it. So is
+one that could run on a single machine only: that machine may crash by itself.
 """
 
 from __future__ import annotations
@@ -122,8 +123,13 @@
     )
 
 
+def is_one_machine(crashes: Collection[Crash]) -> bool:
+    """Whether all crashes are of incarnations of one target."""
+    return len({crash.address for crash in crashes}) <= 1
+
+
 def pause_s(crashes: Collection[Crash]) -> float:
-    """Returns how long a lasting task waits after the last of these crashes."""
+    """Returns how long a contained task waits after the last of these crashes."""
     if len(crashes) < MIN_CONFIRMED_CRASHES:
         return 0.0
     return min(MAX_PAUSE_S, FIRST_PAUSE_S * 2.0 ** (len(crashes) - MIN_CONFIRMED_CRASHES))
@@ -134,10 +140,12 @@
 
     A new owner does not know when that was.
     """
-    if not step.spec.long_running:
+    crashes = step.crash_history.of(index)
+    is_contained = len(crashes) >= MAX_CRASHES and is_one_machine(crashes)
+    if not step.spec.long_running and not is_contained:
         return False
     returned_at = step.returned_at.get(index, float("-inf"))
-    return now - returned_at < pause_s(step.crash_history.of(index))
+    return now - returned_at < pause_s(crashes)
 
 
 def _isolation_order(
--- a/tests/unit/cluster/test_crash_loops.py
+++ b/tests/unit/cluster/test_crash_loops.py
@@ -30,6 +30,7 @@
     JOB,
     StandInSession,
     TermHarness,
+    done,
     make_entry,
     running,
     submit,
@@ -223,13 +224,14 @@
     MAX_CRASHES_IN_5_S = 5
     MAX_CRASHES_PER_S = 0.45
 
-    def play(self, step: Step, delay_s: float, is_log_down: bool = False) -> TermHarness:
+    def play(
+        self, step: Step, delay_s: float, is_log_down: bool = False, targets: int = 8
+    ) -> TermHarness:
         """Lets the first task of a step crash each of its targets, some time after its start.
 
-        The targets, of which there are eight, start again on the same machine. Other tasks are at
-        work on half of them.
+        The targets start again on the same machine. Other tasks are at work on up to four of them.
         """
-        harness = serve(JobSpec("payload", (step,)), 8)
+        harness = serve(JobSpec("payload", (step,)), targets)
         self.incarnations = 0
         self.crashed_at: list[float] = []
         self.started_at: list[float] = []
@@ -321,6 +323,26 @@
     def test_lasting_gang_that_crashes_its_targets_is_contained(self) -> None:
         self.check(self.play(STEP._replace(long_running=True, gang=True, count=2), 0.3))
 
+    # A job was shown as failed after four crashes of the only target that it could run on, with no
+    # end `failed`. Crashes of one machine don't show that the task is why.
+    def test_task_whose_only_target_goes_on_crashing_is_not_given_up(self) -> None:
+        for delay_s in (0.0, 0.3, 2.0):
+            with self.subTest(delay_s=delay_s):
+                harness = self.play(STEP, delay_s, targets=1)
+                self.check(harness)
+                step = harness.term.jobs[JOB].steps[0, 0]
+                self.assertLessEqual(len(step.crash_history.of(0)), MAX_EXPOSURES)
+                if 0 not in step.active:
+                    harness.clock.advance(self.MAX_AWAY_S)
+                    harness.authority.add_log_proof(harness.clock.monotonic())
+                    harness.writer.commit()
+                    self.report_all(harness)
+                    harness.dispatch()
+                run = step.active[0]
+                number = run.target.entry.started_at_ms
+                harness.report(run.target.id, (), [done(1, task(0), run.number)], number)
+                self.assertEqual(harness.term.jobs[JOB].outcome, JobState.COMPLETED.value)
+
     # A target that a contained task has to itself may be the only one that others can run on.
     def test_target_of_a_contained_task_is_open_to_others_after_a_while(self) -> None:
         harness = serve(JobSpec("payload", (STEP._replace(long_running=True),)), 1)
