Keep the number of advice workers that count, instead of counting for each step

Each waiting step asks whether a request of its would be sent, and each call counted the responsive workers: 12.6 us with 97 instances, 0.9 us before the workers were counted by their answers, 0.7 us now. The count is made anew in each round, as it was no more exact for a single call.

--- a/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/owner/advice.py
@@ -98,14 +98,14 @@
         self._numbers = itertools.count()
         self._workers: dict[str, _Worker] = {}
         self._idle: list[_Worker] = []
+        self._counted_total = 0
+        """Number of counted workers; kept, as each waiting step asks for it in each round."""
         self._stopping = False
 
     @property
     def general_worker_count(self) -> int:
         """Number of requests of any cost that may be in flight."""
-        with self._lock:
-            count = len(self._counted(self._clock.monotonic()))
-        return count - _reserved(count)
+        return self._counted_total - _reserved(self._counted_total)
 
     def stop(self) -> None:
         with self._lock:
@@ -124,6 +124,7 @@
             if name in self._workers or self._stopping:
                 return
             worker = self._workers[name] = _Worker(name, is_own)
+            self._counted_total = len(self._counted(self._clock.monotonic()))
         threading.Thread(
             target=self._serve, args=(worker, connect()), name=f"advice-{name}", daemon=True
         ).start()
@@ -131,7 +132,7 @@
     def accepts(self, cost_s: float) -> bool:
         """Whether a request of this cost would be sent soon."""
         with self._lock:
-            return self._queue.accepts(cost_s, len(self._counted(self._clock.monotonic())))
+            return self._queue.accepts(cost_s, self._counted_total)
 
     def submit(self, step: StepInfo, targets: list[str], unasked_s: float = 0.0) -> None:
         """Queues a request. Requests are sent in the order in which they are submitted.
@@ -161,6 +162,7 @@
         """Queues overdue requests again; has to be called regularly."""
         with self._lock:
             retried = self._queue.retry_overdue(now)
+            self._counted_total = len(self._counted(now))
             if retried:
                 self._metrics.retries.labels("advice_overdue").inc(retried)
             # A worker whose request has become overdue changes what the others may take.
