--- a/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
+++ b/libs/cluster/src/azurecleat_cluster/_internal/replica/records.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from azurecleat_base import Resources, describe, parse_json, split_address
@@ -280,45 +279,63 @@
     The log refuses a larger record, and with it all later ones. Checkpoints that don't fit are left
     out, the longest first: another owner starts their tasks from the beginning.
     """
-    steps = {_step_name(key): task for key, task in progress.steps.items()}
+    own = {_step_name(key): task.checkpoints for key, task in progress.steps.items()}
+    if all(len(set(texts.values())) == len(texts) for texts in own.values()):
+        encoded = dump(_progress_fields(progress, own, {}))
+        if len(encoded) <= MAX_PROGRESS_BYTES:
+            return encoded
+    return _encode_shared(progress, own)
+
+
+def _encode_shared(progress: Progress, checkpoints: dict[str, dict[int, str]]) -> bytes:
+    """Encodes a job's progress with each checkpoint once, as far as they fit.
+
+    :param checkpoints: Checkpoints by the name of the step and the index of the task.
+    """
     groups = [
         (name, text, indices)
-        for name, task in steps.items()
-        for text, indices in _indices_by_text(task.checkpoints).items()
+        for name, texts in checkpoints.items()
+        for text, indices in _indices_by_text(texts).items()
     ]
     groups.sort(key=lambda group: len(group[1]))
-    kept: list[tuple[str, str, list[int]]] = []
-    left = MAX_PROGRESS_BYTES - len(dump(_progress_fields(progress, ())))
+    own: dict[str, dict[int, str]] = {}
+    common: dict[str, list[tuple[str, list[list[int]]]]] = {}
+    left = MAX_PROGRESS_BYTES - len(dump(_progress_fields(progress, {}, {})))
     for name, text, indices in groups:
         left -= _checkpoint_bytes(name, text, indices)
         if left < 0:
             break
-        kept.append((name, text, indices))
-    return dump(_progress_fields(progress, kept))
+        if len(indices) > 1:
+            common.setdefault(name, []).append((text, _to_ranges(tuple(indices))))
+        else:
+            own.setdefault(name, {})[indices[0]] = text
+    return dump(_progress_fields(progress, own, common))
 
 
 def _progress_fields(
-    progress: Progress, checkpoints: Iterable[tuple[str, str, list[int]]]
+    progress: Progress,
+    own: dict[str, dict[int, str]],
+    common: dict[str, list[tuple[str, list[list[int]]]]],
 ) -> dict[str, Any]:
     """Returns the fields of a job's progress.
 
-    :param checkpoints: Name of the step, text and indices of the tasks, for each text.
+    :param own: Checkpoints of single tasks, by the name of the step and the index of the task.
+    :param common: Checkpoints of several tasks, with the ranges of their indices.
     """
-    own: dict[str, dict[int, str]] = {}
-    common: dict[str, list[tuple[str, list[list[int]]]]] = {}
-    for name, text, indices in checkpoints:
-        if len(indices) > 1:
-            common.setdefault(name, []).append((text, _to_ranges(tuple(indices))))
-        else:
-            own.setdefault(name, {})[indices[0]] = text
-    steps, crashes = {}, {}
-    for key, task in progress.steps.items():
-        name = _step_name(key)
-        steps[name] = [_to_ranges(task.done), task.failures, own.get(name, {}), task.last_run]
-        if task.crashes:
-            crashes[name] = task.crashes
+    steps = {
+        (name := _step_name(key)): [
+            _to_ranges(task.done),
+            task.failures,
+            own.get(name, {}),
+            task.last_run,
+        ]
+        for key, task in progress.steps.items()
+    }
     data = {"begun": progress.begun, "outcome": progress.outcome, "steps": steps}
     # Fields of their own: instances of earlier versions expect four values for each step.
+    crashes = {
+        _step_name(key): task.crashes for key, task in progress.steps.items() if task.crashes
+    }
     optional = {"crashes": crashes, "common_checkpoints": common}
     return data | {name: value for name, value in optional.items() if value}
 
